--- /dev/null
+++ b/brain/api.go
@@ -0,0 +1,306 @@
+// Package brain decides, for one gateway, where each request of a replicated database goes.
+//
+// It is a pure state machine: a Router turns (now, event) into actions. It owns no clock, goroutine, socket
+// or file, and it draws random numbers only from the seed it was given. This file is the whole interface, in
+// the module's own terms; it holds no decision. Every decision stands in brain.go.
+package brain
+
+// Micros is a point or a span of time in whole microseconds on the gateway's clock.
+type Micros int64
+
+// Position is a log position: the clock time up to which a member has applied every commit. Zero is unknown.
+type Position = Micros
+
+// ServerID names a database server. It tells nothing but identity.
+type ServerID uint32
+
+// Need says how current the data behind a request must be.
+type Need uint8
+
+// The needs, from the least to the most demanding.
+const (
+	NeedAny     Need = iota // every member will do
+	NeedBounded             // no older than the class's bound when sent
+	NeedSession             // all that the session has written
+	NeedFresh               // all that was written before the request came in
+	NeedWrite               // changes data: only the primary takes it
+)
+
+// Effect says what a repeat of a request may do.
+type Effect uint8
+
+// The effects. The zero value is the strictest.
+const (
+	EffectUnsafe Effect = iota // must never run twice
+	EffectKeyed                // repeats are dropped by its key within a window
+	EffectSafe                 // may be repeated at will
+)
+
+// Scope says how far a keyed request's key is known.
+type Scope uint8
+
+// The scopes of a key. The zero value is the narrowest.
+const (
+	ScopeGroup Scope = iota // the servers of the same group
+	ScopeZone               // the servers of the same zone
+	ScopeAll                // every server
+)
+
+// Checks says what a server does with a read for which it is too far behind.
+type Checks uint8
+
+// The checks. The zero value trusts the servers with nothing.
+const (
+	ChecksNone   Checks = iota // it answers from what it has
+	ChecksRefuse               // it answers miss at once
+	ChecksWait                 // it waits a while to catch up, then answers miss
+)
+
+// Class is one kind of request.
+type Class struct {
+	Need       Need
+	Effect     Effect
+	Scope      Scope  // of a keyed class
+	Bound      Micros // of a bounded class
+	Aim        Micros // an answer within this time earns all of the worth
+	Deadline   Micros // the client's patience over all its tries
+	KeyWindow  Micros // how long a key is remembered
+	Worth      int64  // in thousandths
+	LateWorth  int64  // share of the worth after the aim, in thousandths
+	AimStretch int64  // the aim grows by this multiple of the request's work, in thousandths
+}
+
+// Settings is all that a router is told at its start. Zero values are read as the strictest sensible meaning.
+type Settings struct {
+	Classes           []Class
+	Gateways          int    // how many gateways serve these servers
+	Ordinal           int    // which of them this one is
+	Tick              Micros // shortest time between two events
+	Zone              string // where this gateway is; compared, never read
+	Checks            Checks
+	CheckWait         Micros // how long ChecksWait lasts
+	TokensCarried     bool   // session reads carry their mark; otherwise the router remembers writes
+	AnswersStamped    bool   // every answer carries a position
+	ListAsked         bool   // the member list must be asked for
+	CanProbe          bool
+	CanCancel         bool
+	CanTell           bool
+	SecondCopies      bool
+	AdviseRetry       bool
+	MaxRetryAdvice    Micros
+	MaxAttempts       int
+	ConnectTimeout    Micros
+	AnswerSlack       Micros // a final answer this long after the deadline still counts
+	DrainGrace        Micros // sends to a draining or gone server must have ended after it
+	OnlyDrainingBinds bool   // a server merely gone from the list stays usable
+	AskWithin         Micros // unsubscribed for longer counts as told
+	ColdShare         int64  // least share of capacity at a server's start, in thousandths
+	Ramp              Micros // a started server is warm after this
+	FallMultiple      int64  // a cold server falls beyond this multiple of its capacity, in thousandths
+	FallWindow        Micros // when kept up for this long
+}
+
+// Event is one of the events below.
+type Event interface{ event() }
+
+// Arrival is a request handed to this router.
+type Arrival struct {
+	ID         string
+	Class      int // index into Settings.Classes
+	Group      int
+	Session    uint64 // valid if HasSession
+	HasSession bool
+	Left       Micros // time until the client stops waiting
+	Repeat     bool   // the client says that it repeats itself
+	SinceWrite Micros // carried token: the session's last commit lies at least this long back; 0: none
+}
+
+// Headers tells that the answer to an attempt began to flow; the request is bound to it.
+type Headers struct {
+	ID      string
+	Attempt int
+}
+
+// Outcome is how an attempt ended. Each Send gets exactly one.
+type Outcome struct {
+	ID       string
+	Attempt  int
+	Server   ServerID
+	Result   Result
+	Final    bool // nothing more is owed for the request
+	Latency  Micros
+	Role     Role
+	Position Position
+	Report   Report
+}
+
+// Dropped tells that the client is gone and the request over.
+type Dropped struct{ ID string }
+
+// Timer is a timer set by SetTimer that has come due.
+type Timer struct{ Token string }
+
+// Probed is the result of one Probe.
+type Probed struct {
+	Server  ServerID
+	Result  Result
+	Latency Micros
+	Report  Report
+}
+
+// MemberNews is news of the member list.
+type MemberNews struct {
+	Form    ListForm
+	Members []Member
+}
+
+// PeerMessage holds bytes from another gateway.
+type PeerMessage struct {
+	From int
+	Data []byte
+}
+
+func (Arrival) event()     {}
+func (Headers) event()     {}
+func (Outcome) event()     {}
+func (Dropped) event()     {}
+func (Timer) event()       {}
+func (Probed) event()      {}
+func (MemberNews) event()  {}
+func (PeerMessage) event() {}
+
+// Result is how an attempt or a probe ended.
+type Result uint8
+
+// The results.
+const (
+	ResultOK Result = iota
+	ResultError
+	ResultFull
+	ResultTimeout
+	ResultConnectFailed
+	ResultReset
+	ResultCancelled
+	ResultMoot
+	ResultMiss
+)
+
+// Role is a member's role in its group.
+type Role uint8
+
+// The roles.
+const (
+	RoleUnknown Role = iota
+	RolePrimary
+	RoleReplica
+)
+
+// Report is what a server says of itself; it is late, and on a bad day untrue.
+type Report struct {
+	Position    Position // as of the report
+	HasPosition bool
+	Role        Role
+	Queue       int64 // waiting requests, in thousandths
+	HasQueue    bool
+	Util        int64 // busy share of its processors, in thousandths
+	HasUtil     bool
+}
+
+// ListForm is the form of a member list.
+type ListForm uint8
+
+// The forms of lists.
+const (
+	ListDelta  ListForm = iota // only what changed
+	ListFull                   // all; what is missing is gone
+	ListCached                 // all, as this gateway last had it
+	ListFailed                 // asking failed or the subscription broke; no members
+)
+
+// MemberState is a server's state on the list.
+type MemberState uint8
+
+// The member states.
+const (
+	MemberGone MemberState = iota
+	MemberReady
+	MemberDraining
+)
+
+// Member is one entry of the member list.
+type Member struct {
+	Server  ServerID
+	Group   int
+	Zone    string
+	State   MemberState
+	Started Micros // last start; 0: long ago
+	Primary bool   // as far as the list knows
+	Weight  int64  // in thousandths
+}
+
+// Action is one of the actions below.
+type Action interface{ action() }
+
+// Send passes a request to a server as its next attempt.
+type Send struct {
+	ID     string
+	Server ServerID
+	Until  Micros // clock time to give the attempt up
+}
+
+// Refuse ends a request unserved and tells the client that asking again is harmless.
+type Refuse struct {
+	ID         string
+	RetryAfter Micros // 0: no advice
+}
+
+// Fail ends a request and promises nothing.
+type Fail struct{ ID string }
+
+// Cancel stops waiting for an attempt.
+type Cancel struct {
+	ID      string
+	Attempt int
+}
+
+// SetTimer asks for a Timer event at a clock time.
+type SetTimer struct {
+	At    Micros
+	Token string
+}
+
+// Probe asks a server how it is.
+type Probe struct{ Server ServerID }
+
+// CloseIdle closes idle connections to a server.
+type CloseIdle struct{ Server ServerID }
+
+// Tell sends bytes to another gateway, or to all of them.
+type Tell struct {
+	To   int // ToAll: every other gateway
+	Data []byte
+}
+
+// ToAll is the receiver of a Tell to every other gateway.
+const ToAll = -1
+
+// Log is a line for the operator's report.
+type Log struct{ Text string }
+
+// Watch asks for list changes from now on, or stops them.
+type Watch struct{ On bool }
+
+// Fetch asks for the whole list once.
+type Fetch struct{}
+
+func (Send) action()      {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Cancel) action()    {}
+func (SetTimer) action()  {}
+func (Probe) action()     {}
+func (CloseIdle) action() {}
+func (Tell) action()      {}
+func (Log) action()       {}
+func (Watch) action()     {}
+func (Fetch) action()     {}
--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,964 @@
+// Every decision of a gateway stands in this file; its interface (settings, events, actions) is api.go, and
+// state.go holds the containers. No other file decides anything.
+//
+// The path of a request:
+//
+//	Arrival -> accept: note its need, its aim and its end, set its timer
+//	        -> place:  writes and fresh reads -> placeOnPrimary; other reads -> placeRead:
+//	                   the session's replica or a random draw among the fresh ones, else the most advanced
+//	                   replica that may have caught up (where servers check), else the primary
+//	        -> send, or wait in the group's queue until dispatch finds room, worthiest first
+//	Outcome -> learn (role, position, health, room) -> conclude: served, or tried again as `mayResend` allows
+//	Timer   -> giveUp at the request's end; sweep: probes, ejections, discovery, the queues
+//
+// Every final answer of this router passes through finish. A server's usability is asked in one place,
+// usable; whether it can take one more, in hasRoom.
+package brain
+
+import (
+	"fmt"
+	"sort"
+)
+
+// The tuned numbers. Shares are in thousandths; spans are shares of the settings' own aims, bounds and ramps.
+const (
+	one          = 1000
+	maxSessions  = 1 << 14 // sessions remembered; older marks merge into one floor
+	startLimit   = 12      // attempts out at one server, by all gateways together, before anything is learned
+	strainHigh   = 500     // mean latency over aim at which a server's limit is cut
+	strainLow    = 400     // below it a limit in full use grows
+	smoothing    = 12      // outcomes that a moving mean looks back on
+	cutTo        = 850     // what a cut leaves of a limit
+	badHigh      = 400     // share of bad outcomes at which a server is ejected ...
+	badPeers     = 2       // ... if it is this many times its peers' share
+	ejectGrowth  = 8       // an ejection grows up to this many times its first span
+	retryShare   = 200     // further attempts that may have run, for each arrival
+	retryBurst   = 10      // such attempts saved up
+	sweepsPerAim = 16
+	crowdFactor  = 2   // a replica is crowded beyond this many times the emptiest one's attempts, plus one
+	readRoom     = 500 // share of the primary's limit that reads of replicas may fill
+	coldMargin   = 500 // share of the fall budget that is used
+)
+
+// Router decides for one gateway. It is not safe for concurrent use.
+type Router struct {
+	set      Settings
+	rng      random
+	now      Micros
+	acts     []Action
+	servers  map[ServerID]*server
+	groups   map[int]*group
+	order    []*group // by id
+	requests map[string]*request
+	sessions *sessions
+	typical  []Micros // mean latency of answers, a class each
+	retries  int64    // saved-up retries, in thousandths
+
+	minAim   Micros // the smallest aim: the pace of sweeps and of looking for a primary
+	maxAim   Micros
+	minBound Micros // the smallest bound: the pace of probes
+
+	subscribed, asking bool
+	askAt, askSpan     Micros
+}
+
+// New makes a router and returns what it does first.
+func New(now Micros, seed uint64, set Settings) (*Router, []Action) {
+	r := &Router{
+		set: set, now: now, rng: random{seed}, servers: map[ServerID]*server{}, groups: map[int]*group{},
+		requests: map[string]*request{}, sessions: newSessions(maxSessions), retries: retryBurst * one,
+	}
+	r.readSettings()
+	r.at(now+r.sweepSpan(), "sweep")
+	if r.set.ListAsked {
+		r.askList()
+	}
+	return r, r.take()
+}
+
+// readSettings gives missing or contradictory settings a safe reading: the strictest that still works.
+func (r *Router) readSettings() {
+	s := &r.set
+	s.Classes = append([]Class(nil), s.Classes...)
+	atLeast := func(v *Micros, least Micros, name string) {
+		if *v < least {
+			r.log("setting %s is %d us, read as %d", name, *v, least)
+			*v = least
+		}
+	}
+	atLeast(&s.Tick, 1, "tick")
+	atLeast(&s.ConnectTimeout, s.Tick, "connect timeout")
+	s.Gateways, s.MaxAttempts = max(s.Gateways, 1), max(s.MaxAttempts, 1)
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		atLeast(&c.Deadline, s.Tick, "deadline")
+		if c.Aim <= 0 || c.Aim > c.Deadline {
+			r.log("class %d: aim read as its deadline", i)
+			c.Aim = c.Deadline
+		}
+		if r.minAim == 0 || c.Aim < r.minAim {
+			r.minAim = c.Aim
+		}
+		r.maxAim = max(r.maxAim, c.Aim)
+		if c.Need == NeedBounded && c.Bound > 0 && (r.minBound == 0 || c.Bound < r.minBound) {
+			r.minBound = c.Bound
+		}
+	}
+	if r.minAim == 0 {
+		r.minAim, r.maxAim = s.ConnectTimeout, s.ConnectTimeout
+	}
+	if r.minBound == 0 {
+		r.minBound = r.minAim
+	}
+	r.typical = make([]Micros, len(s.Classes))
+}
+
+// Step takes one event and returns the actions it calls for, in order.
+func (r *Router) Step(now Micros, ev Event) []Action {
+	r.now = max(r.now, now)
+	switch e := ev.(type) {
+	case Arrival:
+		r.accept(e)
+	case Headers:
+		if q := r.requests[e.ID]; q != nil {
+			q.bound = true
+		}
+	case Outcome:
+		r.conclude(e)
+	case Dropped:
+		if q := r.requests[e.ID]; q != nil && !q.done {
+			r.close(q)
+		}
+	case Timer:
+		if e.Token == "sweep" {
+			r.sweep()
+		} else if q := r.requests[e.Token]; q != nil {
+			r.giveUp(q)
+		}
+	case Probed:
+		r.probed(e)
+	case MemberNews:
+		r.members(e)
+	case PeerMessage: // nothing is sent between gateways: each keeps every rule alone
+	}
+	return r.take()
+}
+
+func (r *Router) take() []Action {
+	out := r.acts
+	r.acts = nil
+	return out
+}
+
+func (r *Router) do(a Action)                 { r.acts = append(r.acts, a) }
+func (r *Router) at(t Micros, token string)   { r.do(SetTimer{At: t, Token: token}) }
+func (r *Router) log(format string, a ...any) { r.do(Log{Text: fmt.Sprintf(format, a...)}) }
+func (r *Router) sweepSpan() Micros           { return max(r.set.Tick, r.minAim/sweepsPerAim) }
+
+// ---- requests ----
+
+// accept takes a request in. Its end is the moment after which an answer earns nothing: for a repeatable
+// class without late worth the aim, for others a tick before the client stops waiting.
+func (r *Router) accept(e Arrival) {
+	if r.requests[e.ID] != nil || e.Class < 0 || e.Class >= len(r.set.Classes) {
+		return
+	}
+	c := &r.set.Classes[e.Class]
+	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, deadline: r.now + e.Left}
+	q.aimAt = r.now + c.Aim
+	r.requests[q.id] = q
+	r.retries = min(r.retries+retryShare, retryBurst*one)
+	if e.HasSession {
+		q.session = r.sessions.get(e.Session)
+	}
+	if c.Need == NeedSession {
+		r.setSessionNeed(q, e)
+	}
+	r.at(max(r.end(q), r.now+1), q.id)
+	r.tryNow(q)
+}
+
+// setSessionNeed finds the commit that a session read must see: carried by the request, or remembered here.
+func (r *Router) setSessionNeed(q *request, e Arrival) {
+	switch {
+	case r.set.TokensCarried && e.SinceWrite > 0:
+		q.need = r.now - e.SinceWrite
+	case !r.set.TokensCarried && q.session != nil:
+		q.need = q.session.mark
+	}
+}
+
+// end is when a request stops being worth an answer.
+func (r *Router) end(q *request) Micros {
+	last := q.deadline - r.set.Tick
+	if q.class.LateWorth == 0 && q.class.Effect == EffectSafe {
+		return min(last, q.aimAt)
+	}
+	return last
+}
+
+// value is what an answer to a waiting request still earns, in thousandths.
+func (r *Router) value(q *request) int64 {
+	if r.now+r.expected(q) <= q.aimAt {
+		return q.class.Worth
+	}
+	return q.class.Worth * q.class.LateWorth / one
+}
+
+// expected is how long an answer will likely take, never so long that a new request looks hopeless.
+func (r *Router) expected(q *request) Micros {
+	return min(r.typical[r.classIndex(q)], q.class.Aim/2)
+}
+
+func (r *Router) classIndex(q *request) int {
+	for i := range r.set.Classes {
+		if q.class == &r.set.Classes[i] {
+			return i
+		}
+	}
+	return 0
+}
+
+// tryNow places a request at once, or lets it wait in its group's queue.
+func (r *Router) tryNow(q *request) {
+	if !q.waiting {
+		q.waiting = true
+		q.group.waiting = append(q.group.waiting, q)
+	}
+	r.dispatch(q.group)
+}
+
+// dispatch serves a group's queue, the worthiest first and the oldest among equals. What cannot be answered
+// in time any more gets its final answer now.
+func (r *Router) dispatch(g *group) {
+	if len(g.waiting) == 0 {
+		return
+	}
+	queue := append([]*request(nil), g.waiting...)
+	sort.SliceStable(queue, func(i, j int) bool { return r.value(queue[i]) > r.value(queue[j]) })
+	for _, q := range queue {
+		if q.done {
+			continue
+		}
+		if r.now+r.expected(q) > r.end(q) {
+			r.giveUp(q)
+		} else if s := r.place(q); s != nil {
+			r.send(q, s)
+		}
+	}
+}
+
+// place finds a server for a request, or nil to wait.
+func (r *Router) place(q *request) *server {
+	if q.class.Need == NeedWrite || q.class.Need == NeedFresh {
+		return r.placeOnPrimary(q)
+	}
+	return r.placeRead(q)
+}
+
+// placeOnPrimary sends writes and fresh reads to the last known primary. Without one, fresh reads wait, and
+// writes try the members, at most one round of misses a pace for all writes together and half of their
+// attempts: the list's primary first, then the most advanced, for that one is elected.
+func (r *Router) placeOnPrimary(q *request) *server {
+	if p := q.group.primary; p != nil && r.usable(p) {
+		if r.hasRoom(p, one) && r.inScope(q, p) {
+			return p
+		}
+		return nil
+	}
+	if q.class.Need == NeedFresh || len(q.attempts)*2 >= r.set.MaxAttempts {
+		return nil
+	}
+	var best *server
+	for _, s := range q.group.members {
+		if !r.usable(s) || !r.hasRoom(s, one) || !r.inScope(q, s) || s == q.group.primary {
+			continue
+		}
+		if s.writeMiss > 0 && r.now-s.writeMiss < r.minAim/2 {
+			continue
+		}
+		if best == nil || s.listed && !best.listed || s.listed == best.listed && s.pos > best.pos {
+			best = s
+		}
+	}
+	return best
+}
+
+// placeRead is the freshness gate and the draw.
+func (r *Router) placeRead(q *request) *server {
+	need := r.needOf(q)
+	var fresh, behind []*server
+	for _, s := range r.replicas(q) {
+		if q.class.Need == NeedAny && r.lags(s) {
+			behind = append(behind, s)
+		} else if q.class.Need == NeedAny || s.pos >= need {
+			fresh = append(fresh, s)
+		}
+	}
+	// Any reads leave the replicas that pass the gate to the reads that need them, once some do not pass.
+	if s := r.draw(q, behind); s != nil {
+		return s
+	}
+	if s := r.draw(q, fresh); s != nil {
+		return s
+	}
+	if r.set.Checks != ChecksNone && q.class.Need != NeedAny {
+		if s := r.mostAdvanced(q, need); s != nil {
+			return s
+		}
+	}
+	if p := q.group.primary; p != nil && r.usable(p) && r.hasRoom(p, readRoom) && r.inScope(q, p) {
+		return p
+	}
+	return nil
+}
+
+// needOf is the position that a read's answer must have reached if it is sent now.
+func (r *Router) needOf(q *request) Position {
+	if q.class.Need == NeedBounded {
+		return r.now - q.class.Bound
+	}
+	return q.need
+}
+
+// lags tells that a replica does not pass the tightest bound.
+func (r *Router) lags(s *server) bool { return s.pos < r.now-r.minBound }
+
+// replicas lists the members that may take a read now, the primary aside.
+func (r *Router) replicas(q *request) []*server {
+	var out []*server
+	least := -1
+	for _, s := range q.group.members {
+		if s == q.group.primary || !r.usable(s) || s.ejected || contains(q.missed, s.id) {
+			continue
+		}
+		if least < 0 || len(s.open) < least {
+			least = len(s.open)
+		}
+		if r.hasRoom(s, one) && r.inScope(q, s) {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return r.trials(q)
+	}
+	kept := out[:0]
+	for _, s := range out {
+		if len(s.open) <= least*crowdFactor+1 {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// trials lists ejected replicas when nothing else is left: an ejection never empties a group.
+func (r *Router) trials(q *request) []*server {
+	var out []*server
+	for _, s := range q.group.members {
+		if s != q.group.primary && s.ejected && r.usable(s) && r.hasRoom(s, one) && r.inScope(q, s) &&
+			!contains(q.missed, s.id) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// draw keeps the session's replica while it qualifies, and draws anew when it does not.
+func (r *Router) draw(q *request, from []*server) *server {
+	if len(from) == 0 {
+		return nil
+	}
+	if q.session != nil && q.session.stuck {
+		for _, s := range from {
+			if s.id == q.session.replica {
+				return s
+			}
+		}
+	}
+	s := from[r.rng.below(len(from))]
+	if q.session != nil {
+		q.session.replica, q.session.stuck = s.id, true
+	}
+	return s
+}
+
+// mostAdvanced is the replica to try when none is known to be fresh enough and the servers check: the one
+// with the highest position that may have caught up since. What a miss or old news has ruled out is not
+// tried.
+func (r *Router) mostAdvanced(q *request, need Position) *server {
+	var best *server
+	for _, s := range r.replicas(q) {
+		reach := s.pos + (r.now - s.posAt) + r.set.CheckWait
+		if s.missAt > s.posAt {
+			reach = min(reach, s.missNeed+(r.now-s.missAt)-1)
+		}
+		if s.pos > 0 && reach >= need && (best == nil || s.pos > best.pos) {
+			best = s
+		}
+	}
+	return best
+}
+
+// ---- attempts ----
+
+// send makes the next attempt. It is the only place that sends.
+func (r *Router) send(q *request, s *server) {
+	a := &attempt{req: q, index: len(q.attempts), server: s, sentAt: r.now, out: true}
+	q.attempts = append(q.attempts, a)
+	q.waiting = false
+	q.group.waiting = drop(q.group.waiting, q)
+	if len(s.open) == 0 {
+		s.busySince = r.now
+	}
+	s.open = append(s.open, a)
+	if r.warmth(s) < one {
+		s.sends = append(s.sends, r.now)
+	}
+	r.do(Send{ID: q.id, Server: s.id, Until: max(r.end(q), r.now+1)})
+}
+
+// neverRan tells which results prove that an attempt had no effect.
+func neverRan(res Result) bool {
+	switch res {
+	case ResultFull, ResultConnectFailed, ResultMoot, ResultMiss:
+		return true
+	}
+	return false
+}
+
+// firstMaybe is the first attempt that ran or may have run, or nil.
+func firstMaybe(q *request) *attempt {
+	for _, a := range q.attempts {
+		if !a.neverRan {
+			return a
+		}
+	}
+	return nil
+}
+
+// mayResend says whether another attempt is allowed now: what may have run is repeated only if its class is
+// safe, or keyed and its window still open; nothing has two attempts out.
+func (r *Router) mayResend(q *request) bool {
+	if q.done || q.bound || len(q.attempts) >= r.set.MaxAttempts || q.outstanding() > 0 {
+		return false
+	}
+	first := firstMaybe(q)
+	switch {
+	case first == nil || q.class.Effect == EffectSafe:
+		return true
+	case q.class.Effect == EffectKeyed:
+		return r.now < first.sentAt+q.class.KeyWindow
+	}
+	return false
+}
+
+// inScope keeps a keyed request, once it may have run, where its key is known and while it is.
+func (r *Router) inScope(q *request, s *server) bool {
+	first := firstMaybe(q)
+	if first == nil || q.class.Effect == EffectSafe {
+		return true
+	}
+	return r.mayResend(q) && (q.class.Scope != ScopeZone || s.zone == first.server.zone)
+}
+
+// mayRefuse says whether it is true to tell the client that asking again is harmless.
+func mayRefuse(q *request) bool {
+	return q.class.Effect == EffectSafe || firstMaybe(q) == nil ||
+		q.class.Effect == EffectKeyed && q.class.Scope == ScopeAll
+}
+
+// giveUp ends a request that this router will not serve.
+func (r *Router) giveUp(q *request) {
+	if !q.done && !q.bound {
+		r.finish(q)
+	}
+}
+
+// finish gives the one final answer that is not a served one, and stops what is still out.
+func (r *Router) finish(q *request) {
+	if mayRefuse(q) {
+		advice := Micros(0)
+		if r.set.AdviseRetry {
+			advice = min(q.class.Aim, r.set.MaxRetryAdvice)
+		}
+		r.do(Refuse{ID: q.id, RetryAfter: advice})
+	} else {
+		r.do(Fail{ID: q.id})
+	}
+	r.close(q)
+}
+
+// close marks a request over and cancels what is out for it; its record goes with its last attempt.
+func (r *Router) close(q *request) {
+	q.done = true
+	if q.waiting {
+		q.waiting = false
+		q.group.waiting = drop(q.group.waiting, q)
+	}
+	for _, a := range q.attempts {
+		if a.out && r.set.CanCancel {
+			r.do(Cancel{ID: q.id, Attempt: a.index})
+		}
+	}
+	r.forget(q)
+}
+
+func (r *Router) forget(q *request) {
+	if q.done && q.outstanding() == 0 {
+		delete(r.requests, q.id)
+	}
+}
+
+// conclude takes in how an attempt ended and decides what becomes of its request.
+func (r *Router) conclude(e Outcome) {
+	q := r.requests[e.ID]
+	if q == nil || e.Attempt < 0 || e.Attempt >= len(q.attempts) || !q.attempts[e.Attempt].out {
+		return
+	}
+	a := q.attempts[e.Attempt]
+	a.out, a.neverRan = false, neverRan(e.Result)
+	a.server.open = drop(a.server.open, a)
+	r.learn(a, e)
+	switch {
+	case e.Final:
+		q.done = true
+	case q.done:
+	case !r.mayResend(q):
+		if q.outstanding() == 0 {
+			r.finish(q)
+		}
+	case !r.affords(e.Result):
+		r.finish(q)
+	default:
+		r.tryNow(q)
+	}
+	r.forget(q)
+	r.dispatch(q.group)
+}
+
+// affords spends from the retry budget for a repeat of what may have run, so that slowness or errors
+// everywhere do not multiply the load. What never ran costs nothing.
+func (r *Router) affords(res Result) bool {
+	if neverRan(res) {
+		return true
+	}
+	if r.retries < one {
+		return false
+	}
+	r.retries -= one
+	return true
+}
+
+// ---- what outcomes teach ----
+
+// learn takes from an outcome what it says of the server: role, position, health, room.
+func (r *Router) learn(a *attempt, e Outcome) {
+	s, q := a.server, a.req
+	r.role(s, e.Role, r.now)
+	r.position(s, e.Position)
+	switch e.Result {
+	case ResultOK:
+		r.alive(s)
+		r.answered(s, q, e)
+	case ResultError:
+		r.alive(s)
+		r.judge(s, true)
+	case ResultFull:
+		r.alive(s)
+		r.cut(s)
+	case ResultMiss:
+		r.alive(s)
+		r.missed(s, q)
+	case ResultConnectFailed, ResultReset:
+		r.markDown(s)
+	case ResultTimeout, ResultCancelled:
+		r.strained(s, q, r.now-a.sentAt)
+		r.judge(s, r.now-a.sentAt >= q.class.Aim)
+	}
+}
+
+// answered notes an answer: the class's usual latency, the session's mark and the server's strain.
+func (r *Router) answered(s *server, q *request, e Outcome) {
+	i := r.classIndex(q)
+	r.typical[i] += (e.Latency - r.typical[i]) / smoothing
+	if q.class.Need == NeedWrite {
+		r.role(s, RolePrimary, r.now)
+		commit := e.Position
+		if commit == 0 {
+			commit = r.now
+		}
+		if q.session != nil {
+			q.session.mark = max(q.session.mark, commit)
+		}
+	}
+	r.countServed(s)
+	r.strained(s, q, e.Latency)
+	r.judge(s, e.Latency > q.class.Aim)
+}
+
+// missed notes that a server turned a request away untouched: it is no primary, or too far behind.
+func (r *Router) missed(s *server, q *request) {
+	if q.class.Need == NeedWrite || q.class.Need == NeedFresh {
+		s.writeMiss = r.now
+		r.role(s, RoleReplica, r.now)
+		return
+	}
+	s.missAt, s.missNeed = r.now, r.needOf(q)
+	q.missed = append(q.missed, s.id)
+}
+
+// position takes news of how far a server has applied the log; it never goes back.
+func (r *Router) position(s *server, pos Position) {
+	if pos > s.pos && pos <= r.now {
+		s.pos, s.posAt = pos, r.now
+	}
+}
+
+// role weighs a proof of a server's role by its time: late news never overrides newer proof.
+func (r *Router) role(s *server, role Role, at Micros) {
+	g := s.group
+	if role == RoleUnknown || at < s.roleAt {
+		return
+	}
+	s.role, s.roleAt = role, at
+	switch {
+	case role == RolePrimary && g.primary != s && at >= g.primaryAt:
+		r.log("group %d: primary is %d", g.id, s.id)
+		g.primary, g.primaryAt, s.writeMiss = s, at, 0
+		r.dispatch(g)
+	case role == RolePrimary && g.primary == s:
+		g.primaryAt = max(g.primaryAt, at)
+	case role == RoleReplica && g.primary == s && at >= g.primaryAt:
+		r.losePrimary(g)
+	}
+}
+
+// losePrimary forgets a group's primary; probes and writes look for the next.
+func (r *Router) losePrimary(g *group) {
+	r.log("group %d: primary lost", g.id)
+	g.primary, g.lostAt = nil, r.now
+}
+
+// strained follows a server's latency against the aims, and fits to it how many attempts may be out: the
+// limit is cut when the mean nears the aim and grows when it is in full use and answers stay quick. It guards
+// against slow, crowded, robbed and cold servers alike; it may hold back a server whose costly requests came
+// together.
+func (r *Router) strained(s *server, q *request, latency Micros) {
+	x := min(int64(latency*one/q.class.Aim), 4*one)
+	s.strain += (x - s.strain) / smoothing
+	switch {
+	case s.strain > strainHigh:
+		if r.now-s.cutAt > r.minAim/2 {
+			r.cut(s)
+		}
+	case s.strain < strainLow && int64(len(s.open)+2)*one > s.limit:
+		s.limit += one * one / max(s.limit, one)
+	}
+}
+
+// cut lowers a server's limit, never below one attempt.
+func (r *Router) cut(s *server) {
+	s.cutAt = r.now
+	s.limit = max(one, min(s.limit, int64(len(s.open)+1)*one)*cutTo/one)
+}
+
+// judge follows the share of attempts that failed or came too late, and ejects a replica that is far worse
+// than its peers, whatever the cause: quick errors, a slow machine, a hang. It never acts where all are as
+// bad.
+func (r *Router) judge(s *server, bad bool) {
+	x := int64(0)
+	if bad {
+		x = one
+	}
+	s.bad += (x - s.bad) / smoothing
+	if s.ejected || s.bad < badHigh || s == s.group.primary {
+		return
+	}
+	peers, n := int64(0), int64(0)
+	for _, p := range s.group.members {
+		if p != s && p != s.group.primary && r.usable(p) && !p.ejected {
+			peers, n = peers+p.bad, n+1
+		}
+	}
+	if n == 0 || peers/n*badPeers > s.bad {
+		return
+	}
+	s.ejected, s.ejectedAt = true, r.now
+	s.ejectSpan = min(max(s.ejectSpan*2, r.maxAim), r.maxAim*ejectGrowth)
+	r.log("server %d ejected for %d ms, bad %d", s.id, s.ejectSpan/1000, s.bad)
+}
+
+// readmit ends an ejection: one attempt at a time, and the next bad one ejects again.
+func (r *Router) readmit(s *server) {
+	if s.ejected && r.now-s.ejectedAt >= s.ejectSpan {
+		s.ejected, s.limit, s.strain = false, one, strainHigh
+		s.bad = badHigh - 1
+	}
+}
+
+// alive notes a sign of life. A server that was out of reach may have started again, so it counts as cold.
+func (r *Router) alive(s *server) {
+	s.heardAt = r.now
+	s.probeFails = 0
+	if s.down {
+		s.down, s.downSpan = false, 0
+		s.started, s.limit = max(s.started, r.now), one
+		r.log("server %d is back", s.id)
+	}
+}
+
+// markDown takes a server out until a probe or an answer shows it alive, and moves what may be repeated.
+func (r *Router) markDown(s *server) {
+	if !s.down {
+		s.down, s.downAt, s.downSpan = true, r.now, r.set.ConnectTimeout
+		r.log("server %d is down", s.id)
+	}
+	if s.group.primary == s {
+		r.losePrimary(s.group)
+	}
+	if !r.set.CanCancel {
+		return
+	}
+	for _, a := range s.open {
+		if !a.req.done && a.req.class.Effect == EffectSafe {
+			r.do(Cancel{ID: a.req.id, Attempt: a.index})
+		}
+	}
+}
+
+// ---- servers ----
+
+// usable tells whether anything may be sent to a server at all.
+func (r *Router) usable(s *server) bool { return !s.forbidden && !s.down }
+
+// hasRoom tells whether this gateway may have one more attempt out at a server, within a share of its limit.
+// A cold server's limit shrinks with its warmth, and what is sent to it keeps a budget.
+func (r *Router) hasRoom(s *server, share int64) bool {
+	warmth := r.warmth(s)
+	room := max(one, s.limit*share/one*warmth/one)
+	return int64(len(s.open)+1)*one <= room && (warmth == one || r.coldBudget(s, warmth))
+}
+
+// warmth is the least share of its capacity that a server has, by the settings' ramp.
+func (r *Router) warmth(s *server) int64 {
+	age := r.now - s.started
+	if s.started == 0 || age >= r.set.Ramp {
+		return one
+	}
+	return r.set.ColdShare + (one-r.set.ColdShare)*int64(max(age, 0))/int64(r.set.Ramp)
+}
+
+// coldBudget keeps the sends within any fall window under a margin of what brings a cold server down,
+// measured by what this gateway gets from the best warm one. Every attempt counts, refused ones too. Each
+// gateway keeps to its own share of a server's work, so that all together stay below the fall.
+func (r *Router) coldBudget(s *server, warmth int64) bool {
+	for len(s.sends) > 0 && r.now-s.sends[0] >= r.set.FallWindow {
+		s.sends = s.sends[1:]
+	}
+	best := int64(1)
+	for _, g := range r.order {
+		for _, p := range g.members {
+			best = max(best, p.served[0], p.served[1])
+		}
+	}
+	budget := best * r.set.FallMultiple / one * warmth / one * coldMargin / one
+	return int64(len(s.sends)) < max(1, budget)
+}
+
+// countServed counts a warm server's answers by fall window.
+func (r *Router) countServed(s *server) {
+	if r.now-s.window >= r.set.FallWindow {
+		s.served[1], s.served[0], s.window = s.served[0], 0, r.now
+	}
+	s.served[0]++
+}
+
+func (r *Router) groupOf(id int) *group {
+	g := r.groups[id]
+	if g == nil {
+		g = &group{id: id, lostAt: r.now}
+		r.groups[id] = g
+		r.order = append(r.order, g)
+		sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
+	}
+	return g
+}
+
+// ---- the member list ----
+
+// members takes news of the list. Draining binds at once; gone does too, unless the settings say otherwise.
+func (r *Router) members(e MemberNews) {
+	if e.Form == ListFailed {
+		r.askFailed()
+		return
+	}
+	if e.Form != ListCached {
+		r.subscribed, r.asking, r.askSpan = true, false, 0
+	}
+	named := map[ServerID]bool{}
+	for _, m := range e.Members {
+		named[m.Server] = true
+		r.member(m)
+	}
+	if e.Form != ListDelta {
+		for _, g := range r.order {
+			for _, s := range g.members {
+				if !named[s.id] {
+					r.gone(s)
+				}
+			}
+		}
+	}
+	for _, g := range r.order {
+		r.listedPrimary(g)
+		r.dispatch(g)
+	}
+}
+
+func (r *Router) member(m Member) {
+	s := r.servers[m.Server]
+	if s == nil {
+		if m.State == MemberGone {
+			return
+		}
+		s = &server{id: m.Server, group: r.groupOf(m.Group), served: make([]int64, 2)}
+		s.limit = max(2*one, startLimit*one/int64(r.set.Gateways))
+		r.servers[m.Server] = s
+		s.group.members = append(s.group.members, s)
+		sort.Slice(s.group.members, func(i, j int) bool { return s.group.members[i].id < s.group.members[j].id })
+	}
+	s.zone, s.listed = m.Zone, m.Primary
+	if m.Started > s.started {
+		s.started, s.limit = m.Started, min(s.limit, max(2*one, startLimit*one/int64(r.set.Gateways)))
+	}
+	switch m.State {
+	case MemberGone:
+		r.gone(s)
+	case MemberDraining:
+		s.state, s.forbidden = m.State, true
+	case MemberReady:
+		s.state, s.forbidden = m.State, false
+	}
+	if s.forbidden && s.group.primary == s {
+		r.losePrimary(s.group)
+	}
+}
+
+// gone takes a server off the list.
+func (r *Router) gone(s *server) {
+	s.state, s.listed = MemberGone, false
+	if !r.set.OnlyDrainingBinds {
+		s.forbidden = true
+		if s.group.primary == s {
+			r.losePrimary(s.group)
+		}
+	}
+}
+
+// listedPrimary believes the list where nothing better has ever been seen.
+func (r *Router) listedPrimary(g *group) {
+	if g.primary != nil || g.primaryAt > 0 {
+		return
+	}
+	for _, s := range g.members {
+		if s.listed && r.usable(s) && s.role != RoleReplica {
+			g.primary = s
+		}
+	}
+}
+
+// askList subscribes to the list.
+func (r *Router) askList() {
+	r.asking, r.askAt = true, r.now
+	r.do(Watch{On: true})
+}
+
+// askFailed plans the next ask, later each time and jittered, so that many gateways do not ask in step.
+func (r *Router) askFailed() {
+	r.subscribed, r.asking = false, false
+	r.askSpan = min(max(r.askSpan*2, r.set.ConnectTimeout), max(r.set.AskWithin/4, r.set.ConnectTimeout))
+	r.askAt = r.now + r.askSpan/2 + Micros(r.rng.below(int(r.askSpan)))
+}
+
+// ---- the sweep ----
+
+// sweep does what time alone calls for.
+func (r *Router) sweep() {
+	r.at(r.now+r.sweepSpan(), "sweep")
+	if r.set.ListAsked && r.asking && r.now-r.askAt > max(r.set.AskWithin/4, r.set.ConnectTimeout) {
+		r.askFailed()
+	}
+	if r.set.ListAsked && !r.subscribed && !r.asking && r.now >= r.askAt {
+		r.askList()
+	}
+	for _, g := range r.order {
+		for _, s := range append([]*server(nil), g.members...) {
+			if s.state == MemberGone && s.forbidden && len(s.open) == 0 {
+				g.members = drop(g.members, s)
+				delete(r.servers, s.id)
+				continue
+			}
+			r.readmit(s)
+			if r.probeDue(g, s) {
+				s.probing, s.probedAt = true, r.now
+				r.do(Probe{Server: s.id})
+			}
+		}
+		r.dispatch(g)
+	}
+}
+
+// probeDue says whether to probe a server: at start, when a replica's known position is older than half the
+// bound, to find a lost primary, to see whether one that is down has come back, and when one has fallen
+// silent.
+func (r *Router) probeDue(g *group, s *server) bool {
+	if !r.set.CanProbe || s.probing || s.forbidden {
+		return false
+	}
+	since := r.now - s.probedAt
+	switch {
+	case s.probedAt == 0:
+		return true
+	case s.down:
+		return since >= s.downSpan
+	case g.primary == nil:
+		return since >= r.minAim/2
+	case r.silent(s):
+		return since >= r.set.ConnectTimeout
+	case s != g.primary:
+		return since >= r.minBound/2 && r.now-s.pos > r.minBound/2
+	}
+	return false
+}
+
+// silent tells that a server has been at work for longer than an aim without a word.
+func (r *Router) silent(s *server) bool {
+	return len(s.open) > 0 && r.now-max(s.heardAt, s.busySince) > r.minAim
+}
+
+// probed takes in a probe's result. A report is as old as its sender makes it: a primary's position tells
+// when.
+func (r *Router) probed(e Probed) {
+	s := r.servers[e.Server]
+	if s == nil {
+		return
+	}
+	s.probing = false
+	switch e.Result {
+	case ResultOK:
+		r.alive(s)
+		if e.Report.HasPosition {
+			r.position(s, e.Report.Position)
+			r.role(s, e.Report.Role, min(e.Report.Position, r.now))
+		}
+		r.dispatch(s.group)
+	case ResultConnectFailed, ResultReset:
+		r.markDown(s)
+		s.downSpan = min(s.downSpan*2, r.maxAim)
+	case ResultTimeout:
+		if s.probeFails++; s.probeFails > 1 || s.down {
+			r.markDown(s)
+			s.downSpan = min(s.downSpan*2, r.maxAim)
+		}
+	}
+}
--- /dev/null
+++ b/brain/state.go
@@ -0,0 +1,164 @@
+package brain
+
+// This file holds containers only: what the router remembers, and how it is kept. No decision stands here.
+
+// server is what this gateway knows of one database server.
+type server struct {
+	id        ServerID
+	group     *group
+	zone      string
+	state     MemberState
+	forbidden bool // draining or gone, as told: nothing new may be sent
+	listed    bool // the list names it as the primary
+	started   Micros
+
+	pos     Position // never goes back
+	posAt   Micros   // when this gateway learned it
+	heardAt Micros   // last sign of life
+	roleAt  Micros   // time of the newest proof of its role
+	role    Role
+
+	open      []*attempt // attempts out, oldest first
+	busySince Micros
+	limit     int64 // attempts this gateway lets be out at once, in thousandths
+	cutAt     Micros
+	strain    int64 // moving mean of latency over aim, in thousandths
+	bad       int64 // moving share of attempts that failed or came too late, in thousandths
+
+	down      bool // no connection, or silent to probes
+	downAt    Micros
+	downSpan  Micros
+	ejectedAt Micros
+	ejected   bool
+	ejectSpan Micros
+
+	missAt    Micros // last time it turned a read away
+	missNeed  Position
+	writeMiss Micros // last time it turned a write away
+
+	probing    bool
+	probedAt   Micros
+	probeFails int
+
+	sends  []Micros // sends while cold, within the fall window
+	served []int64  // answers in the current and the last window
+	window Micros   // start of the current window
+}
+
+// group is a primary and its replicas.
+type group struct {
+	id        int
+	members   []*server // by id
+	primary   *server
+	primaryAt Micros // time of the proof that made it the primary
+	waiting   []*request
+	lostAt    Micros // since when no primary is known
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	req      *request
+	index    int
+	server   *server
+	sentAt   Micros
+	out      bool
+	neverRan bool
+}
+
+// request is one accepted request.
+type request struct {
+	id       string
+	class    *Class
+	group    *group
+	session  *session
+	need     Position // what a replica must have applied; for bounded reads it moves with the clock
+	arrived  Micros
+	deadline Micros
+	aimAt    Micros
+	attempts []*attempt
+	missed   []ServerID
+	waiting  bool
+	done     bool
+	bound    bool // its answer has begun to flow
+}
+
+// outstanding counts the attempts that are out.
+func (q *request) outstanding() int {
+	n := 0
+	for _, a := range q.attempts {
+		if a.out {
+			n++
+		}
+	}
+	return n
+}
+
+// session is what is remembered of one session.
+type session struct {
+	key     uint64
+	mark    Position // its last commit answered through this gateway
+	replica ServerID
+	stuck   bool // replica is set
+}
+
+// sessions is a store of bounded size that forgets the session first seen longest ago.
+type sessions struct {
+	byKey map[uint64]*session
+	ring  []uint64
+	next  int
+	floor Position // the highest mark forgotten
+}
+
+func newSessions(size int) *sessions {
+	return &sessions{byKey: map[uint64]*session{}, ring: make([]uint64, 0, size)}
+}
+
+// get finds or makes a session; a new one begins at the highest mark ever forgotten.
+func (t *sessions) get(key uint64) *session {
+	if s := t.byKey[key]; s != nil {
+		return s
+	}
+	if len(t.ring) < cap(t.ring) {
+		t.ring = append(t.ring, key)
+	} else {
+		old := t.byKey[t.ring[t.next]]
+		t.floor = max(t.floor, old.mark)
+		delete(t.byKey, old.key)
+		t.ring[t.next] = key
+		t.next = (t.next + 1) % len(t.ring)
+	}
+	s := &session{key: key, mark: t.floor}
+	t.byKey[key] = s
+	return s
+}
+
+// random is a splitmix64 sequence.
+type random struct{ state uint64 }
+
+func (r *random) below(n int) int {
+	r.state += 0x9e3779b97f4a7c15
+	z := r.state
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return int((z ^ z>>31) % uint64(n))
+}
+
+// drop removes the first x from list, keeping the order.
+func drop[T comparable](list []T, x T) []T {
+	for i, v := range list {
+		if v == x {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// contains tells whether list holds x.
+func contains[T comparable](list []T, x T) bool {
+	for _, v := range list {
+		if v == x {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,20 @@
+// Command simhost runs the decision module on the bench's wire, from standard input to standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"marblespan/internal/simhost"
+)
+
+func main() {
+	if len(os.Args) > 1 {
+		fmt.Fprintln(os.Stderr, "simhost: takes no arguments; it reads the bench's wire on standard input")
+		os.Exit(2)
+	}
+	if err := simhost.Run(os.Stdin, os.Stdout, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/simwire/actions.go
@@ -0,0 +1,91 @@
+package simwire
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"strconv"
+
+	"marblespan/brain"
+)
+
+func hexBytes(s string) ([]byte, error) { return hex.DecodeString(s) }
+
+// AppendActions writes an instance's actions, one line each.
+func AppendActions(b []byte, inst int, actions []brain.Action) []byte {
+	for _, a := range actions {
+		b = appendAction(b, inst, a)
+	}
+	return b
+}
+
+// AppendFault writes the action that says an instance's decision code failed.
+func AppendFault(b []byte, inst int, text string) []byte {
+	return end(appendText(begin(b, "BROKEN", inst), text))
+}
+
+// AppendDone ends a reply.
+func AppendDone(b []byte) []byte { return append(b, "[\"YIELD\"]\n"...) }
+
+func appendAction(b []byte, inst int, a brain.Action) []byte {
+	switch a := a.(type) {
+	case brain.Send:
+		b = appendNumber(appendText(begin(b, "TRY", inst), a.ID), int64(a.Server))
+		b = appendMillis(b, a.Until)
+	case brain.Refuse:
+		b = appendMillis(appendText(begin(b, "SAY_NO", inst), a.ID), a.RetryAfter)
+	case brain.Fail:
+		b = appendText(begin(b, "FINISH_ERROR", inst), a.ID)
+	case brain.Cancel:
+		b = appendNumber(appendText(begin(b, "ABANDON", inst), a.ID), int64(a.Attempt))
+	case brain.SetTimer:
+		b = appendText(appendMillis(begin(b, "SET_ALARM", inst), a.At), a.Token)
+	case brain.Probe:
+		b = appendNumber(begin(b, "POLL", inst), int64(a.Server))
+	case brain.CloseIdle:
+		b = appendNumber(begin(b, "CLOSE_IDLE", inst), int64(a.Server))
+	case brain.Tell:
+		b = begin(b, "MEMO_TO", inst)
+		if a.To == brain.ToAll {
+			b = append(b, `,"*"`...)
+		} else {
+			b = appendNumber(b, int64(a.To))
+		}
+		b = appendText(b, hex.EncodeToString(a.Data))
+	case brain.Log:
+		b = appendText(begin(b, "WRITE_LOG", inst), a.Text)
+	case brain.Watch:
+		b = append(begin(b, "STREAM_CHANGES", inst), ',')
+		b = strconv.AppendBool(b, a.On)
+	case brain.Fetch:
+		b = begin(b, "SNAPSHOT", inst)
+	default:
+		return AppendFault(b, inst, "the module returned an action the wire does not know")
+	}
+	return end(b)
+}
+
+func begin(b []byte, name string, inst int) []byte {
+	b = append(append(append(b, `["`...), name...), `",`...)
+	return strconv.AppendInt(b, int64(inst), 10)
+}
+
+func end(b []byte) []byte { return append(b, "]\n"...) }
+
+func appendNumber(b []byte, v int64) []byte { return strconv.AppendInt(append(b, ','), v, 10) }
+
+func appendMillis(b []byte, v brain.Micros) []byte {
+	b = append(b, ',')
+	if v < 0 {
+		b, v = append(b, '-'), -v
+	}
+	b = strconv.AppendInt(b, int64(v/1000), 10)
+	if f := int64(v % 1000); f != 0 {
+		b = append(b, '.', byte('0'+f/100), byte('0'+f/10%10), byte('0'+f%10))
+	}
+	return b
+}
+
+func appendText(b []byte, s string) []byte {
+	quoted, _ := json.Marshal(s) // a string always marshals
+	return append(append(b, ','), quoted...)
+}
--- /dev/null
+++ b/internal/simwire/simwire.go
@@ -0,0 +1,409 @@
+// Package simwire translates between the bench's wire and the terms of package brain: words, units and shapes.
+// It keeps no state and decides nothing. Times become exact whole microseconds; positions are unpacked here, once.
+package simwire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"marblespan/brain"
+)
+
+// Sheets is how many list sheets the wire numbers.
+const Sheets = 16
+
+// FaultError is a defect that belongs to one instance.
+type FaultError struct {
+	Instance int
+	Text     string
+}
+
+func (e *FaultError) Error() string { return fmt.Sprintf("instance %d: %s", e.Instance, e.Text) }
+
+// Message is one decoded line: Tick, Flush, Start, Stop, Sheet, News or ForInstance.
+type Message interface{}
+
+// Tick begins a batch.
+type Tick struct{ Now brain.Micros }
+
+// Flush ends a batch.
+type Flush struct{}
+
+// Start begins an instance.
+type Start struct {
+	Instance int
+	Seed     uint64
+	Facts    *Facts
+}
+
+// Stop ends an instance.
+type Stop struct{ Instance int }
+
+// Sheet carries list entries under a number.
+type Sheet struct {
+	Number  int
+	Members []brain.Member
+}
+
+// News says which sheet an instance has learned of.
+type News struct {
+	Instance int
+	Form     brain.ListForm
+	Sheet    int
+}
+
+// ForInstance is any other event.
+type ForInstance struct {
+	Instance int
+	Event    brain.Event
+}
+
+var results = map[int64]brain.Result{
+	200: brain.ResultOK, 500: brain.ResultError, 503: brain.ResultFull, 504: brain.ResultTimeout,
+	502: brain.ResultConnectFailed, 598: brain.ResultReset, 499: brain.ResultCancelled,
+	410: brain.ResultMoot, 404: brain.ResultMiss,
+}
+
+var states = map[int64]brain.MemberState{0: brain.MemberGone, 1: brain.MemberReady, 2: brain.MemberDraining}
+
+var forms = map[int64]brain.ListForm{
+	0: brain.ListDelta, 4: brain.ListFull, 1: brain.ListCached, 3: brain.ListFailed,
+}
+
+var roles = map[int64]brain.Role{0: brain.RoleUnknown, 1: brain.RolePrimary, 2: brain.RoleReplica}
+
+// row reads one message's values in order and remembers the first defect.
+type row struct {
+	vals []json.RawMessage
+	err  error
+}
+
+func (r *row) fail(i int, want string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("value %d is not %s", i, want)
+	}
+}
+
+// absent tells that a value is null or not there at all.
+func (r *row) absent(i int) bool { return i >= len(r.vals) || string(r.vals[i]) == "null" }
+
+func (r *row) integer(i int) int64 {
+	if !r.absent(i) {
+		if v, err := strconv.ParseInt(string(r.vals[i]), 10, 64); err == nil {
+			return v
+		}
+	}
+	r.fail(i, "a whole number")
+	return 0
+}
+
+func (r *row) integerOr(i int, def int64) int64 {
+	if r.absent(i) {
+		return def
+	}
+	return r.integer(i)
+}
+
+func (r *row) unsigned(i int, bits int) uint64 {
+	if !r.absent(i) {
+		if v, err := strconv.ParseUint(string(r.vals[i]), 10, bits); err == nil {
+			return v
+		}
+	}
+	r.fail(i, "a whole number from 0 up")
+	return 0
+}
+
+func (r *row) count(i int) int {
+	v := r.integer(i)
+	if v < 0 || v > 1<<31 {
+		r.fail(i, "a small whole number")
+		return 0
+	}
+	return int(v)
+}
+
+func (r *row) text(i int) string {
+	var s string
+	if r.absent(i) || json.Unmarshal(r.vals[i], &s) != nil {
+		r.fail(i, "a text")
+	}
+	return s
+}
+
+func (r *row) truth(i int) bool {
+	var b bool
+	if r.absent(i) || json.Unmarshal(r.vals[i], &b) != nil {
+		r.fail(i, "true or false")
+	}
+	return b
+}
+
+// micros reads milliseconds with fractions; an absent value is 0.
+func (r *row) micros(i int) brain.Micros {
+	if r.absent(i) {
+		return 0
+	}
+	return brain.Micros(r.scaled(i, 3))
+}
+
+func (r *row) scaled(i, digits int) int64 {
+	v, err := parseScaled(string(r.vals[i]), digits)
+	if err != nil {
+		r.fail(i, "a number")
+	}
+	return v
+}
+
+// parseScaled reads a decimal number as a whole number of 10^-digits, rounded down.
+func parseScaled(s string, digits int) (int64, error) {
+	if strings.ContainsAny(s, "eE") {
+		f, err := strconv.ParseFloat(s, 64)
+		if err != nil || f > 1e15 || f < -1e15 {
+			return 0, errors.New("not a number within range")
+		}
+		s = strconv.FormatFloat(f, 'f', digits, 64)
+	}
+	neg := strings.HasPrefix(s, "-")
+	whole, frac, _ := strings.Cut(strings.TrimPrefix(s, "-"), ".")
+	v, err := strconv.ParseInt(whole, 10, 64)
+	if err != nil || v < 0 || v > 1e13 {
+		return 0, errors.New("not a number within range")
+	}
+	inexact := false
+	for d := 0; d < digits || d < len(frac); d++ {
+		c := byte('0')
+		if d < len(frac) {
+			if c = frac[d]; c < '0' || c > '9' {
+				return 0, errors.New("not a number")
+			}
+		}
+		if d < digits {
+			v = v*10 + int64(c-'0')
+		} else if c != '0' {
+			inexact = true
+		}
+	}
+	if neg {
+		if v = -v; inexact {
+			v--
+		}
+	}
+	return v, nil
+}
+
+// Decode reads one line. factsOf finds the settings of a started instance, or nil.
+func Decode(line []byte, factsOf func(int) *Facts) (Message, error) {
+	var vals []json.RawMessage
+	if err := json.Unmarshal(line, &vals); err != nil || len(vals) == 0 {
+		return nil, errors.New("not a message: a line holds one array that begins with a name")
+	}
+	all := row{vals: vals}
+	name := all.text(0)
+	if all.err != nil {
+		return nil, errors.New("not a message: its name is no text")
+	}
+	r := &row{vals: vals[1:]}
+	switch name {
+	case "TICK":
+		if r.absent(0) {
+			r.fail(0, "a time")
+		}
+		return whole(name, Tick{r.micros(0)}, r)
+	case "FLUSH":
+		return Flush{}, nil
+	case "LEDGER":
+		m := Sheet{Number: r.count(0), Members: r.members(1)}
+		if m.Number >= Sheets {
+			r.fail(0, "a sheet from 0 to 15")
+		}
+		return whole(name, m, r)
+	}
+	inst := r.count(0)
+	if r.err != nil {
+		return nil, fmt.Errorf("%.40q: it names no instance", name)
+	}
+	msg, err := decodeFor(name, inst, r, factsOf)
+	if err != nil {
+		return nil, &FaultError{Instance: inst, Text: err.Error()}
+	}
+	return msg, nil
+}
+
+func whole(name string, m Message, r *row) (Message, error) {
+	if r.err != nil {
+		return nil, fmt.Errorf("%s: %w", name, r.err)
+	}
+	return m, nil
+}
+
+func decodeFor(name string, inst int, r *row, factsOf func(int) *Facts) (Message, error) {
+	switch name {
+	case "START":
+		seed := r.seed(1)
+		if r.err != nil || r.absent(2) {
+			return nil, errors.New("START: it lacks its seed or its settings")
+		}
+		facts, err := ParseFacts(r.vals[2])
+		return Start{inst, seed, facts}, err
+	case "POWER_OFF":
+		return Stop{inst}, nil
+	case "REGISTRY":
+		m := News{Instance: inst, Form: lookup(r, forms, 1, "a known form of list")}
+		if m.Form != brain.ListFailed {
+			if m.Sheet = r.count(3); m.Sheet >= Sheets {
+				r.fail(3, "a sheet from 0 to 15")
+			}
+		}
+		return whole(name, m, r)
+	}
+	facts := factsOf(inst)
+	if facts == nil {
+		return nil, fmt.Errorf("%.40q for an instance that was never started", name)
+	}
+	var ev brain.Event
+	switch name {
+	case "JOB_IN":
+		ev = r.arrival(facts)
+	case "HEADERS":
+		ev = brain.Headers{ID: r.text(1), Attempt: r.count(2)}
+	case "RESPONSE":
+		ev = r.outcome(facts)
+	case "DROPPED":
+		ev = brain.Dropped{ID: r.text(1)}
+	case "ALARM":
+		ev = brain.Timer{Token: r.text(1)}
+	case "STATUS_BACK":
+		ev = brain.Probed{
+			Server: brain.ServerID(r.unsigned(1, 32)), Result: lookup(r, results, 2, "a known outcome"),
+			Latency: r.micros(3), Report: r.report(4, facts),
+		}
+	case "MAIL":
+		data, err := hexBytes(r.text(2))
+		if err != nil {
+			r.fail(2, "hex digits")
+		}
+		ev = brain.PeerMessage{From: r.count(1), Data: data}
+	default:
+		return nil, fmt.Errorf("unknown event %.40q", name)
+	}
+	return whole(name, ForInstance{inst, ev}, r)
+}
+
+func lookup[T any](r *row, table map[int64]T, i int, want string) T {
+	v, ok := table[r.integer(i)]
+	if !ok {
+		r.fail(i, want)
+	}
+	return v
+}
+
+// seed accepts any whole number, also one past 63 bits or below zero.
+func (r *row) seed(i int) uint64 {
+	if !r.absent(i) {
+		if v, err := strconv.ParseUint(string(r.vals[i]), 10, 64); err == nil {
+			return v
+		}
+	}
+	return uint64(r.integer(i))
+}
+
+// The flag bits of a request's attrs.
+const (
+	flagRepeat = 2
+)
+
+func (r *row) arrival(f *Facts) brain.Event {
+	class, ok := f.classes[r.text(6)]
+	if !ok {
+		r.fail(6, "a class of the settings")
+	}
+	a := brain.Arrival{
+		ID: r.text(1), Class: class, Group: int(r.integerOr(4, 0)), Left: r.micros(5),
+		Repeat: r.integerOr(8, 0)&flagRepeat != 0, SinceWrite: r.micros(9),
+	}
+	if !r.absent(2) {
+		a.Session, a.HasSession = r.unsigned(2, 64), true
+	}
+	return a
+}
+
+func (r *row) outcome(f *Facts) brain.Event {
+	o := brain.Outcome{
+		ID: r.text(1), Latency: r.micros(3), Server: brain.ServerID(r.unsigned(4, 32)),
+		Result: lookup(r, results, 5, "a known outcome"), Final: r.truth(6), Attempt: r.count(7),
+		Report: r.report(8, f),
+	}
+	if note := r.integerOr(2, 0); note > 0 {
+		o.Role = roles[note%4]
+		if ms := note / 4; ms > 0 {
+			o.Position = f.zero + brain.Micros(ms)*1000
+		}
+	}
+	return o
+}
+
+// report reads a load report by the order of the settings' fields; fields of unknown names are passed over.
+func (r *row) report(i int, f *Facts) brain.Report {
+	var rep brain.Report
+	if r.absent(i) {
+		return rep
+	}
+	sub := row{}
+	if json.Unmarshal(r.vals[i], &sub.vals) != nil {
+		r.fail(i, "a load report")
+		return rep
+	}
+	for k, field := range f.fields {
+		if sub.absent(k) {
+			continue
+		}
+		switch field {
+		case "x0":
+			rep.Position, rep.HasPosition = f.zero+brain.Micros(sub.scaled(k, 6)), true
+		case "x1":
+			if rep.Role = brain.RoleReplica; sub.scaled(k, 0) == 1 {
+				rep.Role = brain.RolePrimary
+			}
+		case "pending":
+			rep.Queue, rep.HasQueue = sub.scaled(k, 3), true
+		case "cpu_share":
+			rep.Util, rep.HasUtil = sub.scaled(k, 3), true
+		}
+	}
+	if sub.err != nil {
+		r.fail(i, "a load report of numbers")
+	}
+	return rep
+}
+
+func (r *row) members(i int) []brain.Member {
+	var rows [][]json.RawMessage
+	if r.absent(i) || json.Unmarshal(r.vals[i], &rows) != nil {
+		r.fail(i, "a list of entries")
+		return nil
+	}
+	out := make([]brain.Member, 0, len(rows))
+	for _, vals := range rows {
+		e := row{vals: vals}
+		m := brain.Member{
+			Primary: !e.absent(0) && e.scaled(0, 0) == 1, Server: brain.ServerID(e.unsigned(4, 32)),
+			Group: int(e.integerOr(5, 0)), State: lookup(&e, states, 6, "a known state"), Started: e.micros(7),
+		}
+		if !e.absent(1) {
+			m.Weight = e.scaled(1, 3)
+		}
+		if !e.absent(3) {
+			m.Zone = e.text(3)
+		}
+		if e.err != nil {
+			r.fail(i, fmt.Sprintf("a list of entries (entry %d: %v)", len(out), e.err))
+			return nil
+		}
+		out = append(out, m)
+	}
+	return out
+}
