A member that says full rests, longer each time until it answers

The fulls were a symptom; half of the attempts there time out because they are sent with too little time left.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -565,7 +565,8 @@
 		r.judge(s, true)
 	case ResultFull:
 		r.alive(s)
-		r.cut(s)
+		r.rest(s)
+		r.judge(s, true)
 	case ResultMiss:
 		r.alive(s)
 		r.missed(s, q)
@@ -591,6 +592,7 @@
 			q.session.mark = max(q.session.mark, commit)
 		}
 	}
+	s.restSpan = 0
 	r.countServed(s)
 	r.strained(s, q, e.Latency)
 	r.judge(s, e.Latency > q.class.Aim)
@@ -656,6 +658,14 @@
 	}
 }
 
+// rest leaves a server alone that turned a request away unseen, longer each time until it answers. It guards
+// against whatever answers no at once and so looks idle: a full queue, a hang, a drain not yet told.
+func (r *Router) rest(s *server) {
+	r.cut(s)
+	s.restSpan = min(max(s.restSpan*2, r.sweepSpan()), r.minAim)
+	s.restUntil = r.now + s.restSpan
+}
+
 // cut lowers a server's limit, never below one attempt.
 func (r *Router) cut(s *server) {
 	s.cutAt = r.now
@@ -734,6 +744,9 @@
 // hasRoom tells whether this gateway may have one more attempt out at a server, within a share of its limit.
 // A cold server's limit shrinks with its warmth, and what is sent to it keeps a budget.
 func (r *Router) hasRoom(s *server, share int64) bool {
+	if r.now < s.restUntil {
+		return false
+	}
 	warmth := r.warmth(s)
 	room := max(one, s.limit*share/one*warmth/one)
 	return int64(len(s.open)+1)*one <= room && (warmth == one || r.coldBudget(s, warmth))
--- a/brain/state.go
+++ b/brain/state.go
@@ -32,6 +32,9 @@
 	ejected   bool
 	ejectSpan Micros
 
+	restUntil Micros // it turned a request away as full: left alone until then
+	restSpan  Micros
+
 	missAt    Micros // last time it turned a read away
 	missNeed  Position
 	writeMiss Micros // last time it turned a write away
