--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,8 +25,8 @@
 	one          = 1000
 	maxSessions  = 1 << 14 // sessions remembered; older marks merge into one floor
 	startLimit   = 12      // attempts out at one server, by all gateways together, before anything is learned
-	strainHigh   = 500     // mean latency over aim at which a server's limit is cut
-	strainLow    = 400     // below it a limit in full use grows
+	strainHigh   = 300     // mean latency over aim at which a server's limit is cut
+	strainLow    = 240     // below it a limit in full use grows
 	smoothing    = 12      // outcomes that a moving mean looks back on
 	cutTo        = 850     // what a cut leaves of a limit
 	badHigh      = 400     // share of bad outcomes at which a server is ejected ...
@@ -654,7 +654,7 @@
 		if r.now-s.cutAt > r.minAim/2 {
 			r.cut(s)
 		}
-	case s.strain < strainLow && int64(len(s.open)+2)*one > s.limit:
+	case s.strain < strainLow && int64(len(s.open)+1)*one >= s.limit:
 		s.limit += one * one / max(s.limit, one)
 	}
 }
@@ -670,7 +670,7 @@
 // cut lowers a server's limit, never below one attempt.
 func (r *Router) cut(s *server) {
 	s.cutAt = r.now
-	s.limit = max(one, min(s.limit, int64(len(s.open)+1)*one)*cutTo/one)
+	s.limit = max(one, s.limit*cutTo/one)
 }
 
 // judge follows the share of attempts answered with an error or turned away as full, and ejects a replica that
