--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,8 +25,8 @@
 	one          = 1000
 	maxSessions  = 1 << 14 // sessions remembered; older marks merge into one floor
 	startLimit   = 12      // attempts out at one server, by all gateways together, before anything is learned
-	strainHigh   = 300     // mean latency over aim at which a server's limit is cut
-	strainLow    = 240     // below it a limit in full use grows
+	strainHigh   = 450     // mean latency over aim at which a server's limit is cut
+	strainLow    = 350     // below it a limit in full use grows
 	smoothing    = 12      // outcomes that a moving mean looks back on
 	cutTo        = 850     // what a cut leaves of a limit
 	badHigh      = 400     // share of bad outcomes at which a server is ejected ...
@@ -654,8 +654,8 @@
 		if r.now-s.cutAt > r.minAim/2 {
 			r.cut(s)
 		}
-	case s.strain < strainLow && int64(len(s.open)+1)*one >= s.limit:
-		s.limit += one * one / max(s.limit, one)
+	case s.strain < strainLow && int64(len(s.open)+2)*one > s.limit:
+		s.limit += one * one / max(s.limit, one) / int64(r.set.Gateways)
 	}
 }
 
--- a/brain/state.go
+++ b/brain/state.go
@@ -19,6 +19,7 @@
 	role    Role
 
 	open      []*attempt // attempts out, oldest first
+	ghosts    []Micros   // until when each abandoned attempt's work is thought to go on
 	busySince Micros
 	limit     int64 // attempts this gateway lets be out at once, in thousandths
 	cutAt     Micros
