Old news rules no replica out where servers check freshness; tests of single decisions

Cause: while load reports came late, every known position was older than the bounds, so the gate was empty and the guess that a lagging position moves no faster than the clock sent over half of the session reads to the primary. Now the most advanced replica is tried whatever the age of its news, a draw among positions that differ by less than the news is old, and a replica that misses is left out for a doubling span. Should also cover lost probes and a server that lies about its position; may cost a miss (a check's wait) per span where all replicas really lag.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -205,9 +205,9 @@
 	return q.class.Worth * q.class.LateWorth / one
 }
 
-// expected is how long an answer may well take: twice the usual, never so long that a new request looks hopeless.
-// A request that has waited longer would mostly time out at the server and waste its work. Harm: where latency
-// varies little, a few that would have made it are given up.
+// expected is how long an answer may well take: twice the usual, never so long that a new request looks
+// hopeless. A request that has waited longer would mostly time out at the server and waste its work. Harm:
+// where latency varies little, a few that would have made it are given up.
 func (r *Router) expected(q *request) Micros {
 	return min(r.typical[r.classIndex(q)]*2, q.class.Aim*3/4)
 }
@@ -305,7 +305,7 @@
 		return s
 	}
 	if r.set.Checks != ChecksNone && q.class.Need != NeedAny {
-		if s := r.mostAdvanced(q, need); s != nil {
+		if s := r.mostAdvanced(q); s != nil {
 			return s
 		}
 	}
@@ -385,20 +385,24 @@
 }
 
 // mostAdvanced is the replica to try when none is known to be fresh enough and the servers check: the one
-// with the highest position that may have caught up since. What a miss or old news has ruled out is not
-// tried.
-func (r *Router) mostAdvanced(q *request, need Position) *server {
-	var best *server
-	for _, s := range r.replicas(q) {
-		reach := s.pos + (r.now - s.posAt) + r.set.CheckWait
-		if s.missAt > s.posAt {
-			reach = min(reach, s.missNeed+(r.now-s.missAt)-1)
+// with the highest position, or a draw where others are as near to it as news is old anyway. Old news rules
+// nobody out, for reports may be late while the data is not; a miss does, for a span that doubles until a
+// read goes through.
+func (r *Router) mostAdvanced(q *request) *server {
+	able := r.replicas(q)
+	var top Position
+	for _, s := range able {
+		if r.now >= s.missUntil {
+			top = max(top, s.pos)
 		}
-		if s.pos > 0 && reach >= need && (best == nil || s.pos > best.pos) {
-			best = s
+	}
+	near := able[:0]
+	for _, s := range able {
+		if r.now >= s.missUntil && s.pos >= top-r.minBound/2 {
+			near = append(near, s)
 		}
 	}
-	return best
+	return r.draw(q, near)
 }
 
 // ---- attempts ----
@@ -594,6 +598,9 @@
 		}
 	}
 	s.restSpan = 0
+	if q.class.Need == NeedBounded || q.class.Need == NeedSession && q.need > 0 {
+		s.missSpan = 0
+	}
 	r.countServed(s)
 	r.strained(s, q, e.Latency)
 	r.judge(s, false)
@@ -606,7 +613,8 @@
 		r.role(s, RoleReplica, r.now)
 		return
 	}
-	s.missAt, s.missNeed = r.now, r.needOf(q)
+	s.missSpan = min(max(s.missSpan*2, r.minBound/2), r.maxAim*ejectGrowth)
+	s.missUntil = r.now + s.missSpan
 	q.missed = append(q.missed, s.id)
 }
 
@@ -673,8 +681,8 @@
 	s.limit = max(one, s.limit*cutTo/one)
 }
 
-// judge follows the share of attempts answered with an error or turned away as full, and ejects a replica that
-// is far worse than its peers. It never acts where all are as bad. Slowness is left to the limit.
+// judge follows the share of attempts answered with an error or turned away as full, and ejects a replica
+// that is far worse than its peers. It never acts where all are as bad. Slowness is left to the limit.
 func (r *Router) judge(s *server, bad bool) {
 	x := int64(0)
 	if bad {
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,823 @@
+package brain_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"marblespan/brain"
+)
+
+// The split by class and the freshness gate.
+func TestOrdinaryPath(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		class  int
+		lag    brain.Micros // of the one replica, server 2
+		checks brain.Checks
+		want   brain.ServerID
+	}{
+		{"write to the primary", unsafeWrite, 0, brain.ChecksNone, 1},
+		{"fresh read to the primary", freshRead, 0, brain.ChecksNone, 1},
+		{"any read to a replica", anyRead, 0, brain.ChecksNone, 2},
+		{"any read to a lagging replica", anyRead, 5000 * ms, brain.ChecksNone, 2},
+		{"bounded read to a fresh replica", boundedRead, 700 * ms, brain.ChecksNone, 2},
+		{"bounded read at the bound", boundedRead, 800 * ms, brain.ChecksNone, 2},
+		{"bounded read past the bound to the primary", boundedRead, 801 * ms, brain.ChecksNone, 1},
+		{"past the bound, servers check: most advanced replica", boundedRead, 801 * ms, brain.ChecksRefuse, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := settings()
+			set.Checks = c.checks
+			g := newRig(t, set)
+			g.group(2)
+			g.fresh(1, 0)
+			g.fresh(2, c.lag)
+			g.arrive("q", c.class)
+			g.wantSent("q", c.want)
+		})
+	}
+}
+
+func TestMostAdvancedReplicaFirst(t *testing.T) {
+	set := settings()
+	set.Checks = brain.ChecksWait
+	g := newRig(t, set)
+	g.group(4)
+	g.fresh(2, 5000*ms)
+	g.fresh(3, 2000*ms)
+	g.fresh(4, 9000*ms)
+	g.arrive("q", boundedRead)
+	g.wantSent("q", 3)
+	// Its miss redraws: the next most advanced, and 3 is left out for a while even for others.
+	g.outcome("q", 0, 3, brain.ResultMiss)
+	g.wantSent("q", 2)
+	g.arrive("r", boundedRead)
+	g.wantSent("r", 2)
+}
+
+// Late reports: positions look old while the data is not. Misses alone rule a replica out where servers check.
+func TestOldNewsDoesNotSendReadsToThePrimary(t *testing.T) {
+	set := settings()
+	set.Checks = brain.ChecksWait
+	g := newRig(t, set)
+	g.group(3)
+	g.fresh(1, 0)
+	g.fresh(2, 4000*ms)
+	g.fresh(3, 4000*ms)
+	for i := 0; i < 10; i++ {
+		id := fmt.Sprint("q", i)
+		g.after(20 * ms).arrive(id, boundedRead)
+		got := sent(g.acts, id)
+		if len(got) != 1 || got[0] == 1 {
+			t.Fatalf("%s went to %v, want a replica", id, got)
+		}
+		g.outcome(id, 0, got[0], brain.ResultOK)
+	}
+	// When both have missed, the primary takes the read, and later ones at once.
+	g.arrive("m", boundedRead)
+	first := sent(g.acts, "m")[0]
+	g.outcome("m", 0, first, brain.ResultMiss)
+	g.outcome("m", 1, 5-first, brain.ResultMiss)
+	g.wantSent("m", 1)
+	g.arrive("n", boundedRead)
+	g.wantSent("n", 1)
+}
+
+func TestSessionsStick(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(6)
+	for id := brain.ServerID(1); id <= 6; id++ {
+		g.fresh(id, 0)
+	}
+	used := map[brain.ServerID]bool{}
+	for session := uint64(1); session <= 30; session++ {
+		var home brain.ServerID
+		for i := 0; i < 4; i++ {
+			id := fmt.Sprint(session, "-", i)
+			g.after(ms).arriveOf(id, sessionRead, session)
+			got := sent(g.acts, id)
+			if len(got) != 1 || got[0] == 1 || i > 0 && got[0] != home {
+				t.Fatalf("%s went to %v, its session's replica is %d", id, got, home)
+			}
+			home = got[0]
+			g.outcome(id, 0, home, brain.ResultOK)
+		}
+		used[home] = true
+	}
+	if len(used) < 5 {
+		t.Errorf("30 sessions met only %d of 5 replicas", len(used))
+	}
+	// Redrawn when the replica may take nothing more, and kept after.
+	g.arriveOf("x", sessionRead, 1)
+	home := sent(g.acts, "x")[0]
+	drained := member(home, false)
+	drained.State = brain.MemberDraining
+	g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{drained}})
+	g.arriveOf("y", sessionRead, 1)
+	if got := sent(g.acts, "y"); len(got) != 1 || got[0] == home {
+		t.Fatalf("sent to %v after %d drained", got, home)
+	}
+}
+
+func TestSessionMarks(t *testing.T) {
+	t.Run("remembered", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(2)
+		g.fresh(1, 0)
+		g.fresh(2, 0)
+		g.after(100*ms).arriveOf("w", keyedWrite, 9)
+		g.step(brain.Outcome{ID: "w", Server: 1, Final: true, Latency: 50 * ms, Role: brain.RolePrimary, Position: g.now})
+		g.after(10*ms).arriveOf("r", sessionRead, 9)
+		g.wantSent("r", 1) // server 2 is not known to have it
+		g.fresh(2, 0)
+		g.arriveOf("s", sessionRead, 9)
+		g.wantSent("s", 2)
+	})
+	t.Run("a write without a position counts as committed now", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(2)
+		g.fresh(1, 0)
+		g.fresh(2, 0)
+		g.after(100*ms).arriveOf("w", keyedWrite, 9)
+		g.outcome("w", 0, 1, brain.ResultOK)
+		g.arriveOf("r", sessionRead, 9)
+		g.wantSent("r", 1)
+	})
+	t.Run("carried", func(t *testing.T) {
+		set := settings()
+		set.TokensCarried = true
+		g := newRig(t, set)
+		g.group(2)
+		g.fresh(1, 0)
+		g.fresh(2, 200*ms)
+		g.step(brain.Arrival{ID: "r", Class: sessionRead, Group: 1, Left: 2000 * ms, SinceWrite: 199 * ms})
+		g.wantSent("r", 1)
+		g.step(brain.Arrival{ID: "s", Class: sessionRead, Group: 1, Left: 2000 * ms, SinceWrite: 200 * ms})
+		g.wantSent("s", 2)
+	})
+	t.Run("forgotten marks merge into a floor", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(2)
+		g.fresh(1, 0)
+		g.fresh(2, 0)
+		g.after(100*ms).arriveOf("w", keyedWrite, 1)
+		g.outcome("w", 0, 1, brain.ResultOK)
+		for k := uint64(2); k < 1<<14+2; k++ {
+			g.arriveOf(fmt.Sprint("f", k), freshRead, k)
+			g.outcome(fmt.Sprint("f", k), 0, 1, brain.ResultOK)
+		}
+		g.arriveOf("r", sessionRead, 1)
+		g.wantSent("r", 1)
+	})
+}
+
+// What an outcome proves decides what may follow.
+func TestAttemptTable(t *testing.T) {
+	const again, refuse, fail = "again", "refuse", "fail"
+	ran := []brain.Result{brain.ResultError, brain.ResultTimeout, brain.ResultReset, brain.ResultCancelled}
+	notRan := []brain.Result{brain.ResultFull, brain.ResultConnectFailed, brain.ResultMiss}
+	for _, c := range []struct {
+		class   int
+		results []brain.Result
+		wait    brain.Micros
+		want    string
+	}{
+		{anyRead, ran, 10 * ms, again},
+		{anyRead, notRan, 10 * ms, again},
+		{unsafeWrite, ran, 10 * ms, fail},
+		{unsafeWrite, notRan, 10 * ms, again},
+		{keyedWrite, ran, 10 * ms, again},
+		{keyedWrite, notRan, 10 * ms, again},
+		{keyedWrite, ran, 1000 * ms, fail}, // its window is over
+		{keyedWrite, notRan, 1000 * ms, again},
+	} {
+		for _, res := range c.results {
+			t.Run(fmt.Sprint(c.class, "/", res, "/", c.wait), func(t *testing.T) {
+				g := newRig(t, settings())
+				g.group(3)
+				g.fresh(1, 0)
+				first := sent(g.arrive("q", c.class), "q")[0]
+				g.after(c.wait).outcome("q", 0, first, res)
+				acts := append([]brain.Action(nil), g.acts...)
+				// The next primary shows itself, so that a write that waits can go.
+				g.after(ms).probed(2, brain.RolePrimary, g.now)
+				acts = append(acts, g.acts...)
+				acts = append(acts, g.sweep(260*ms)...)
+				got := ending(acts, "q")
+				if got == "" && len(sent(acts, "q")) == 1 {
+					got = again
+				}
+				if got != c.want {
+					t.Errorf("got %q, want %q (%v)", got, c.want, acts)
+				}
+			})
+		}
+	}
+}
+
+func TestAttemptsAreCounted(t *testing.T) {
+	set := settings()
+	set.MaxAttempts = 3
+	g := newRig(t, set)
+	g.group(8)
+	acts := g.arrive("q", anyRead)
+	for i := 0; i < 3; i++ {
+		got := sent(acts, "q")
+		if len(got) != 1 {
+			t.Fatalf("attempt %d: sent to %v", i, got)
+		}
+		acts = g.outcome("q", i, got[0], brain.ResultConnectFailed)
+	}
+	g.wantEnd("q", "refuse")
+}
+
+// Errors everywhere must not multiply the load: what may have run is repeated within a budget.
+func TestRetryBudget(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(5)
+	first, more := 0, 0
+	for i := 0; i < 400; i++ {
+		id := fmt.Sprint("q", i)
+		acts := g.after(10*ms).arrive(id, anyRead)
+		first++
+		for n := 0; ; n++ {
+			got := sent(acts, id)
+			if len(got) == 0 {
+				break
+			}
+			if n > 0 {
+				more++
+			}
+			acts = g.outcome(id, n, got[0], brain.ResultError)
+		}
+	}
+	if more == 0 || more > first/5+10 {
+		t.Errorf("%d further attempts for %d requests", more, first)
+	}
+}
+
+func TestPrimaryEvidence(t *testing.T) {
+	primaryIs := func(g *rig, want brain.ServerID) {
+		g.t.Helper()
+		id := fmt.Sprint("p", g.now, len(g.all))
+		g.arrive(id, freshRead)
+		g.wantSent(id, want)
+		g.outcome(id, 0, want, brain.ResultOK)
+	}
+	t.Run("a late report does not override newer proof", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(3)
+		g.after(1000 * ms)
+		g.probed(2, brain.RolePrimary, g.now)
+		primaryIs(g, 2)
+		g.probed(1, brain.RolePrimary, g.now-500*ms) // a report from before the switch
+		primaryIs(g, 2)
+		g.probed(2, brain.RoleReplica, g.now-500*ms) // and one of before its election
+		primaryIs(g, 2)
+		g.probed(3, brain.RolePrimary, g.now+50*ms) // never from the future
+		g.after(100 * ms).probed(3, brain.RolePrimary, g.now)
+		primaryIs(g, 3)
+	})
+	t.Run("the list is believed only until there is proof", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(3)
+		primaryIs(g, 1)
+		g.after(10 * ms).probed(2, brain.RolePrimary, g.now)
+		g.group(3)
+		primaryIs(g, 2)
+	})
+	t.Run("a write's miss takes the role away, and the next member is tried", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(3)
+		g.fresh(2, 300*ms)
+		g.fresh(3, 100*ms)
+		g.arrive("w", unsafeWrite)
+		g.wantSent("w", 1)
+		g.after(ms).outcome("w", 0, 1, brain.ResultMiss)
+		g.wantSent("w", 3) // the most advanced
+		g.after(ms).outcome("w", 1, 3, brain.ResultMiss)
+		g.wantSent("w", 2)
+		g.after(ms).outcome("w", 2, 2, brain.ResultMiss)
+		g.wantSent("w") // one round is enough: it waits
+		g.wantEnd("w", "")
+		// Another write does not go the round again.
+		g.arrive("v", unsafeWrite)
+		g.wantSent("v")
+		g.arrive("f", freshRead)
+		g.wantSent("f")
+		// The new primary shows itself in an answer's note: all that waits goes there.
+		g.after(ms).arrive("a", anyRead)
+		to := sent(g.acts, "a")[0]
+		g.after(ms).step(brain.Outcome{ID: "a", Server: to, Final: true, Latency: ms, Role: brain.RolePrimary})
+		for _, id := range []string{"w", "v", "f"} {
+			g.wantSent(id, to)
+		}
+	})
+	t.Run("a lost primary is looked for by probes", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(3)
+		g.sweep(25 * ms)
+		for id := brain.ServerID(1); id <= 3; id++ {
+			g.fresh(id, 0)
+		}
+		g.arrive("w", unsafeWrite)
+		g.outcome("w", 0, 1, brain.ResultReset)
+		probes := 0
+		for i := 0; i < 40; i++ {
+			for _, a := range g.sweep(25 * ms) {
+				if p, ok := a.(brain.Probe); ok {
+					probes++
+					g.step(brain.Probed{Server: p.Server, Result: brain.ResultTimeout})
+				}
+			}
+		}
+		if probes < 6 || probes > 40 {
+			t.Errorf("%d probes in a second without a primary", probes)
+		}
+	})
+}
+
+func TestDrainsAreObeyedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		news  brain.MemberNews
+		loose bool
+		open  bool // may still be sent to
+	}{
+		{"draining", brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{
+			{Server: 2, Group: 1, State: brain.MemberDraining}}}, false, false},
+		{"gone", brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{
+			{Server: 2, Group: 1, State: brain.MemberGone}}}, false, false},
+		{"left out of a full list", brain.MemberNews{Form: brain.ListFull, Members: []brain.Member{
+			member(1, true)}}, false, false},
+		{"gone where only draining binds", brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{
+			{Server: 2, Group: 1, State: brain.MemberGone}}}, true, true},
+		{"draining where only draining binds", brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{
+			{Server: 2, Group: 1, State: brain.MemberDraining}}}, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := settings()
+			set.OnlyDrainingBinds = c.loose
+			g := newRig(t, set)
+			g.group(2)
+			g.fresh(1, 0)
+			g.fresh(2, 0)
+			g.step(c.news)
+			g.arrive("q", anyRead)
+			if got := sent(g.acts, "q"); len(got) != 1 || (got[0] == 2) != c.open {
+				t.Errorf("sent to %v", got)
+			}
+		})
+	}
+}
+
+func TestDrainingPrimaryTakesNoWrite(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(2)
+	g.fresh(1, 0)
+	drained := member(1, true)
+	drained.State = brain.MemberDraining
+	g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{drained}})
+	g.arrive("w", unsafeWrite)
+	g.wantSent("w", 2)
+	g.outcome("w", 0, 2, brain.ResultMiss)
+	g.wantSent("w")
+	g.after(50 * ms).probed(2, brain.RolePrimary, g.now)
+	g.wantSent("w", 2)
+}
+
+// A cold member takes what a fall window allows, whatever comes back and however quickly.
+func TestColdBudget(t *testing.T) {
+	for _, res := range []brain.Result{brain.ResultMiss, brain.ResultError, brain.ResultOK} {
+		t.Run(fmt.Sprint(res), func(t *testing.T) {
+			set := settings()
+			g := newRig(t, set)
+			g.group(3)
+			// This gateway has measured nothing yet: the budget must hold all the same.
+			cold := member(3, false)
+			cold.Started = g.now
+			g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{cold}})
+			n := 0
+			for i := 0; i < 400; i++ {
+				id := fmt.Sprint("q", i)
+				acts := g.after(5*ms).arrive(id, anyRead)
+				for k := 0; k < 3; k++ {
+					got := sent(acts, id)
+					if len(got) == 0 {
+						break
+					}
+					if got[0] == 3 {
+						n++
+						acts = g.outcome(id, k, 3, res)
+					} else {
+						// Warm members answer about eight requests a window each.
+						if i%25 == 0 {
+							acts = g.outcome(id, k, got[0], brain.ResultOK)
+						}
+						break
+					}
+				}
+			}
+			// A warm member's sixteen answers a window at most, times multiple and cold share.
+			if limit := 16 * 3 / 2; n == 0 || n > limit {
+				t.Errorf("%d sends to a cold member within a window, want 1 to %d", n, limit)
+			}
+		})
+	}
+}
+
+// A member that could not be reached may have started again: it counts as cold though no list said so.
+func TestBackFromTheDeadIsCold(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(2)
+	g.fresh(1, 0)
+	g.arrive("q", anyRead)
+	g.wantSent("q", 2)
+	g.outcome("q", 0, 2, brain.ResultConnectFailed)
+	g.arrive("r", anyRead)
+	g.wantSent("r", 1) // the primary takes it while the replica is down
+	g.after(400*ms).fresh(2, 0)
+	at2 := 0
+	for i := 0; i < 20; i++ {
+		id := fmt.Sprint("s", i)
+		for _, s := range sent(g.after(ms).arrive(id, anyRead), id) {
+			if s == 2 {
+				at2++
+			}
+		}
+	}
+	if at2 != 1 {
+		t.Errorf("%d attempts out at a member just back, want 1", at2)
+	}
+}
+
+// A member that says full in no time looks idle. It must rest, not draw more.
+func TestQuickFullDoesNotAttract(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(4)
+	tries := 0
+	for i := 0; i < 200; i++ {
+		id := fmt.Sprint("q", i)
+		acts := g.after(5*ms).arrive(id, anyRead)
+		for n := 0; n < 6; n++ {
+			got := sent(acts, id)
+			if len(got) == 0 {
+				break
+			}
+			if got[0] != 2 {
+				g.outcome(id, n, got[0], brain.ResultOK)
+				break
+			}
+			tries++
+			acts = g.outcome(id, n, 2, brain.ResultFull)
+		}
+	}
+	if tries == 0 || tries > 12 {
+		t.Errorf("%d of 200 requests met the member that is full", tries)
+	}
+}
+
+func TestQuickErrorsAreEjected(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(4)
+	tries := 0
+	for i := 0; i < 400; i++ {
+		id := fmt.Sprint("q", i)
+		acts := g.after(5*ms).arrive(id, anyRead)
+		for n := 0; n < 6; n++ {
+			got := sent(acts, id)
+			if len(got) == 0 {
+				break
+			}
+			res := brain.ResultOK
+			if got[0] == 2 {
+				tries++
+				res = brain.ResultError
+			}
+			if acts = g.outcome(id, n, got[0], res); res == brain.ResultOK {
+				break
+			}
+		}
+		g.sweep(0)
+	}
+	if tries < 5 || tries > 40 {
+		t.Errorf("%d attempts met the member that fails, want few and some trials", tries)
+	}
+}
+
+// An ejection never empties a group.
+func TestEjectionNeverEmptiesAGroup(t *testing.T) {
+	set := settings()
+	g := newRig(t, set)
+	g.step(brain.MemberNews{Form: brain.ListCached, Members: []brain.Member{member(2, false), member(3, false)}})
+	for i := 0; i < 60; i++ {
+		id := fmt.Sprint("q", i)
+		got := sent(g.after(100*ms).arrive(id, anyRead), id)
+		if len(got) != 1 {
+			t.Fatalf("%s sent to %v", id, got)
+		}
+		g.outcome(id, 0, got[0], brain.ResultError)
+		g.step(brain.Dropped{ID: id})
+	}
+}
+
+// Slow answers lower what may be out at a member; quick ones raise it again.
+func TestLimitFollowsLatency(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(2)
+	g.fresh(1, 0)
+	run := func(tag string, latency brain.Micros) int {
+		for i := 0; i < 200; i++ {
+			id := fmt.Sprint(tag, i)
+			if len(sent(g.after(100*ms).arrive(id, freshRead), id)) == 1 {
+				g.step(brain.Outcome{ID: id, Server: 1, Final: true, Latency: latency})
+			}
+		}
+		out := 0
+		for i := 0; i < 40; i++ {
+			id := fmt.Sprint(tag, "-burst", i)
+			out += len(sent(g.arrive(id, freshRead), id))
+		}
+		for i := 0; i < 40; i++ {
+			g.step(brain.Outcome{ID: fmt.Sprint(tag, "-burst", i), Server: 1, Final: true, Latency: latency})
+			g.step(brain.Dropped{ID: fmt.Sprint(tag, "-burst", i)})
+		}
+		return out
+	}
+	before := run("a", 60*ms)
+	slow := run("b", 390*ms)
+	if slow >= before || slow != 1 {
+		t.Errorf("%d out at once while quick, %d after slow answers", before, slow)
+	}
+}
+
+// A waiting request that could not be answered within its aim any more is given up at once, not sent to time out.
+func TestHopelessIsNotSent(t *testing.T) {
+	set := settings()
+	set.AdviseRetry = true
+	g := newRig(t, set)
+	g.group(2)
+	g.fresh(1, 0)
+	for i := 0; i < 60; i++ {
+		id := fmt.Sprint("a", i)
+		g.after(10*ms).arrive(id, freshRead)
+		g.step(brain.Outcome{ID: id, Server: 1, Final: true, Latency: 100 * ms})
+	}
+	open := []string{}
+	for i := 0; ; i++ {
+		id := fmt.Sprint("b", i)
+		if len(sent(g.arrive(id, freshRead), id)) == 0 {
+			open = append(open, id)
+			break
+		}
+	}
+	waiting := open[0]
+	g.sweep(150 * ms)
+	g.wantEnd(waiting, "")
+	g.sweep(100 * ms)
+	g.wantEnd(waiting, "refuse")
+	for _, a := range g.acts {
+		if r, ok := a.(brain.Refuse); ok && r.ID == waiting && r.RetryAfter <= 0 {
+			t.Error("no advice when to come back")
+		}
+	}
+}
+
+// When the primary's room is scarce, what is worth more goes first.
+func TestWorthiestFirst(t *testing.T) {
+	set := settings()
+	set.Classes[unsafeWrite].Worth = 3000
+	g := newRig(t, set)
+	g.group(2)
+	g.fresh(1, 0)
+	n := 0
+	for ; ; n++ {
+		if len(sent(g.arrive(fmt.Sprint("f", n), freshRead), fmt.Sprint("f", n))) == 0 {
+			break
+		}
+	}
+	g.after(ms).arrive("w", unsafeWrite)
+	g.wantSent("w")
+	g.after(ms).outcome("f0", 0, 1, brain.ResultOK)
+	g.wantSent("w", 1)
+}
+
+func TestEveryRequestEnds(t *testing.T) {
+	for class := range settings().Classes {
+		for _, members := range []int{0, 2} { // held for want of a server, and out at one that never answers
+			set := settings()
+			g := newRig(t, set)
+			if members > 0 {
+				g.group(members)
+				g.fresh(1, 0)
+			}
+			g.arrive("q", class)
+			var at brain.Micros
+			for _, a := range g.acts {
+				if s, ok := a.(brain.SetTimer); ok && s.Token == "q" {
+					at = s.At
+				}
+			}
+			if at <= origin || at > origin+2000*ms {
+				t.Fatalf("class %d: its timer is at %d", class, at-origin)
+			}
+			g.now = at
+			g.step(brain.Timer{Token: "q"})
+			if ending(g.acts, "q") == "" {
+				t.Errorf("class %d with %d members has no final answer at its end", class, members)
+			}
+			g.step(brain.Timer{Token: "q"})
+			if ending(g.acts, "q") != "" {
+				t.Errorf("class %d was answered twice", class)
+			}
+			if out := sent(g.acts, "q"); len(out) > 0 {
+				t.Errorf("class %d was sent to %v after its end", class, out)
+			}
+		}
+	}
+}
+
+// An unsafe write that is out at its end fails: it may have run, so a refusal would lie.
+func TestUnsafeOutIsNotRefused(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(2)
+	g.fresh(1, 0)
+	g.arrive("w", unsafeWrite)
+	g.now += 1995 * ms
+	g.step(brain.Timer{Token: "w"})
+	g.wantEnd("w", "fail")
+}
+
+func TestSilentMemberIsProbedAndLeft(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(3)
+	g.fresh(1, 0)
+	g.fresh(2, 0)
+	g.fresh(3, 0)
+	set := brain.ServerID(0)
+	g.step(brain.Arrival{ID: "q", Class: lateRead, Group: 1, Left: 2000 * ms})
+	set = sent(g.acts, "q")[0]
+	cancelled := false
+	for i := 0; i < 60 && !cancelled; i++ {
+		for _, a := range g.sweep(25 * ms) {
+			switch a := a.(type) {
+			case brain.Probe:
+				if a.Server == set {
+					g.step(brain.Probed{Server: a.Server, Result: brain.ResultTimeout})
+					cancelled = cancelled || count[brain.Cancel](g.acts) > 0
+				} else {
+					g.fresh(a.Server, 0)
+				}
+			}
+		}
+	}
+	if !cancelled {
+		t.Fatal("the read was left with a member that answers neither it nor probes")
+	}
+	g.outcome("q", 0, set, brain.ResultCancelled)
+	if got := sent(g.acts, "q"); len(got) != 1 || got[0] == set {
+		t.Errorf("moved to %v from %d", got, set)
+	}
+}
+
+func TestProbesKeepPositionsWithinHalfTheBound(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(3)
+	at := map[brain.ServerID][]brain.Micros{}
+	for i := 0; i < 400; i++ {
+		for _, a := range g.sweep(25 * ms) {
+			if p, ok := a.(brain.Probe); ok {
+				at[p.Server] = append(at[p.Server], g.now)
+				g.fresh(p.Server, 0)
+			}
+		}
+	}
+	for id := brain.ServerID(2); id <= 3; id++ {
+		if n := len(at[id]); n < 20 || n > 26 { // ten seconds, half of an 800 ms bound
+			t.Errorf("server %d probed %d times in 10 s", id, n)
+		}
+	}
+	if len(at[1]) != 1 {
+		t.Errorf("the known primary was probed %d times", len(at[1]))
+	}
+	// No probe piles up on one that does not answer.
+	n := 0
+	for i := 0; i < 100; i++ {
+		for _, a := range g.sweep(25 * ms) {
+			if p, ok := a.(brain.Probe); ok && p.Server == 2 {
+				n++
+			}
+		}
+	}
+	if n != 1 {
+		t.Errorf("%d probes out at once", n)
+	}
+}
+
+func TestDiscovery(t *testing.T) {
+	set := settings()
+	set.ListAsked = true
+	g := newRig(t, set)
+	if count[brain.Watch](g.acts) != 1 {
+		t.Fatal("it does not subscribe at its start")
+	}
+	g.group(2)
+	asks := func(span brain.Micros) (n int, last brain.Micros) {
+		for end := g.now + span; g.now < end; {
+			if count[brain.Watch](g.sweep(25*ms)) > 0 {
+				n, last = n+1, g.now
+				g.after(5 * ms).step(brain.MemberNews{Form: brain.ListFailed})
+			}
+		}
+		return n, last
+	}
+	g.step(brain.MemberNews{Form: brain.ListFailed})
+	early, _ := asks(2000 * ms)
+	late, last := asks(20_000 * ms)
+	if early < 2 || late < 5 || late > early*10/2 {
+		t.Errorf("%d asks in the first 2 s of failure, %d in the next 20 s", early, late)
+	}
+	if g.now-last > set.AskWithin/2 {
+		t.Error("it stopped asking")
+	}
+	for i := 0; i < 400; i++ {
+		if count[brain.Watch](g.sweep(25*ms)) > 0 {
+			break
+		}
+	}
+	g.step(brain.MemberNews{Form: brain.ListDelta})
+	if n, _ := asks(8000 * ms); n != 0 {
+		t.Errorf("%d asks with a subscription that stands", n)
+	}
+	// Two gateways with different seeds do not ask in step.
+	spans := map[brain.Micros]bool{}
+	for seed := uint64(1); seed < 9; seed++ {
+		r, _ := brain.New(origin, seed, set)
+		r.Step(origin, brain.MemberNews{Form: brain.ListFailed})
+		for now := origin; now < origin+1000*ms; now += 5 * ms {
+			if count[brain.Watch](r.Step(now, brain.Timer{Token: "sweep"})) > 0 {
+				spans[now] = true
+				break
+			}
+		}
+	}
+	if len(spans) < 4 {
+		t.Errorf("eight gateways ask again at only %d moments", len(spans))
+	}
+}
+
+// An ask that is never answered counts as failed.
+func TestUnansweredAskIsRepeated(t *testing.T) {
+	set := settings()
+	set.ListAsked = true
+	g := newRig(t, set)
+	n := 0
+	for i := 0; i < 400; i++ {
+		n += count[brain.Watch](g.sweep(25 * ms))
+	}
+	if n < 1 {
+		t.Error("it never asked again")
+	}
+}
+
+func TestOddInputIsHarmless(t *testing.T) {
+	g := newRig(t, brain.Settings{})
+	for _, ev := range []brain.Event{
+		brain.Arrival{ID: "a", Class: 3}, brain.Arrival{ID: "b", Class: -1}, brain.Dropped{ID: "nobody"},
+		brain.Outcome{ID: "nobody"}, brain.Timer{Token: ""}, brain.Timer{Token: "nobody"}, brain.Probed{Server: 9},
+		brain.Headers{ID: "nobody"}, brain.PeerMessage{Data: []byte{1}},
+		brain.MemberNews{Form: brain.ListFailed}, brain.MemberNews{Form: brain.ListFull, Members: []brain.Member{{}}},
+	} {
+		g.step(ev)
+	}
+	set := settings()
+	set.Classes = append(set.Classes, brain.Class{})
+	g = newRig(t, set)
+	g.group(2)
+	g.arrive("q", len(set.Classes)-1)
+	g.step(brain.Outcome{ID: "q", Attempt: 5, Server: 1})
+	g.step(brain.Outcome{ID: "q", Attempt: -1, Server: 1})
+	g.step(brain.Arrival{ID: "neg", Class: anyRead, Group: 1, Left: -5 * ms})
+	if ending(g.acts, "neg") == "" {
+		t.Error("a request whose time is up got no answer")
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() []brain.Action {
+		g := newRig(t, settings())
+		g.group(6)
+		for i := 0; i < 300; i++ {
+			id := fmt.Sprint("q", i)
+			for _, s := range sent(g.after(3*ms).arriveOf(id, i%7, uint64(i%20)), id) {
+				g.outcome(id, 0, s, brain.Result(i%4))
+			}
+			g.sweep(0)
+		}
+		return g.all
+	}
+	if !reflect.DeepEqual(run(), run()) {
+		t.Error("the same events gave different actions")
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -36,8 +36,8 @@
 	restUntil Micros // it turned a request away as full: left alone until then
 	restSpan  Micros
 
-	missAt    Micros // last time it turned a read away
-	missNeed  Position
+	missUntil Micros // it turned a read away as too far behind: not tried on hope until then
+	missSpan  Micros
 	writeMiss Micros // last time it turned a write away
 
 	probing    bool
