--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -67,7 +67,7 @@
 	g.fresh(3, 4000*ms)
 	for i := 0; i < 10; i++ {
 		id := fmt.Sprint("q", i)
-		g.after(20 * ms).arrive(id, boundedRead)
+		g.after(20*ms).arrive(id, boundedRead)
 		got := sent(g.acts, id)
 		if len(got) != 1 || got[0] == 1 {
 			t.Fatalf("%s went to %v, want a replica", id, got)
@@ -276,14 +276,14 @@
 		g.probed(2, brain.RoleReplica, g.now-500*ms) // and one of before its election
 		primaryIs(g, 2)
 		g.probed(3, brain.RolePrimary, g.now+50*ms) // never from the future
-		g.after(100 * ms).probed(3, brain.RolePrimary, g.now)
+		g.after(100*ms).probed(3, brain.RolePrimary, g.now)
 		primaryIs(g, 3)
 	})
 	t.Run("the list is believed only until there is proof", func(t *testing.T) {
 		g := newRig(t, settings())
 		g.group(3)
 		primaryIs(g, 1)
-		g.after(10 * ms).probed(2, brain.RolePrimary, g.now)
+		g.after(10*ms).probed(2, brain.RolePrimary, g.now)
 		g.group(3)
 		primaryIs(g, 2)
 	})
@@ -383,7 +383,7 @@
 	g.wantSent("w", 2)
 	g.outcome("w", 0, 2, brain.ResultMiss)
 	g.wantSent("w")
-	g.after(50 * ms).probed(2, brain.RolePrimary, g.now)
+	g.after(50*ms).probed(2, brain.RolePrimary, g.now)
 	g.wantSent("w", 2)
 }
 
