--- /dev/null
+++ b/brain/property_test.go
@@ -0,0 +1,334 @@
+package brain_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"marblespan/brain"
+)
+
+// world remembers what was told to and done by one router, and asserts the rules on each action. It models no
+// server: outcomes, positions, roles and lists are random, only legal.
+type world struct {
+	t     *testing.T
+	seed  int64
+	set   brain.Settings
+	rng   *rand.Rand
+	r     *brain.Router
+	now   brain.Micros
+	reqs  map[string]*wreq
+	order []string
+	srv   map[brain.ServerID]*wsrv
+	ids   []brain.ServerID
+	timer []brain.SetTimer
+	probe []brain.ServerID
+	n     int
+}
+
+type wreq struct {
+	class    int
+	group    int
+	deadline brain.Micros
+	arrived  brain.Micros
+	need     brain.Position
+	tries    []*wtry
+	over     bool // ended by the router, by a final outcome or by the client
+	answered int
+}
+
+type wtry struct {
+	server brain.ServerID
+	at     brain.Micros
+	out    bool
+	never  bool
+}
+
+type wsrv struct {
+	group   int
+	state   brain.MemberState
+	known   brain.Position // highest position told
+	wasTold bool           // told to be primary, or listed so, and not denied since
+}
+
+func (w *world) fail(format string, a ...any) {
+	w.t.Helper()
+	w.t.Fatalf("seed %d, at %d: %s", w.seed, w.now-origin, fmt.Sprintf(format, a...))
+}
+
+func (w *world) do(acts []brain.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case brain.Send:
+			w.send(a)
+		case brain.Refuse:
+			q := w.ending(a.ID)
+			for _, t := range q.tries {
+				if !t.never && w.set.Classes[q.class].Effect == brain.EffectUnsafe {
+					w.fail("%s: an unsafe request that may have run was refused", a.ID)
+				}
+				c := w.set.Classes[q.class]
+				if !t.never && c.Effect == brain.EffectKeyed && c.Scope != brain.ScopeAll {
+					w.fail("%s: a keyed request that may have run was refused", a.ID)
+				}
+			}
+		case brain.Fail:
+			w.ending(a.ID)
+		case brain.Cancel:
+			if q := w.reqs[a.ID]; q == nil || a.Attempt >= len(q.tries) {
+				w.fail("%s: cancel of an attempt never made", a.ID)
+			}
+		case brain.SetTimer:
+			if a.At <= w.now {
+				w.fail("a timer in the past")
+			}
+			w.timer = append(w.timer, a)
+		case brain.Probe:
+			s := w.srv[a.Server]
+			if s == nil {
+				w.fail("probe of %d, never listed", a.Server)
+			}
+			w.probe = append(w.probe, a.Server)
+		}
+	}
+}
+
+func (w *world) ending(id string) *wreq {
+	q := w.reqs[id]
+	if q == nil || q.over {
+		w.fail("%s: a final answer to a request that is over", id)
+	}
+	if w.now > q.deadline+w.set.AnswerSlack {
+		w.fail("%s: answered %d us past its deadline", id, w.now-q.deadline)
+	}
+	q.over, q.answered = true, q.answered+1
+	return q
+}
+
+func (w *world) send(a brain.Send) {
+	q, s := w.reqs[a.ID], w.srv[a.Server]
+	if q == nil || q.over {
+		w.fail("%s: sent though it is over", a.ID)
+	}
+	if s == nil || s.group != q.group {
+		w.fail("%s: sent to %d, outside its group", a.ID, a.Server)
+	}
+	if s.state != brain.MemberReady && !(w.set.OnlyDrainingBinds && s.state == brain.MemberGone) {
+		w.fail("%s: sent to %d in state %d", a.ID, a.Server, s.state)
+	}
+	if len(q.tries) >= w.set.MaxAttempts {
+		w.fail("%s: more attempts than allowed", a.ID)
+	}
+	c := w.set.Classes[q.class]
+	for _, t := range q.tries {
+		switch {
+		case t.out && !w.set.SecondCopies:
+			w.fail("%s: two attempts out", a.ID)
+		case !t.never && c.Effect == brain.EffectUnsafe:
+			w.fail("%s: an unsafe request that may have run was sent again", a.ID)
+		case !t.never && c.Effect == brain.EffectKeyed && w.now >= t.at+c.KeyWindow:
+			w.fail("%s: a keyed request was sent again after its window", a.ID)
+		}
+	}
+	if w.set.Checks == brain.ChecksNone && !s.wasTold {
+		need := q.need
+		switch c.Need {
+		case brain.NeedBounded:
+			need = w.now - c.Bound
+		case brain.NeedFresh:
+			need = q.arrived
+		}
+		if c.Need != brain.NeedWrite && c.Need != brain.NeedAny && s.known < need {
+			w.fail("%s: a read that needs %d went to %d, known at %d", a.ID, need-origin, a.Server, s.known-origin)
+		}
+	}
+	q.tries = append(q.tries, &wtry{server: a.Server, at: w.now, out: true})
+}
+
+func (w *world) step(ev brain.Event) { w.do(w.r.Step(w.now, ev)) }
+
+func (w *world) arrive() {
+	w.n++
+	id := fmt.Sprint("q", w.n)
+	class := w.rng.Intn(len(w.set.Classes))
+	c := w.set.Classes[class]
+	e := brain.Arrival{ID: id, Class: class, Group: 1 + w.rng.Intn(2), Left: c.Deadline * brain.Micros(20+w.rng.Intn(80)) / 100}
+	q := &wreq{class: class, group: e.Group, deadline: w.now + e.Left, arrived: w.now}
+	if c.Need == brain.NeedSession && w.set.TokensCarried && w.rng.Intn(2) == 0 {
+		e.SinceWrite = brain.Micros(w.rng.Intn(900)+1) * ms
+		q.need = w.now - e.SinceWrite
+	}
+	if c.Need == brain.NeedSession || c.Need == brain.NeedWrite {
+		e.Session, e.HasSession = uint64(w.rng.Intn(40)), true
+	}
+	w.reqs[id] = q
+	w.order = append(w.order, id)
+	w.step(e)
+}
+
+func (w *world) outcome() {
+	var ids []string
+	for _, id := range w.order {
+		for _, t := range w.reqs[id].tries {
+			if t.out {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	if len(ids) == 0 {
+		return
+	}
+	id := ids[w.rng.Intn(len(ids))]
+	q := w.reqs[id]
+	k := 0
+	for !q.tries[k].out {
+		k++
+	}
+	t, s := q.tries[k], w.srv[q.tries[k].server]
+	res := []brain.Result{0, 0, 0, 0, 0, 0, 0, 1, 2, 3, 4, 5, 6, 8}[w.rng.Intn(14)]
+	t.out = false
+	t.never = res == brain.ResultFull || res == brain.ResultConnectFailed || res == brain.ResultMiss
+	o := brain.Outcome{ID: id, Attempt: k, Server: t.server, Result: res, Latency: w.now - t.at}
+	switch res {
+	case brain.ResultOK, brain.ResultError, brain.ResultFull, brain.ResultMiss:
+		o.Role = []brain.Role{brain.RolePrimary, brain.RoleReplica}[w.rng.Intn(2)]
+		if res == brain.ResultOK && w.set.Classes[q.class].Need == brain.NeedWrite {
+			o.Role = brain.RolePrimary
+		}
+		if w.rng.Intn(2) == 0 {
+			o.Position = w.now - brain.Micros(w.rng.Intn(1500))*ms
+			s.known = max(s.known, o.Position)
+		}
+		s.wasTold = s.wasTold && o.Role != brain.RoleReplica || o.Role == brain.RolePrimary
+	}
+	if res == brain.ResultOK {
+		q.over = true
+	}
+	o.Final = q.over
+	w.step(o)
+}
+
+func (w *world) news() {
+	id := w.ids[w.rng.Intn(len(w.ids))]
+	s := w.srv[id]
+	s.state = brain.MemberReady
+	if n := w.rng.Intn(12); n < 2 {
+		s.state = []brain.MemberState{brain.MemberDraining, brain.MemberGone}[n]
+	}
+	m := brain.Member{Server: id, Group: s.group, State: s.state, Primary: w.rng.Intn(4) == 0}
+	if w.rng.Intn(3) == 0 {
+		m.Started = w.now - brain.Micros(w.rng.Intn(3000))*ms
+	}
+	if m.Primary {
+		s.wasTold = true
+	}
+	w.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{m}})
+}
+
+func (w *world) report() {
+	if len(w.probe) == 0 {
+		return
+	}
+	id := w.probe[0]
+	w.probe = w.probe[1:]
+	p := brain.Probed{Server: id, Result: []brain.Result{0, 0, 0, 0, 0, 0, 0, 2, 3, 4}[w.rng.Intn(10)], Latency: ms}
+	if p.Result == brain.ResultOK {
+		s := w.srv[id]
+		p.Report.HasPosition, p.Report.Position = true, w.now-brain.Micros(w.rng.Intn(2500))*ms
+		p.Report.Role = []brain.Role{brain.RolePrimary, brain.RoleReplica, brain.RoleReplica}[w.rng.Intn(3)]
+		s.known = max(s.known, p.Report.Position)
+		s.wasTold = s.wasTold || p.Report.Role == brain.RolePrimary
+	}
+	w.step(p)
+}
+
+// due delivers the timers that have come, as the wire does: at the first tick at or after their time.
+func (w *world) due() {
+	for fired := true; fired; {
+		fired = false
+		for i, a := range w.timer {
+			if a.At <= w.now {
+				w.timer = append(w.timer[:i:i], w.timer[i+1:]...)
+				w.step(brain.Timer{Token: a.Token})
+				fired = true
+				break
+			}
+		}
+	}
+}
+
+func (w *world) clientsLeave() {
+	for _, id := range w.order {
+		q := w.reqs[id]
+		if !q.over && (w.now > q.deadline+w.set.AnswerSlack) {
+			w.fail("%s: no final answer by its deadline", id)
+		}
+		if !q.over && w.rng.Intn(500) == 0 {
+			q.over = true
+			w.step(brain.Dropped{ID: id})
+		}
+	}
+	if len(w.order) > 400 {
+		var kept []string
+		for _, id := range w.order {
+			open := !w.reqs[id].over
+			for _, t := range w.reqs[id].tries {
+				open = open || t.out
+			}
+			if open {
+				kept = append(kept, id)
+			}
+		}
+		w.order = kept
+	}
+}
+
+func TestRulesHoldUnderRandomEvents(t *testing.T) {
+	sends, ends := 0, 0
+	for seed := int64(1); seed <= 60; seed++ {
+		rng := rand.New(rand.NewSource(seed))
+		set := settings()
+		set.Checks = brain.Checks(seed % 3)
+		set.TokensCarried = seed%2 == 0
+		set.ListAsked, set.OnlyDrainingBinds = seed%5 == 0, seed%7 == 0
+		set.Gateways, set.CanCancel, set.AdviseRetry = 1+int(seed%4), seed%4 != 0, seed%3 == 0
+		set.MaxAttempts = 1 + int(seed%8)
+		w := &world{t: t, seed: seed, set: set, rng: rng, now: origin,
+			reqs: map[string]*wreq{}, srv: map[brain.ServerID]*wsrv{}}
+		r, acts := brain.New(w.now, uint64(seed), set)
+		w.r = r
+		w.do(acts)
+		var list []brain.Member
+		for id := brain.ServerID(1); id <= 8; id++ {
+			g := 1 + int(id)%2
+			w.srv[id] = &wsrv{group: g, state: brain.MemberReady, wasTold: id <= 2}
+			w.ids = append(w.ids, id)
+			list = append(list, brain.Member{Server: id, Group: g, State: brain.MemberReady, Primary: id <= 2})
+		}
+		w.step(brain.MemberNews{Form: brain.ListCached, Members: list})
+		for i := 0; i < 4000; i++ {
+			w.now += 5 * ms
+			w.due()
+			w.clientsLeave()
+			for k := rng.Intn(4); k > 0; k-- {
+				switch n := rng.Intn(20); {
+				case n < 4:
+					w.arrive()
+				case n < 15:
+					w.outcome()
+				case n < 19:
+					w.report()
+				case rng.Intn(3) == 0:
+					w.news()
+				}
+			}
+		}
+		for _, q := range w.reqs {
+			sends, ends = sends+len(q.tries), ends+q.answered
+		}
+	}
+	if sends < 20_000 || ends < 20_000 {
+		t.Fatalf("these days prove little: %d sends, %d final answers", sends, ends)
+	}
+}
--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,214 @@
+package simwire
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+
+	"marblespan/brain"
+)
+
+const facts = `{"areas": ["east", "west"], "balancers": 2, "brand_new_key": {"x": [1]},
+ "classes": [
+  {"name": "look", "aim_ms": 300.5, "give_up_ms": 900.0, "effect": "free", "group": "all", "points": 2.0, "late_worth": 0.25},
+  {"name": "put", "aim_ms": 700.0, "give_up_ms": 5000.0, "effect": "guarded", "group": "cell", "key_ttl_ms": 2000.0, "points": 6},
+  {"name": "odd", "aim_ms": 700.0, "give_up_ms": 5000.0, "effect": "sideways", "group": "ring", "points": 1}],
+ "family_info": {"answers_stamped": true, "checks": "await", "counted_from_ms": 1000.25, "wait_ms": 50.0,
+  "freshness": ["lag_bound", "mutate", "purple"], "oldest_data_ms": [800.0, 0.0, 0.0], "write_marks": "brought"},
+ "granularity_ms": 5.0, "locality": "east", "membership_mode": "subscribe", "ordinal": 1,
+ "policy_limits": {"cancelling": true, "connect_timeout_ms": 250.0, "most_tries": 10, "probing": true},
+ "report": {"fields": ["x0", "mystery", "x1", "pending", "cpu_share"]},
+ "rules": {"ask_within_ms": 10000.0, "cold_from": 0.26, "fall_ms": 3000.0, "grace_to_answer_ms": 20.0,
+  "overload_factor": 4.0, "ramp_time_ms": 16000.0, "stop_sending_within_ms": 250.0, "dropped_stay_open": true}}`
+
+func testFacts(t *testing.T) *Facts {
+	t.Helper()
+	f, err := ParseFacts([]byte(facts))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func TestParseFacts(t *testing.T) {
+	s := testFacts(t).Settings
+	want := brain.Settings{
+		Classes: []brain.Class{
+			{Need: brain.NeedBounded, Effect: brain.EffectSafe, Scope: brain.ScopeAll, Bound: 800_000, Aim: 300_500,
+				Deadline: 900_000, Worth: 2000, LateWorth: 250},
+			{Need: brain.NeedWrite, Effect: brain.EffectKeyed, Aim: 700_000, Deadline: 5_000_000, KeyWindow: 2_000_000,
+				Worth: 6000},
+			// Unknown words take the strictest meaning.
+			{Need: brain.NeedWrite, Effect: brain.EffectUnsafe, Scope: brain.ScopeGroup, Aim: 700_000,
+				Deadline: 5_000_000, Worth: 1000},
+		},
+		Gateways: 2, Ordinal: 1, Tick: 5000, Zone: "east", Checks: brain.ChecksWait, CheckWait: 50_000,
+		TokensCarried: true, AnswersStamped: true, ListAsked: true, CanProbe: true, CanCancel: true, MaxAttempts: 10,
+		ConnectTimeout: 250_000, AnswerSlack: 20_000, DrainGrace: 250_000, OnlyDrainingBinds: true,
+		AskWithin: 10_000_000, ColdShare: 260, Ramp: 16_000_000, FallMultiple: 4000, FallWindow: 3_000_000,
+	}
+	if !reflect.DeepEqual(s, want) {
+		t.Errorf("got  %+v\nwant %+v", s, want)
+	}
+	for _, bad := range []string{`[]`, `{"granularity_ms": "soon"}`, `{"rules": {"cold_from": "x"}}`, `{`} {
+		if _, err := ParseFacts([]byte(bad)); err == nil {
+			t.Errorf("%s was taken", bad)
+		}
+	}
+}
+
+func TestDecode(t *testing.T) {
+	f := testFacts(t)
+	for _, c := range []struct {
+		line string
+		want Message
+	}{
+		{`["TICK",8412.25]`, Tick{8_412_250}},
+		{`["TICK", 357778831.756]`, Tick{357_778_831_756}},
+		{`["FLUSH"]`, Flush{}},
+		{`["POWER_OFF",3]`, Stop{3}},
+		{`["REGISTRY",3,0,41,15]`, News{3, brain.ListDelta, 15}},
+		{`["REGISTRY",3,4,41,2]`, News{3, brain.ListFull, 2}},
+		{`["REGISTRY",3,1,41,2]`, News{3, brain.ListCached, 2}},
+		{`["REGISTRY",3,3,41,null]`, News{3, brain.ListFailed, 0}},
+		{`["REGISTRY",3,3]`, News{3, brain.ListFailed, 0}},
+		{`["LEDGER",7,[[1,1.5,"k","west",4294967295,11,1,6100.25],[0,1,"k","east",7,-1,2,null],[null,null,null,null,8,0,0]]]`,
+			Sheet{7, []brain.Member{
+				{Server: 4294967295, Group: 11, Zone: "west", State: brain.MemberReady, Started: 6_100_250, Primary: true, Weight: 1500},
+				{Server: 7, Group: -1, Zone: "east", State: brain.MemberDraining, Weight: 1000},
+				{Server: 8, State: brain.MemberGone},
+			}}},
+		{`["JOB_IN",3,"rq_a",4569004829183723,12.0,11,240.5,"look",null,3,412.5]`, ForInstance{3, brain.Arrival{
+			ID: "rq_a", Class: 0, Group: 11, Session: 4569004829183723, HasSession: true, Left: 240_500, Repeat: true,
+			SinceWrite: 412_500}}},
+		{`["JOB_IN",3,"rq_a",null,null,11,240,"put",null,4]`, ForInstance{3, brain.Arrival{
+			ID: "rq_a", Class: 1, Group: 11, Left: 240_000}}},
+		{`["RESPONSE",3,"rq_a",25486,18.5,51530247,200,true,0,null]`, ForInstance{3, brain.Outcome{
+			ID: "rq_a", Server: 51530247, Result: brain.ResultOK, Final: true, Latency: 18_500, Role: brain.RoleReplica,
+			Position: 1_000_250 + 6371_000}}},
+		{`["RESPONSE",3,"rq_a",1,0,5,404,false,2]`, ForInstance{3, brain.Outcome{
+			ID: "rq_a", Server: 5, Result: brain.ResultMiss, Attempt: 2, Role: brain.RolePrimary}}},
+		{`["STATUS_BACK",3,7,200,1.4,[6.204,9,0,2.5,0.62]]`, ForInstance{3, brain.Probed{
+			Server: 7, Latency: 1400, Report: brain.Report{Position: 1_000_250 + 6_204_000, HasPosition: true,
+				Role: brain.RoleReplica, Queue: 2500, HasQueue: true, Util: 620, HasUtil: true}}}},
+		{`["STATUS_BACK",3,7,504,250,null]`, ForInstance{3, brain.Probed{
+			Server: 7, Result: brain.ResultTimeout, Latency: 250_000}}},
+		{`["HEADERS",3,"rq_a",1,7,9.25]`, ForInstance{3, brain.Headers{ID: "rq_a", Attempt: 1}}},
+		{`["DROPPED",3,"rq_a"]`, ForInstance{3, brain.Dropped{ID: "rq_a"}}},
+		{`["ALARM",3,"sw\"eep"]`, ForInstance{3, brain.Timer{Token: `sw"eep`}}},
+		{`["MAIL",3,2,"68692037"]`, ForInstance{3, brain.PeerMessage{From: 2, Data: []byte("hi 7")}}},
+	} {
+		got, err := Decode([]byte(c.line), func(int) *Facts { return f })
+		if err != nil || !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s:\n got  %+v, %v\n want %+v", c.line, got, err, c.want)
+		}
+	}
+	got, err := Decode([]byte(`["START",4,18446744073709551615,`+strings.ReplaceAll(facts, "\n", " ")+`]`), nil)
+	if s, ok := got.(Start); err != nil || !ok || s.Instance != 4 || s.Seed != 1<<64-1 || len(s.Facts.Settings.Classes) != 3 {
+		t.Errorf("START: %+v, %v", got, err)
+	}
+}
+
+func TestDecodeResults(t *testing.T) {
+	f := testFacts(t)
+	for code, want := range map[string]brain.Result{
+		"200": brain.ResultOK, "500": brain.ResultError, "503": brain.ResultFull, "504": brain.ResultTimeout,
+		"502": brain.ResultConnectFailed, "598": brain.ResultReset, "499": brain.ResultCancelled,
+		"410": brain.ResultMoot, "404": brain.ResultMiss,
+	} {
+		got, err := Decode([]byte(`["STATUS_BACK",3,7,`+code+`,1]`), func(int) *Facts { return f })
+		if err != nil || got.(ForInstance).Event.(brain.Probed).Result != want {
+			t.Errorf("%s: %+v, %v", code, got, err)
+		}
+	}
+}
+
+func TestDecodeRefusesBadLines(t *testing.T) {
+	f := testFacts(t)
+	for _, c := range []struct {
+		line  string
+		named bool // the defect belongs to an instance
+	}{
+		{``, false}, {`{}`, false}, {`[]`, false}, {`[3]`, false}, {`["TICK"]`, false}, {`["TICK","x"]`, false},
+		{`["LEDGER",16,[]]`, false}, {`["LEDGER",-1,[]]`, false}, {`["LEDGER",0,[[1]]]`, false},
+		{`["LEDGER",0,[[0,1,"k","e",7,1,9,null]]]`, false}, {`["NOVELTY"]`, false}, {`["JOB_IN","x"]`, false},
+		{`["NOVELTY",3]`, true}, {`["JOB_IN",3,"a",null,null,1,10,"nobody's class"]`, true},
+		{`["JOB_IN",3,7,null,null,1,10,"look"]`, true}, {`["RESPONSE",3,"a",0,0,5,201,true,0]`, true},
+		{`["RESPONSE",3,"a",0,0,4294967296,200,true,0]`, true}, {`["RESPONSE",3,"a",0,0,5,200,1,0]`, true},
+		{`["STATUS_BACK",3,7,200,1,["x"]]`, true}, {`["MAIL",3,2,"zz"]`, true}, {`["REGISTRY",3,2,1,0]`, true},
+		{`["REGISTRY",3,0,1,16]`, true}, {`["START",3]`, true}, {`["START",3,1,7]`, true}, {`["ALARM",9,"x"]`, true},
+	} {
+		_, err := Decode([]byte(c.line), func(i int) *Facts {
+			if i == 3 {
+				return f
+			}
+			return nil
+		})
+		var fault *FaultError
+		if err == nil || errors.As(err, &fault) != c.named {
+			t.Errorf("%s: error %v, belongs to an instance: %v", c.line, err, !c.named)
+		}
+	}
+}
+
+func TestAppendActions(t *testing.T) {
+	got := string(AppendDone(AppendActions(nil, 3, []brain.Action{
+		brain.Send{ID: "rq_a", Server: 4294967295, Until: 8_492_250}, brain.Refuse{ID: "rq_a", RetryAfter: 250_000},
+		brain.Refuse{ID: `q"`}, brain.Fail{ID: "rq_a"}, brain.Cancel{ID: "rq_a", Attempt: 2},
+		brain.SetTimer{At: 8_912_005, Token: "sweep"}, brain.Probe{Server: 7}, brain.CloseIdle{Server: 7},
+		brain.Tell{To: brain.ToAll, Data: []byte("hi 7")}, brain.Tell{To: 2, Data: nil}, brain.Log{Text: "two known"},
+		brain.Watch{On: true}, brain.Watch{}, brain.Fetch{},
+	})))
+	want := `["TRY",3,"rq_a",4294967295,8492.250]
+["SAY_NO",3,"rq_a",250]
+["SAY_NO",3,"q\"",0]
+["FINISH_ERROR",3,"rq_a"]
+["ABANDON",3,"rq_a",2]
+["SET_ALARM",3,8912.005,"sweep"]
+["POLL",3,7]
+["CLOSE_IDLE",3,7]
+["MEMO_TO",3,"*","68692037"]
+["MEMO_TO",3,2,""]
+["WRITE_LOG",3,"two known"]
+["STREAM_CHANGES",3,true]
+["STREAM_CHANGES",3,false]
+["SNAPSHOT",3]
+["YIELD"]
+`
+	if got != want {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+}
+
+func TestParseScaled(t *testing.T) {
+	for _, c := range []struct {
+		in     string
+		digits int
+		want   int64
+		ok     bool
+	}{
+		{"0", 3, 0, true}, {"8412.25", 3, 8412250, true}, {"0.0009", 3, 0, true}, {"-0.0001", 3, -1, true},
+		{"-2.5", 3, -2500, true}, {"6.204", 6, 6204000, true}, {"1e3", 3, 1000000, true}, {"2.5E-1", 3, 250, true},
+		{"357778831.756", 3, 357778831756, true}, {"x", 3, 0, false}, {"1.x", 3, 0, false}, {"", 3, 0, false},
+		{"1e99", 3, 0, false}, {"99999999999999999999", 3, 0, false},
+	} {
+		got, err := parseScaled(c.in, c.digits)
+		if (err == nil) != c.ok || got != c.want {
+			t.Errorf("%q: %d, %v", c.in, got, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, line := range []string{`["TICK",1]`, `["JOB_IN",3,"a",1,2,3,4,"look",null,1,2]`, `["LEDGER",0,[[1,1,"k","z",1,1,1,1]]]`} {
+		f.Add(line)
+	}
+	fs, err := ParseFacts([]byte(facts))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, line string) {
+		_, _ = Decode([]byte(line), func(int) *Facts { return fs }) // must not panic
+	})
+}
