--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,7 +7,7 @@
 //	        -> place:  writes and fresh reads -> placeOnPrimary; other reads -> placeRead:
 //	                   the session's replica or a random draw among the fresh ones, else the most advanced
 //	                   replica that may have caught up (where servers check), else the primary
-//	        -> send, or wait in the group's queue until dispatch finds room, worthiest first
+//	        -> send, or wait in the group's queue until dispatch finds room, best worth for its time first
 //	Outcome -> learn (role, position, health, room) -> conclude: served, or tried again as `mayResend` allows
 //	Timer   -> giveUp at the request's end; sweep: probes, ejections, discovery, the queues
 //
@@ -197,12 +197,14 @@
 	return last
 }
 
-// value is what an answer to a waiting request still earns, in thousandths.
+// value is what an answer to a waiting request still earns for the time it takes, as far as that has been
+// seen.
 func (r *Router) value(q *request) int64 {
-	if r.now+r.expected(q) <= q.aimAt {
-		return q.class.Worth
+	worth := q.class.Worth
+	if r.now+r.expected(q) > q.aimAt {
+		worth = worth * q.class.LateWorth / one
 	}
-	return q.class.Worth * q.class.LateWorth / one
+	return worth * one / int64(max(r.typical[r.classIndex(q)]/1000, 1))
 }
 
 // expected is how long an answer may well take: twice the usual, never so long that a new request looks
@@ -230,8 +232,8 @@
 	r.dispatch(q.group)
 }
 
-// dispatch serves a group's queue, the worthiest first and the oldest among equals. What cannot be answered
-// in time any more gets its final answer now.
+// dispatch serves a group's queue, the best worth for its time first and the oldest among equals. What cannot
+// be answered in time any more gets its final answer now.
 func (r *Router) dispatch(g *group) {
 	if len(g.waiting) == 0 {
 		return
