A broken connection makes a server suspect; only a failed probe takes it out

Harm: a server that restarts so fast that no probe fails is treated as warm until the list tells of its start.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,6 +52,7 @@
 	requests map[string]*request
 	sessions *sessions
 	typical  []Micros // mean latency of answers, a class each
+	best     int64    // most answers of one server in a fall window
 	retries  int64    // saved-up retries, in thousandths
 
 	minAim   Micros // the smallest aim: the pace of sweeps and of looking for a primary
@@ -575,11 +576,15 @@
 		r.alive(s)
 		r.rest(s)
 		r.judge(s, true)
+	case ResultConnectFailed:
+		r.rest(s)
+		s.suspect = true
+	case ResultReset:
+		r.judge(s, true)
+		s.suspect = true
 	case ResultMiss:
 		r.alive(s)
 		r.missed(s, q)
-	case ResultConnectFailed, ResultReset:
-		r.markDown(s)
 	case ResultTimeout, ResultCancelled:
 		r.strained(s, q, r.now-a.sentAt)
 	}
@@ -670,7 +675,7 @@
 }
 
 // rest leaves a server alone that turned a request away unseen, longer each time until it answers. It guards
-// against whatever answers no at once and so looks idle: a full queue, a hang, a drain not yet told.
+// against whatever answers no at once and so looks idle: a full queue, no connection, a drain not yet told.
 func (r *Router) rest(s *server) {
 	r.cut(s)
 	s.restSpan = min(max(s.restSpan*2, r.sweepSpan()), r.minAim)
@@ -718,8 +723,7 @@
 
 // alive notes a sign of life. A server that was out of reach may have started again, so it counts as cold.
 func (r *Router) alive(s *server) {
-	s.heardAt = r.now
-	s.probeFails = 0
+	s.heardAt, s.probeFails, s.suspect = r.now, 0, false
 	if s.down {
 		s.down, s.downSpan = false, 0
 		s.started, s.limit = max(s.started, r.now), one
@@ -778,22 +782,17 @@
 	for len(s.sends) > 0 && r.now-s.sends[0] >= r.set.FallWindow {
 		s.sends = s.sends[1:]
 	}
-	best := int64(1)
-	for _, g := range r.order {
-		for _, p := range g.members {
-			best = max(best, p.served[0], p.served[1])
-		}
-	}
-	budget := best * r.set.FallMultiple / one * warmth / one * coldMargin / one
+	budget := r.best * r.set.FallMultiple / one * warmth / one * coldMargin / one
 	return int64(len(s.sends)) < max(1, budget)
 }
 
-// countServed counts a warm server's answers by fall window.
+// countServed counts a server's answers by fall window, and keeps the most that any server ever gave in one.
 func (r *Router) countServed(s *server) {
 	if r.now-s.window >= r.set.FallWindow {
-		s.served[1], s.served[0], s.window = s.served[0], 0, r.now
+		s.served, s.window = 0, r.now
 	}
-	s.served[0]++
+	s.served++
+	r.best = max(r.best, s.served)
 }
 
 func (r *Router) groupOf(id int) *group {
@@ -844,7 +843,7 @@
 		if m.State == MemberGone {
 			return
 		}
-		s = &server{id: m.Server, group: r.groupOf(m.Group), served: make([]int64, 2)}
+		s = &server{id: m.Server, group: r.groupOf(m.Group)}
 		s.limit = max(2*one, startLimit*one/int64(r.set.Gateways))
 		r.servers[m.Server] = s
 		s.group.members = append(s.group.members, s)
@@ -944,6 +943,8 @@
 		return true
 	case s.down:
 		return since >= s.downSpan
+	case s.suspect:
+		return since >= r.sweepSpan()
 	case g.primary == nil:
 		return since >= r.minAim/2
 	case r.silent(s):
--- a/brain/state.go
+++ b/brain/state.go
@@ -26,7 +26,8 @@
 	strain    int64 // moving mean of latency over aim, in thousandths
 	bad       int64 // moving share of attempts that failed, in thousandths
 
-	down      bool // no connection, or silent to probes
+	suspect   bool // a connection failed or broke: a probe shall tell whether it is down
+	down      bool // its probes fail
 	downAt    Micros
 	downSpan  Micros
 	ejectedAt Micros
@@ -45,7 +46,7 @@
 	probeFails int
 
 	sends  []Micros // sends while cold, within the fall window
-	served []int64  // answers in the current and the last window
+	served int64    // answers in the current window
 	window Micros   // start of the current window
 }
 
