A finished write proves its server's role only for when it ran

Guards against every slow answer with an old role. Harm: a primary that is known only by slow answers is believed a little later.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -563,7 +563,7 @@
 // learn takes from an outcome what it says of the server: role, position, health, room.
 func (r *Router) learn(a *attempt, e Outcome) {
 	s, q := a.server, a.req
-	r.role(s, e.Role, r.now)
+	r.noted(a, e)
 	r.position(s, e.Position)
 	switch e.Result {
 	case ResultOK:
@@ -595,7 +595,6 @@
 	i := r.classIndex(q)
 	r.typical[i] += (e.Latency - r.typical[i]) / smoothing
 	if q.class.Need == NeedWrite {
-		r.role(s, RolePrimary, r.now)
 		commit := e.Position
 		if commit == 0 {
 			commit = r.now
@@ -651,6 +650,20 @@
 	}
 }
 
+// noted takes the role from an outcome. That a server is a replica holds from now on. That it is the primary
+// was so when the work was done: what a primary still finishes after it has handed over must not bring its
+// role back.
+func (r *Router) noted(a *attempt, e Outcome) {
+	if e.Result == ResultOK && a.req.class.Need == NeedWrite {
+		e.Role = RolePrimary
+	}
+	at := r.now
+	if e.Role == RolePrimary {
+		at = min(max(a.sentAt, e.Position), r.now)
+	}
+	r.role(a.server, e.Role, at)
+}
+
 // losePrimary forgets a group's primary; probes and writes look for the next.
 func (r *Router) losePrimary(g *group) {
 	r.log("group %d: primary lost", g.id)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -314,6 +314,20 @@
 			g.wantSent(id, to)
 		}
 	})
+	t.Run("what an old primary still finishes does not bring its role back", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(3)
+		g.fresh(1, 0)
+		g.arrive("w", unsafeWrite)
+		g.wantSent("w", 1)
+		g.after(50*ms).arrive("v", unsafeWrite)
+		g.wantSent("v", 1)
+		g.after(ms).step(brain.Outcome{ID: "v", Server: 1, Result: brain.ResultMiss, Role: brain.RoleReplica})
+		g.after(100 * ms).step(brain.Outcome{ID: "w", Server: 1, Final: true, Role: brain.RolePrimary, Latency: 151 * ms,
+			Position: g.now - 130*ms})
+		g.arrive("f", freshRead)
+		g.wantSent("f")
+	})
 	t.Run("a lost primary is looked for by probes", func(t *testing.T) {
 		g := newRig(t, settings())
 		g.group(3)
