--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,6 +25,7 @@
 	one          = 1000
 	maxSessions  = 1 << 14 // sessions remembered; older marks merge into one floor
 	startLimit   = 12      // attempts out at one server, by all gateways together, before anything is learned
+	floorPart    = 3       // a cut leaves this part of the start's limit, or one attempt
 	strainHigh   = 450     // mean latency over aim at which a server's limit is cut
 	strainLow    = 350     // below it a limit in full use grows
 	smoothing    = 12      // outcomes that a moving mean looks back on
@@ -695,10 +696,11 @@
 	s.restUntil = r.now + s.restSpan
 }
 
-// cut lowers a server's limit, never below one attempt.
+// cut lowers a server's limit, to one attempt at the least, or to a part of the start's for few gateways: at
+// so few attempts their latency is the server's own, and a limit that low finds its way back slowly.
 func (r *Router) cut(s *server) {
 	s.cutAt = r.now
-	s.limit = max(one, s.limit*cutTo/one)
+	s.limit = max(one, startLimit*one/floorPart/int64(r.set.Gateways), s.limit*cutTo/one)
 }
 
 // judge follows the share of attempts answered with an error or turned away as full, and ejects a replica
