--- a/brain/brain.go
+++ b/brain/brain.go
@@ -402,7 +402,7 @@
 	}
 	near := able[:0]
 	for _, s := range able {
-		if r.now >= s.missUntil && s.pos >= top-r.minBound/2 {
+		if r.now >= s.missUntil && s.pos >= top-r.minBound/8 {
 			near = append(near, s)
 		}
 	}
