--- a/brain/brain.go
+++ b/brain/brain.go
@@ -330,23 +330,28 @@
 // lags tells that a replica does not pass the tightest bound.
 func (r *Router) lags(s *server) bool { return s.pos < r.now-r.minBound }
 
-// replicas lists the members that may take a read now, the primary aside.
+// replicas lists the members that may take a read now: those that have room and are not crowded, the primary
+// aside. Ejected ones are listed only when nothing else is left: an ejection never empties a group.
 func (r *Router) replicas(q *request) []*server {
-	var out []*server
+	var out, trials []*server
 	least := -1
 	for _, s := range q.group.members {
-		if s == q.group.primary || !r.usable(s) || s.ejected || contains(q.missed, s.id) {
+		if s == q.group.primary || !r.usable(s) || contains(q.missed, s.id) {
 			continue
 		}
-		if least < 0 || len(s.open) < least {
+		if !s.ejected && (least < 0 || len(s.open) < least) {
 			least = len(s.open)
 		}
-		if r.hasRoom(s, one) && r.inScope(q, s) {
+		switch {
+		case !r.hasRoom(s, one) || !r.inScope(q, s):
+		case s.ejected:
+			trials = append(trials, s)
+		default:
 			out = append(out, s)
 		}
 	}
 	if len(out) == 0 {
-		return r.trials(q)
+		return trials
 	}
 	kept := out[:0]
 	for _, s := range out {
@@ -357,18 +362,6 @@
 	return kept
 }
 
-// trials lists ejected replicas when nothing else is left: an ejection never empties a group.
-func (r *Router) trials(q *request) []*server {
-	var out []*server
-	for _, s := range q.group.members {
-		if s != q.group.primary && s.ejected && r.usable(s) && r.hasRoom(s, one) && r.inScope(q, s) &&
-			!contains(q.missed, s.id) {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // draw keeps the session's replica while it qualifies, and draws anew when it does not.
 func (r *Router) draw(q *request, from []*server) *server {
 	if len(from) == 0 {
@@ -671,7 +664,7 @@
 // losePrimary forgets a group's primary; probes and writes look for the next.
 func (r *Router) losePrimary(g *group) {
 	r.log("group %d: primary lost", g.id)
-	g.primary, g.lostAt = nil, r.now
+	g.primary = nil
 }
 
 // strained follows a server's latency against the aims, and fits to it how many attempts may be out: the
@@ -752,7 +745,7 @@
 // markDown takes a server out until a probe or an answer shows it alive, and moves what may be repeated.
 func (r *Router) markDown(s *server) {
 	if !s.down {
-		s.down, s.downAt, s.downSpan = true, r.now, r.set.ConnectTimeout
+		s.down, s.downSpan = true, r.set.ConnectTimeout
 		r.log("server %d is down", s.id)
 	}
 	if s.group.primary == s {
@@ -816,7 +809,7 @@
 func (r *Router) groupOf(id int) *group {
 	g := r.groups[id]
 	if g == nil {
-		g = &group{id: id, lostAt: r.now}
+		g = &group{id: id}
 		r.groups[id] = g
 		r.order = append(r.order, g)
 		sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
--- a/brain/state.go
+++ b/brain/state.go
@@ -19,7 +19,6 @@
 	role    Role
 
 	open      []*attempt // attempts out, oldest first
-	ghosts    []Micros   // until when each abandoned attempt's work is thought to go on
 	busySince Micros
 	limit     int64 // attempts this gateway lets be out at once, in thousandths
 	cutAt     Micros
@@ -28,7 +27,6 @@
 
 	suspect   bool // a connection failed or broke: a probe shall tell whether it is down
 	down      bool // its probes fail
-	downAt    Micros
 	downSpan  Micros
 	ejectedAt Micros
 	ejected   bool
@@ -57,7 +55,6 @@
 	primary   *server
 	primaryAt Micros // time of the proof that made it the primary
 	waiting   []*request
-	lostAt    Micros // since when no primary is known
 }
 
 // attempt is one send of a request.
