--- a/brain/brain.go
+++ b/brain/brain.go
@@ -166,7 +166,9 @@
 		return
 	}
 	c := &r.set.Classes[e.Class]
-	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, deadline: r.now + e.Left}
+	q := &request{
+		id: e.ID, kind: e.Class, class: c, group: r.groupOf(e.Group), arrived: r.now, deadline: r.now + e.Left,
+	}
 	q.aimAt = r.now + c.Aim
 	r.requests[q.id] = q
 	r.retries = min(r.retries+retryShare, retryBurst*one)
@@ -206,23 +208,14 @@
 	if r.now+r.expected(q) > q.aimAt {
 		worth = worth * q.class.LateWorth / one
 	}
-	return worth * one / int64(max(r.typical[r.classIndex(q)]/1000, 1))
+	return worth * one / int64(max(r.typical[q.kind]/1000, 1))
 }
 
 // expected is how long an answer may well take: twice the usual, never so long that a new request looks
 // hopeless. A request that has waited longer would mostly time out at the server and waste its work. Harm:
 // where latency varies little, a few that would have made it are given up.
 func (r *Router) expected(q *request) Micros {
-	return min(r.typical[r.classIndex(q)]*2, q.class.Aim*3/4)
-}
-
-func (r *Router) classIndex(q *request) int {
-	for i := range r.set.Classes {
-		if q.class == &r.set.Classes[i] {
-			return i
-		}
-	}
-	return 0
+	return min(r.typical[q.kind]*2, q.class.Aim*3/4)
 }
 
 // tryNow places a request at once, or lets it wait in its group's queue.
@@ -292,24 +285,18 @@
 
 // placeRead is the freshness gate and the draw.
 func (r *Router) placeRead(q *request) *server {
-	need := r.needOf(q)
-	var fresh, behind []*server
-	for _, s := range r.replicas(q) {
-		if q.class.Need == NeedAny && r.lags(s) {
-			behind = append(behind, s)
-		} else if q.class.Need == NeedAny || s.pos >= need {
+	able, need := r.replicas(q), r.needOf(q)
+	var fresh []*server
+	for _, s := range able {
+		if q.class.Need == NeedAny || s.pos >= need {
 			fresh = append(fresh, s)
 		}
 	}
-	// Any reads leave the replicas that pass the gate to the reads that need them, once some do not pass.
-	if s := r.draw(q, behind); s != nil {
-		return s
-	}
 	if s := r.draw(q, fresh); s != nil {
 		return s
 	}
-	if r.set.Checks != ChecksNone && q.class.Need != NeedAny {
-		if s := r.mostAdvanced(q); s != nil {
+	if r.set.Checks != ChecksNone {
+		if s := r.draw(q, r.mostAdvanced(able)); s != nil {
 			return s
 		}
 	}
@@ -327,9 +314,6 @@
 	return q.need
 }
 
-// lags tells that a replica does not pass the tightest bound.
-func (r *Router) lags(s *server) bool { return s.pos < r.now-r.minBound }
-
 // replicas lists the members that may take a read now: those that have room and are not crowded, the primary
 // aside. Ejected ones are listed only when nothing else is left: an ejection never empties a group.
 func (r *Router) replicas(q *request) []*server {
@@ -381,25 +365,24 @@
 	return s
 }
 
-// mostAdvanced is the replica to try when none is known to be fresh enough and the servers check: the one
-// with the highest position, or a draw where others are as near to it as news is old anyway. Old news rules
-// nobody out, for reports may be late while the data is not; a miss does, for a span that doubles until a
-// read goes through.
-func (r *Router) mostAdvanced(q *request) *server {
-	able := r.replicas(q)
+// mostAdvanced is what to try when no replica is known to be fresh enough and the servers check: the one with
+// the highest position, and those as near to it as news is old anyway. Old news rules nobody out, for reports
+// may be late while the data is not; a miss does, for a span that doubles until a read goes through.
+func (r *Router) mostAdvanced(able []*server) []*server {
 	var top Position
+	var near []*server
 	for _, s := range able {
 		if r.now >= s.missUntil {
-			top = max(top, s.pos)
+			top, near = max(top, s.pos), append(near, s)
 		}
 	}
-	near := able[:0]
-	for _, s := range able {
-		if r.now >= s.missUntil && s.pos >= top-r.minBound/8 {
-			near = append(near, s)
+	kept := near[:0]
+	for _, s := range near {
+		if s.pos >= top-r.minBound/8 {
+			kept = append(kept, s)
 		}
 	}
-	return r.draw(q, near)
+	return kept
 }
 
 // ---- attempts ----
@@ -589,8 +572,7 @@
 
 // answered notes an answer: the class's usual latency, the session's mark and the server's strain.
 func (r *Router) answered(s *server, q *request, e Outcome) {
-	i := r.classIndex(q)
-	r.typical[i] += (e.Latency - r.typical[i]) / smoothing
+	r.typical[q.kind] += (e.Latency - r.typical[q.kind]) / smoothing
 	if q.class.Need == NeedWrite {
 		commit := e.Position
 		if commit == 0 {
--- a/brain/state.go
+++ b/brain/state.go
@@ -70,6 +70,7 @@
 // request is one accepted request.
 type request struct {
 	id       string
+	kind     int // its class's index
 	class    *Class
 	group    *group
 	session  *session
