--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,6 +36,9 @@
 	retryShare   = 200     // further attempts that may have run, for each arrival
 	retryBurst   = 10      // such attempts saved up
 	sweepsPerAim = 16
+	expectTimes  = 2   // an answer may well take this many times the usual ...
+	expectMost   = 750 // ... but no more than this share of its aim
+	levelPart    = 8   // replicas within this part of the smallest bound are level
 	crowdFactor  = 2   // a replica is crowded beyond this many times the emptiest one's attempts, plus one
 	readRoom     = 500 // share of the primary's limit that reads of replicas may fill
 	coldMargin   = 500 // share of the fall budget that is used
@@ -215,7 +218,7 @@
 // hopeless. A request that has waited longer would mostly time out at the server and waste its work. Harm:
 // where latency varies little, a few that would have made it are given up.
 func (r *Router) expected(q *request) Micros {
-	return min(r.typical[q.kind]*2, q.class.Aim*3/4)
+	return min(r.typical[q.kind]*expectTimes, q.class.Aim*expectMost/one)
 }
 
 // tryNow places a request at once, or lets it wait in its group's queue.
@@ -378,7 +381,7 @@
 	}
 	kept := near[:0]
 	for _, s := range near {
-		if s.pos >= top-r.minBound/8 {
+		if s.pos >= top-r.minBound/levelPart {
 			kept = append(kept, s)
 		}
 	}
