--- a/brain/brain.go
+++ b/brain/brain.go
@@ -170,9 +170,9 @@
 	}
 	c := &r.set.Classes[e.Class]
 	q := &request{
-		id: e.ID, kind: e.Class, class: c, group: r.groupOf(e.Group), arrived: r.now, deadline: r.now + e.Left,
+		id: e.ID, kind: e.Class, class: c, group: r.groupOf(e.Group),
+		deadline: r.now + e.Left, aimAt: r.now + c.Aim,
 	}
-	q.aimAt = r.now + c.Aim
 	r.requests[q.id] = q
 	r.retries = min(r.retries+retryShare, retryBurst*one)
 	if e.HasSession {
@@ -182,7 +182,8 @@
 		r.setSessionNeed(q, e)
 	}
 	r.at(max(r.end(q), r.now+1), q.id)
-	r.tryNow(q)
+	r.enqueue(q)
+	r.dispatch(q.group)
 }
 
 // setSessionNeed finds the commit that a session read must see: carried by the request, or remembered here.
@@ -221,13 +222,12 @@
 	return min(r.typical[q.kind]*expectTimes, q.class.Aim*expectMost/one)
 }
 
-// tryNow places a request at once, or lets it wait in its group's queue.
-func (r *Router) tryNow(q *request) {
+// enqueue puts a request into its group's queue; the dispatch that follows may send it at once.
+func (r *Router) enqueue(q *request) {
 	if !q.waiting {
 		q.waiting = true
 		q.group.waiting = append(q.group.waiting, q)
 	}
-	r.dispatch(q.group)
 }
 
 // dispatch serves a group's queue, the best worth for its time first and the oldest among equals. What cannot
@@ -263,7 +263,7 @@
 // attempts: the list's primary first, then the most advanced, for that one is elected.
 func (r *Router) placeOnPrimary(q *request) *server {
 	if p := q.group.primary; p != nil && r.usable(p) {
-		if r.hasRoom(p, one) && r.inScope(q, p) {
+		if r.takes(p, q, one) {
 			return p
 		}
 		return nil
@@ -273,7 +273,7 @@
 	}
 	var best *server
 	for _, s := range q.group.members {
-		if !r.usable(s) || !r.hasRoom(s, one) || !r.inScope(q, s) || s == q.group.primary {
+		if s == q.group.primary || !r.takes(s, q, one) {
 			continue
 		}
 		if s.writeMiss > 0 && r.now-s.writeMiss < r.minAim/2 {
@@ -303,7 +303,7 @@
 			return s
 		}
 	}
-	if p := q.group.primary; p != nil && r.usable(p) && r.hasRoom(p, readRoom) && r.inScope(q, p) {
+	if p := q.group.primary; p != nil && r.takes(p, q, readRoom) {
 		return p
 	}
 	return nil
@@ -330,7 +330,7 @@
 			least = len(s.open)
 		}
 		switch {
-		case !r.hasRoom(s, one) || !r.inScope(q, s):
+		case !r.takes(s, q, one):
 		case s.ejected:
 			trials = append(trials, s)
 		default:
@@ -522,7 +522,7 @@
 	case !r.affords(e.Result):
 		r.finish(q)
 	default:
-		r.tryNow(q)
+		r.enqueue(q)
 	}
 	r.forget(q)
 	r.dispatch(q.group)
@@ -609,7 +609,7 @@
 // position takes news of how far a server has applied the log; it never goes back.
 func (r *Router) position(s *server, pos Position) {
 	if pos > s.pos && pos <= r.now {
-		s.pos, s.posAt = pos, r.now
+		s.pos = pos
 	}
 }
 
@@ -677,6 +677,9 @@
 	s.restUntil = r.now + s.restSpan
 }
 
+// firstLimit is a server's limit before anything is learned of it.
+func (r *Router) firstLimit() int64 { return max(2*one, startLimit*one/int64(r.set.Gateways)) }
+
 // cut lowers a server's limit, to one attempt at the least, or to a part of the start's for few gateways: at
 // so few attempts their latency is the server's own, and a limit that low finds its way back slowly.
 func (r *Router) cut(s *server) {
@@ -727,12 +730,14 @@
 	}
 }
 
-// markDown takes a server out until a probe or an answer shows it alive, and moves what may be repeated.
+// markDown takes a server out until a probe or an answer shows it alive, and moves what may be repeated. Each
+// further failed probe doubles the span to the next.
 func (r *Router) markDown(s *server) {
 	if !s.down {
 		s.down, s.downSpan = true, r.set.ConnectTimeout
 		r.log("server %d is down", s.id)
 	}
+	s.downSpan = min(s.downSpan*2, r.maxAim)
 	if s.group.primary == s {
 		r.losePrimary(s.group)
 	}
@@ -751,6 +756,11 @@
 // usable tells whether anything may be sent to a server at all.
 func (r *Router) usable(s *server) bool { return !s.forbidden && !s.down }
 
+// takes tells whether a request may go to a server now, within a share of the server's limit.
+func (r *Router) takes(s *server, q *request, share int64) bool {
+	return r.usable(s) && r.hasRoom(s, share) && r.inScope(q, s)
+}
+
 // hasRoom tells whether this gateway may have one more attempt out at a server, within a share of its limit.
 // A cold server's limit shrinks with its warmth, and what is sent to it keeps a budget.
 func (r *Router) hasRoom(s *server, share int64) bool {
@@ -840,14 +850,14 @@
 			return
 		}
 		s = &server{id: m.Server, group: r.groupOf(m.Group)}
-		s.limit = max(2*one, startLimit*one/int64(r.set.Gateways))
+		s.limit = r.firstLimit()
 		r.servers[m.Server] = s
 		s.group.members = append(s.group.members, s)
 		sort.Slice(s.group.members, func(i, j int) bool { return s.group.members[i].id < s.group.members[j].id })
 	}
 	s.zone, s.listed = m.Zone, m.Primary
 	if m.Started > s.started {
-		s.started, s.limit = m.Started, min(s.limit, max(2*one, startLimit*one/int64(r.set.Gateways)))
+		s.started, s.limit = m.Started, min(s.limit, r.firstLimit())
 	}
 	switch m.State {
 	case MemberGone:
@@ -974,11 +984,9 @@
 		r.dispatch(s.group)
 	case ResultConnectFailed, ResultReset:
 		r.markDown(s)
-		s.downSpan = min(s.downSpan*2, r.maxAim)
 	case ResultTimeout:
 		if s.probeFails++; s.probeFails > 1 || s.down {
 			r.markDown(s)
-			s.downSpan = min(s.downSpan*2, r.maxAim)
 		}
 	}
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -516,20 +516,7 @@
 	g.group(4)
 	tries := 0
 	for i := 0; i < 200; i++ {
-		id := fmt.Sprint("q", i)
-		acts := g.after(5*ms).arrive(id, anyRead)
-		for n := 0; n < 6; n++ {
-			got := sent(acts, id)
-			if len(got) == 0 {
-				break
-			}
-			if got[0] != 2 {
-				g.outcome(id, n, got[0], brain.ResultOK)
-				break
-			}
-			tries++
-			acts = g.outcome(id, n, 2, brain.ResultFull)
-		}
+		tries += g.after(5*ms).readPast(fmt.Sprint("q", i), 2, brain.ResultFull)
 	}
 	if tries == 0 || tries > 12 {
 		t.Errorf("%d of 200 requests met the member that is full", tries)
@@ -541,22 +528,7 @@
 	g.group(4)
 	tries := 0
 	for i := 0; i < 400; i++ {
-		id := fmt.Sprint("q", i)
-		acts := g.after(5*ms).arrive(id, anyRead)
-		for n := 0; n < 6; n++ {
-			got := sent(acts, id)
-			if len(got) == 0 {
-				break
-			}
-			res := brain.ResultOK
-			if got[0] == 2 {
-				tries++
-				res = brain.ResultError
-			}
-			if acts = g.outcome(id, n, got[0], res); res == brain.ResultOK {
-				break
-			}
-		}
+		tries += g.after(5*ms).readPast(fmt.Sprint("q", i), 2, brain.ResultError)
 		g.sweep(0)
 	}
 	if tries < 5 || tries > 40 {
--- a/brain/harness_test.go
+++ b/brain/harness_test.go
@@ -119,6 +119,26 @@
 	})
 }
 
+// readPast plays one any read: the bad member ends each attempt with res at once, the others answer. It returns how
+// many attempts met the bad member.
+func (g *rig) readPast(id string, bad brain.ServerID, res brain.Result) int {
+	tries := 0
+	acts := g.arrive(id, anyRead)
+	for n := 0; n < 6; n++ {
+		got := sent(acts, id)
+		if len(got) == 0 {
+			break
+		}
+		if got[0] != bad {
+			g.outcome(id, n, got[0], brain.ResultOK)
+			break
+		}
+		tries++
+		acts = g.outcome(id, n, bad, res)
+	}
+	return tries
+}
+
 // sent returns the servers that the actions send a request to.
 func sent(acts []brain.Action, id string) []brain.ServerID {
 	var out []brain.ServerID
--- a/brain/state.go
+++ b/brain/state.go
@@ -13,7 +13,6 @@
 	started   Micros
 
 	pos     Position // never goes back
-	posAt   Micros   // when this gateway learned it
 	heardAt Micros   // last sign of life
 	roleAt  Micros   // time of the newest proof of its role
 	role    Role
@@ -75,7 +74,6 @@
 	group    *group
 	session  *session
 	need     Position // what a replica must have applied; for bounded reads it moves with the clock
-	arrived  Micros
 	deadline Micros
 	aimAt    Micros
 	attempts []*attempt
