Probes go only to groups in use, and those for freshness no oftener than requests come

It may harm where traffic is so low that every known position is old. Also covers: probes of dead servers and for lost primaries by gateways that nobody asks.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -11,8 +11,7 @@
 //	Outcome -> learn (role, position, health, room) -> conclude: served, or tried again as `mayResend` allows
 //	Timer   -> giveUp at the request's end; sweep: probes, ejections, discovery, the queues
 //
-// Every final answer of this router passes through finish. A server's usability is asked in one place,
-// usable; whether it can take one more, in hasRoom.
+// Every final answer passes through finish. usable tells whether a server may be used, hasRoom for one more.
 package brain
 
 import (
@@ -35,6 +34,7 @@
 	ejectGrowth  = 8       // an ejection grows up to this many times its first span
 	retryShare   = 200     // further attempts that may have run, for each arrival
 	retryBurst   = 10      // such attempts saved up
+	probeShare   = 1000    // probes for freshness alone, for each arrival
 	sweepsPerAim = 16
 	expectTimes  = 2   // an answer may well take this many times the usual ...
 	expectMost   = 750 // ... but no more than this share of its aim
@@ -58,6 +58,7 @@
 	typical  []Micros // mean latency of answers, a class each
 	best     int64    // most answers of one server in a fall window
 	retries  int64    // saved-up retries, in thousandths
+	probes   int64    // saved-up probes for freshness, in thousandths
 
 	minAim   Micros // the smallest aim: the pace of sweeps and of looking for a primary
 	maxAim   Micros
@@ -149,9 +150,8 @@
 	return r.take()
 }
 
-func (r *Router) take() []Action {
-	out := r.acts
-	r.acts = nil
+func (r *Router) take() (out []Action) {
+	out, r.acts = r.acts, nil
 	return out
 }
 
@@ -175,6 +175,8 @@
 	}
 	r.requests[q.id] = q
 	r.retries = min(r.retries+retryShare, retryBurst*one)
+	r.probes = min(r.probes+probeShare, retryBurst*one)
+	q.group.askedAt = r.now
 	if e.HasSession {
 		q.session = r.sessions.get(e.Session)
 	}
@@ -690,11 +692,9 @@
 // judge follows the share of attempts answered with an error or turned away as full, and ejects a replica
 // that is far worse than its peers. It never acts where all are as bad. Slowness is left to the limit.
 func (r *Router) judge(s *server, bad bool) {
-	x := int64(0)
-	if bad {
-		x = one
+	if s.bad -= s.bad / smoothing; bad {
+		s.bad += one / smoothing
 	}
-	s.bad += (x - s.bad) / smoothing
 	if s.ejected || s.bad < badHigh || s == s.group.primary {
 		return
 	}
@@ -928,25 +928,26 @@
 			}
 			r.readmit(s)
 			if r.probeDue(g, s) {
-				s.probing, s.probedAt = true, r.now
-				r.do(Probe{Server: s.id})
+				r.probe(s)
 			}
 		}
+		r.probeStalest(g)
 		r.dispatch(g)
 	}
 }
 
-// probeDue says whether to probe a server: at start, when a replica's known position is older than half the
-// bound, to find a lost primary, to see whether one that is down has come back, and when one has fallen
-// silent.
+func (r *Router) probe(s *server) {
+	s.probing, s.probedAt = true, r.now
+	r.do(Probe{Server: s.id})
+}
+
+// probeDue says whether to probe a server for its health: to find a lost primary, to see whether one that is
+// down has come back, and when one has fallen silent. Only a group in use is looked at.
 func (r *Router) probeDue(g *group, s *server) bool {
-	if !r.set.CanProbe || s.probing || s.forbidden {
-		return false
-	}
 	since := r.now - s.probedAt
 	switch {
-	case s.probedAt == 0:
-		return true
+	case !r.mayProbe(g, s):
+		return false
 	case s.down:
 		return since >= s.downSpan
 	case s.suspect:
@@ -955,12 +956,36 @@
 		return since >= r.minAim/2
 	case r.silent(s):
 		return since >= r.set.ConnectTimeout
-	case s != g.primary:
-		return since >= r.minBound/2 && r.now-s.pos > r.minBound/2
 	}
 	return false
 }
 
+// mayProbe tells whether a probe is allowed and its news would be used: a request came to the group since the
+// last, or waits there or at the server. It guards against probes that outnumber requests.
+func (r *Router) mayProbe(g *group, s *server) bool {
+	used := g.askedAt > 0 && g.askedAt >= s.probedAt || len(g.waiting)+len(s.open) > 0
+	return used && r.set.CanProbe && !s.probing && !s.forbidden
+}
+
+// probeStalest probes replicas whose known position is older than half the bound, the one probed longest ago
+// first, as far as the arrivals pay for it. Harm: with little traffic most positions are old.
+func (r *Router) probeStalest(g *group) {
+	for r.probes >= one {
+		var old *server
+		for _, s := range g.members {
+			due := s != g.primary && !s.down && r.now-max(s.pos, s.probedAt) > r.minBound/2 && r.mayProbe(g, s)
+			if due && (old == nil || s.probedAt < old.probedAt) {
+				old = s
+			}
+		}
+		if old == nil {
+			return
+		}
+		r.probes -= one
+		r.probe(old)
+	}
+}
+
 // silent tells that a server has been at work for longer than an aim without a word.
 func (r *Router) silent(s *server) bool {
 	return len(s.open) > 0 && r.now-max(s.heardAt, s.busySince) > r.minAim
--- a/brain/state.go
+++ b/brain/state.go
@@ -54,6 +54,7 @@
 	primary   *server
 	primaryAt Micros // time of the proof that made it the primary
 	waiting   []*request
+	askedAt   Micros // last arrival of a request for it
 }
 
 // attempt is one send of a request.
