--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,7 +34,7 @@
 	ejectGrowth  = 8       // an ejection grows up to this many times its first span
 	retryShare   = 200     // further attempts that may have run, for each arrival
 	retryBurst   = 10      // such attempts saved up
-	probeShare   = 1000    // probes for freshness alone, for each arrival
+	probeShare   = 250     // probes for freshness alone, for each arrival
 	sweepsPerAim = 16
 	expectTimes  = 2   // an answer may well take this many times the usual ...
 	expectMost   = 750 // ... but no more than this share of its aim
