--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -735,7 +735,7 @@
 func TestProbesKeepPositionsWithinHalfTheBoundInUse(t *testing.T) {
 	g := newRig(t, settings())
 	g.group(3)
-	at := g.readFor(10_000*ms, 100*ms)
+	at := g.readFor(10_000*ms, 50*ms)
 	for id := brain.ServerID(2); id <= 3; id++ {
 		if n := at[id]; n < 17 || n > 26 { // ten seconds, half of an 800 ms bound
 			t.Errorf("server %d probed %d times in 10 s", id, n)
