Limits below one attempt are chances; the cold budget is a share of the mean, not one a window

Cause: with hundreds of gateways a floor of one attempt each, and of one send a window to a cold server each, is hundreds at one server. A limit below one is now a chance drawn once in half an aim, learned faster where outcomes are rare (the mean and the cut count for the time since the last word), and forgotten after the longest ejection. The cold budget is this gateway's mean share of a server's answers; below one send it is a chance too. Also guards: any server that many quiet gateways share. May harm: a sound server gets less for a while after one bad answer.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,21 +14,20 @@
 // Every final answer passes through finish. usable tells whether a server may be used, hasRoom for one more.
 package brain
 
-import (
-	"fmt"
-	"sort"
-)
+import "sort"
 
 // The tuned numbers. Shares are in thousandths; spans are shares of the settings' own aims, bounds and ramps.
 const (
 	one          = 1000
 	maxSessions  = 1 << 14 // sessions remembered; older marks merge into one floor
 	startLimit   = 12      // attempts out at one server, by all gateways together, before anything is learned
-	floorPart    = 3       // a cut leaves this part of the start's limit, or one attempt
+	floorPart    = 3       // a cut leaves this part of the start's limit ...
+	leastChance  = 100     // ... or this chance of one attempt
 	strainHigh   = 450     // mean latency over aim at which a server's limit is cut
 	strainLow    = 350     // below it a limit in full use grows
 	smoothing    = 12      // outcomes that a moving mean looks back on
 	cutTo        = 850     // what a cut leaves of a limit
+	mostCuts     = 4       // a cut counts for the half aims since the last one, up to so many more
 	badHigh      = 400     // share of bad outcomes at which a server is ejected ...
 	badPeers     = 2       // ... if it is this many times its peers' share
 	ejectGrowth  = 8       // an ejection grows up to this many times its first span
@@ -41,38 +40,15 @@
 	levelPart    = 8   // replicas within this part of the smallest bound are level
 	crowdFactor  = 2   // a replica is crowded beyond this many times the emptiest one's attempts, plus one
 	readRoom     = 500 // share of the primary's limit that reads of replicas may fill
-	coldMargin   = 500 // share of the fall budget that is used
+	coldMargin   = 800 // share of the fall budget that is used
 )
 
-// Router decides for one gateway. It is not safe for concurrent use.
-type Router struct {
-	set      Settings
-	rng      random
-	now      Micros
-	acts     []Action
-	servers  map[ServerID]*server
-	groups   map[int]*group
-	order    []*group // by id
-	requests map[string]*request
-	sessions *sessions
-	typical  []Micros // mean latency of answers, a class each
-	best     int64    // most answers of one server in a fall window
-	retries  int64    // saved-up retries, in thousandths
-	probes   int64    // saved-up probes for freshness, in thousandths
-
-	minAim   Micros // the smallest aim: the pace of sweeps and of looking for a primary
-	maxAim   Micros
-	minBound Micros // the smallest bound: the pace of probes
-
-	subscribed, asking bool
-	askAt, askSpan     Micros
-}
-
 // New makes a router and returns what it does first.
 func New(now Micros, seed uint64, set Settings) (*Router, []Action) {
 	r := &Router{
 		set: set, now: now, rng: random{seed}, servers: map[ServerID]*server{}, groups: map[int]*group{},
 		requests: map[string]*request{}, sessions: newSessions(maxSessions), retries: retryBurst * one,
+		servedFrom: now,
 	}
 	r.readSettings()
 	r.at(now+r.sweepSpan(), "sweep")
@@ -150,15 +126,7 @@
 	return r.take()
 }
 
-func (r *Router) take() (out []Action) {
-	out, r.acts = r.acts, nil
-	return out
-}
-
-func (r *Router) do(a Action)                 { r.acts = append(r.acts, a) }
-func (r *Router) at(t Micros, token string)   { r.do(SetTimer{At: t, Token: token}) }
-func (r *Router) log(format string, a ...any) { r.do(Log{Text: fmt.Sprintf(format, a...)}) }
-func (r *Router) sweepSpan() Micros           { return max(r.set.Tick, r.minAim/sweepsPerAim) }
+func (r *Router) sweepSpan() Micros { return max(r.set.Tick, r.minAim/sweepsPerAim) }
 
 // ---- requests ----
 
@@ -401,9 +369,10 @@
 	if len(s.open) == 0 {
 		s.busySince = r.now
 	}
+	s.lucky = 0
 	s.open = append(s.open, a)
 	if r.warmth(s) < one {
-		s.sends = append(s.sends, r.now)
+		s.sends, s.coldDrawnAt = append(s.sends, r.now), r.now
 	}
 	r.do(Send{ID: q.id, Server: s.id, Until: max(r.end(q), r.now+1)})
 }
@@ -417,16 +386,6 @@
 	return false
 }
 
-// firstMaybe is the first attempt that ran or may have run, or nil.
-func firstMaybe(q *request) *attempt {
-	for _, a := range q.attempts {
-		if !a.neverRan {
-			return a
-		}
-	}
-	return nil
-}
-
 // mayResend says whether another attempt is allowed now: what may have run is repeated only if its class is
 // safe, or keyed and its window still open; nothing has two attempts out.
 func (r *Router) mayResend(q *request) bool {
@@ -591,7 +550,7 @@
 	if q.class.Need == NeedBounded || q.class.Need == NeedSession && q.need > 0 {
 		s.missSpan = 0
 	}
-	r.countServed(s)
+	r.countServed()
 	r.strained(s, q, e.Latency)
 	r.judge(s, false)
 }
@@ -660,14 +619,17 @@
 // together.
 func (r *Router) strained(s *server, q *request, latency Micros) {
 	x := min(int64(latency*one/q.class.Aim), 4*one)
-	s.strain += (x - s.strain) / smoothing
+	gap := int64(r.now - s.strainAt)
+	weight := max(one/smoothing, gap*one/(gap+2*int64(r.maxAim)))
+	s.strain += (x - s.strain) * weight / one
+	s.strainAt = r.now
 	switch {
 	case s.strain > strainHigh:
 		if r.now-s.cutAt > r.minAim/2 {
 			r.cut(s)
 		}
 	case s.strain < strainLow && int64(len(s.open)+2)*one > s.limit:
-		s.limit += one * one / max(s.limit, one) / int64(r.set.Gateways)
+		s.limit += max(one*one/max(s.limit, one)/int64(r.set.Gateways), min(s.limit, one-s.limit)/levelPart)
 	}
 }
 
@@ -685,8 +647,11 @@
 // cut lowers a server's limit, to one attempt at the least, or to a part of the start's for few gateways: at
 // so few attempts their latency is the server's own, and a limit that low finds its way back slowly.
 func (r *Router) cut(s *server) {
+	least := max(leastChance, startLimit*one/floorPart/int64(r.set.Gateways))
+	for n := min((r.now-s.cutAt)/(r.minAim/2), mostCuts); n >= 0; n-- {
+		s.limit = max(least, s.limit*cutTo/one)
+	}
 	s.cutAt = r.now
-	s.limit = max(one, startLimit*one/floorPart/int64(r.set.Gateways), s.limit*cutTo/one)
 }
 
 // judge follows the share of attempts answered with an error or turned away as full, and ejects a replica
@@ -718,6 +683,9 @@
 		s.ejected, s.limit, s.strain = false, one, strainHigh
 		s.bad = badHigh - 1
 	}
+	if r.now-s.cutAt > r.maxAim*ejectGrowth {
+		s.limit = max(s.limit, one)
+	}
 }
 
 // alive notes a sign of life. A server that was out of reach may have started again, so it counts as cold.
@@ -768,10 +736,25 @@
 		return false
 	}
 	warmth := r.warmth(s)
-	room := max(one, s.limit*share/one*warmth/one)
+	room := max(min(one, s.limit), s.limit*share/one*warmth/one)
+	if room < one && len(s.open) == 0 {
+		room = one * r.chance(s, room)
+	}
 	return int64(len(s.open)+1)*one <= room && (warmth == one || r.coldBudget(s, warmth))
 }
 
+// chance reads a limit below one attempt: it is the chance of one, drawn once in half an aim. A limit of one
+// each lets hundreds of gateways bury a server; chances hold back those with little and much traffic alike.
+func (r *Router) chance(s *server, room int64) int64 {
+	if r.now >= s.drawnUntil {
+		s.drawnUntil, s.lucky = r.now+r.minAim/2, 0
+		if int64(r.rng.below(one)) < room {
+			s.lucky = 1
+		}
+	}
+	return s.lucky
+}
+
 // warmth is the least share of its capacity that a server has, by the settings' ramp.
 func (r *Router) warmth(s *server) int64 {
 	age := r.now - s.started
@@ -781,35 +764,36 @@
 	return r.set.ColdShare + (one-r.set.ColdShare)*int64(max(age, 0))/int64(r.set.Ramp)
 }
 
-// coldBudget keeps the sends within any fall window under a margin of what brings a cold server down,
-// measured by what this gateway gets from the best warm one. Every attempt counts, refused ones too. Each
-// gateway keeps to its own share of a server's work, so that all together stay below the fall.
+// coldBudget keeps the sends within any fall window under a margin of what brings a cold server down. Each
+// gateway keeps to its own share of the work, measured by what it gets from a server in the mean, so that all
+// together stay below the fall however unevenly they are used; less than one send is a chance, drawn once a
+// window. Every attempt counts, refused ones too.
 func (r *Router) coldBudget(s *server, warmth int64) bool {
 	for len(s.sends) > 0 && r.now-s.sends[0] >= r.set.FallWindow {
 		s.sends = s.sends[1:]
 	}
-	budget := r.best * r.set.FallMultiple / one * warmth / one * coldMargin / one
-	return int64(len(s.sends)) < max(1, budget)
-}
-
-// countServed counts a server's answers by fall window, and keeps the most that any server ever gave in one.
-func (r *Router) countServed(s *server) {
-	if r.now-s.window >= r.set.FallWindow {
-		s.served, s.window = 0, r.now
+	if r.now-s.coldDrawnAt >= r.set.FallWindow {
+		s.coldDrawnAt, s.coldDraw = r.now, int64(r.rng.below(one))
 	}
-	s.served++
-	r.best = max(r.best, s.served)
+	share := max(r.usualServed, startLimit*one/int64(r.set.Gateways))
+	budget := share * r.set.FallMultiple / one * warmth / one * coldMargin / one
+	return int64(len(s.sends))*one+s.coldDraw < budget
 }
 
-func (r *Router) groupOf(id int) *group {
-	g := r.groups[id]
-	if g == nil {
-		g = &group{id: id}
-		r.groups[id] = g
-		r.order = append(r.order, g)
-		sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
+// countServed keeps the mean of answers from one server in a fall window.
+func (r *Router) countServed() {
+	r.served++
+	if span := r.now - r.servedFrom; span >= r.set.FallWindow {
+		usable := int64(0)
+		for _, s := range r.servers {
+			if r.usable(s) {
+				usable++
+			}
+		}
+		mean := r.served * one * int64(r.set.FallWindow) / int64(span) / max(usable, 1)
+		r.usualServed += (mean - r.usualServed) / 2
+		r.served, r.servedFrom = 0, r.now
 	}
-	return g
 }
 
 // ---- the member list ----
--- /dev/null
+++ b/brain/fleet_test.go
@@ -0,0 +1,188 @@
+package brain_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"marblespan/brain"
+)
+
+// fleet is many routers that share nothing but the servers: rules that bind them together are asserted on their sum.
+type fleet struct {
+	rigs  []*rig
+	share []float64 // of the traffic, a router each
+	rng   *rand.Rand
+	n     int
+	due   []reply
+	sends map[brain.ServerID][]brain.Micros
+	stand func(brain.Micros) float64 // attempts that one server answers in a second; the others it turns away
+	spent map[brain.ServerID]float64
+	tries map[string]int
+}
+
+type reply struct {
+	at brain.Micros
+	g  *rig
+	id string
+	s  brain.ServerID
+	n  int
+	r  brain.Result
+}
+
+// newFleet makes n routers over one group; the first tenth of them carries half of the traffic.
+func newFleet(t *testing.T, n, members int, set brain.Settings) *fleet {
+	f := &fleet{rng: rand.New(rand.NewSource(1)), sends: map[brain.ServerID][]brain.Micros{},
+		spent: map[brain.ServerID]float64{}, tries: map[string]int{}, stand: func(brain.Micros) float64 { return 1e6 }}
+	set.Gateways = n
+	for i := 0; i < n; i++ {
+		g := &rig{t: t, now: origin}
+		g.r, g.acts = brain.New(g.now, uint64(i+1), set)
+		g.group(members)
+		f.rigs = append(f.rigs, g)
+		share := 0.5 / (0.9 * float64(n))
+		if i < n/10 {
+			share = 0.5 / (0.1 * float64(n))
+		}
+		f.share = append(f.share, share)
+	}
+	return f
+}
+
+// run plays any reads at a rate a second, by all routers together; each attempt is answered after 50 ms.
+func (f *fleet) run(span brain.Micros, rate float64) {
+	now := f.rigs[0].now
+	for end := now + span; now < end; now += 25 * ms {
+		for id := range f.spent {
+			f.spent[id] = max(0, f.spent[id]-0.025*f.stand(now))
+		}
+		for i, g := range f.rigs {
+			g.now = now
+			f.note(g, g.step(brain.Timer{Token: "sweep"}))
+			if f.rng.Float64() < rate*0.025*f.share[i] {
+				f.n++
+				f.note(g, g.arrive(fmt.Sprint("a", f.n), anyRead))
+			}
+		}
+		var left []reply
+		for _, d := range f.due {
+			if d.at > now {
+				left = append(left, d)
+				continue
+			}
+			f.note(d.g, d.g.outcome(d.id, d.n, d.s, d.r))
+		}
+		f.due = append(left, f.due[len(f.due):]...)
+	}
+	for _, g := range f.rigs {
+		g.now = now
+	}
+}
+
+func (f *fleet) note(g *rig, acts []brain.Action) {
+	for _, a := range acts {
+		if s, ok := a.(brain.Send); ok {
+			f.sends[s.Server] = append(f.sends[s.Server], g.now)
+			d := reply{g.now + 50*ms, g, s.ID, s.Server, f.tries[s.ID], brain.ResultOK}
+			f.tries[s.ID]++
+			if f.spent[s.Server]++; f.spent[s.Server] > 1+f.stand(g.now)/2 {
+				d.r = brain.ResultFull
+			}
+			f.due = append(f.due, d)
+		}
+	}
+	g.all = nil
+}
+
+// A budget of one send a window each is hundreds from hundreds of gateways. A newcomer must stand the sum of them,
+// the few busy ones and the many quiet ones, and must still be eased in.
+func TestColdBudgetHoldsForTheSumOfGateways(t *testing.T) {
+	for _, n := range []int{3, 40, 200} {
+		set := settings()
+		const replicas = 4
+		f := newFleet(t, n, replicas+1, set)
+		f.run(20_000*ms, 80)
+		warm := 0
+		for id := brain.ServerID(2); id <= replicas+1; id++ {
+			warm += len(f.sends[id])
+		}
+		capacity := float64(warm) / replicas / 20 / 0.7 // answered a second at 70% load
+		started := f.rigs[0].now
+		for _, g := range f.rigs {
+			var news []brain.Member
+			for id := brain.ServerID(2); id <= replicas+1; id++ {
+				m := member(id, false)
+				m.Started = started
+				news = append(news, m)
+			}
+			g.step(brain.MemberNews{Form: brain.ListDelta, Members: news})
+		}
+		f.sends = map[brain.ServerID][]brain.Micros{}
+		f.stand = func(now brain.Micros) float64 {
+			return capacity * (0.25 + 0.75*float64(now-started)/float64(set.Ramp))
+		}
+		f.run(9_000*ms, 400) // the whole group is cold, and all want it
+		total := 0
+		for id := brain.ServerID(2); id <= replicas+1; id++ {
+			at := f.sends[id]
+			total += len(at)
+			for i := range at {
+				k := i
+				for k < len(at) && at[k]-at[i] < set.FallWindow {
+					k++
+				}
+				warmth := float64(set.ColdShare)/1000 + 0.75*float64(at[i]-started)/float64(set.Ramp)
+				most := float64(set.FallMultiple) / 1000 * warmth * capacity * float64(set.FallWindow) / 1e6
+				if float64(k-i) > most {
+					t.Fatalf("%d gateways: %d sends to cold server %d within a fall window, it stands %.0f", n, k-i, id, most)
+				}
+			}
+		}
+		if total < 100 {
+			t.Errorf("%d gateways: only %d sends to the newcomers: they never warm up", n, total)
+		}
+	}
+}
+
+// One attempt out for each of hundreds of gateways buries a server though each has little out. Below one attempt the
+// limit is a chance; it recovers when answers are quick again, or with time alone.
+func TestQuietGatewayHoldsBackByChance(t *testing.T) {
+	set := settings()
+	set.Gateways = 200
+	g := newRig(t, set)
+	g.group(2)
+	n := 0
+	share := func(reads int, res brain.Result) float64 {
+		went := 0
+		for i := 0; i < reads; i++ {
+			n++
+			id := fmt.Sprint("q", n)
+			acts := g.after(150*ms).arrive(id, anyRead)
+			if len(sent(acts, id)) > 0 && sent(acts, id)[0] == 2 {
+				went++
+				g.after(50 * ms).step(brain.Outcome{ID: id, Server: 2, Result: res, Latency: 50 * ms, Final: true})
+				continue
+			}
+			for _, s := range sent(g.all, id) {
+				g.step(brain.Outcome{ID: id, Server: s, Result: brain.ResultOK, Latency: 50 * ms, Final: true})
+			}
+			g.step(brain.Dropped{ID: id})
+			g.sweep(50 * ms)
+		}
+		return float64(went) / float64(reads)
+	}
+	if got := share(20, brain.ResultOK); got < 0.9 {
+		t.Errorf("%.2f of the reads went to a sound replica", got)
+	}
+	for i := 0; i < 6; i++ {
+		share(1, brain.ResultFull)
+		g.sweep(500 * ms)
+	}
+	if got := share(40, brain.ResultFull); got > 0.6 {
+		t.Errorf("%.2f of the reads still go to a replica that turns them all away", got)
+	}
+	g.sweep(10_000 * ms)
+	if got := share(40, brain.ResultOK); got < 0.8 {
+		t.Errorf("%.2f of the reads go to a replica that has been sound for long", got)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -1,7 +1,38 @@
 package brain
 
+import (
+	"fmt"
+	"sort"
+)
+
 // This file holds containers only: what the router remembers, and how it is kept. No decision stands here.
 
+// Router decides for one gateway. It is not safe for concurrent use.
+type Router struct {
+	set      Settings
+	rng      random
+	now      Micros
+	acts     []Action
+	servers  map[ServerID]*server
+	groups   map[int]*group
+	order    []*group // by id
+	requests map[string]*request
+	sessions *sessions
+	typical  []Micros // mean latency of answers, a class each
+
+	served, usualServed int64  // answers since servedFrom; the usual number from a server in a fall window
+	servedFrom          Micros // usualServed is in thousandths
+	retries             int64  // saved-up retries, in thousandths
+	probes              int64  // saved-up probes for freshness, in thousandths
+
+	minAim   Micros // the smallest aim: the pace of sweeps and of looking for a primary
+	maxAim   Micros
+	minBound Micros // the smallest bound: the pace of probes
+
+	subscribed, asking bool
+	askAt, askSpan     Micros
+}
+
 // server is what this gateway knows of one database server.
 type server struct {
 	id        ServerID
@@ -17,12 +48,15 @@
 	roleAt  Micros   // time of the newest proof of its role
 	role    Role
 
-	open      []*attempt // attempts out, oldest first
-	busySince Micros
-	limit     int64 // attempts this gateway lets be out at once, in thousandths
-	cutAt     Micros
-	strain    int64 // moving mean of latency over aim, in thousandths
-	bad       int64 // moving share of attempts that failed, in thousandths
+	open       []*attempt // attempts out, oldest first
+	busySince  Micros
+	limit      int64 // attempts this gateway lets be out at once, in thousandths
+	cutAt      Micros
+	strainAt   Micros
+	drawnUntil Micros // a limit below one attempt is drawn as a chance: not again before then
+	lucky      int64  // 1: the draw allows one attempt
+	strain     int64  // moving mean of latency over aim, in thousandths
+	bad        int64  // moving share of attempts that failed, in thousandths
 
 	suspect   bool // a connection failed or broke: a probe shall tell whether it is down
 	down      bool // its probes fail
@@ -42,9 +76,9 @@
 	probedAt   Micros
 	probeFails int
 
-	sends  []Micros // sends while cold, within the fall window
-	served int64    // answers in the current window
-	window Micros   // start of the current window
+	sends       []Micros // sends while cold, within the fall window
+	coldDraw    int64    // a budget below one send is a chance: what was drawn, in thousandths
+	coldDrawnAt Micros
 }
 
 // group is a primary and its replicas.
@@ -57,6 +91,18 @@
 	askedAt   Micros // last arrival of a request for it
 }
 
+// groupOf finds or makes a group.
+func (r *Router) groupOf(id int) *group {
+	g := r.groups[id]
+	if g == nil {
+		g = &group{id: id}
+		r.groups[id] = g
+		r.order = append(r.order, g)
+		sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
+	}
+	return g
+}
+
 // attempt is one send of a request.
 type attempt struct {
 	req      *request
@@ -95,6 +141,16 @@
 	return n
 }
 
+// firstMaybe is the first attempt that ran or may have run, or nil.
+func firstMaybe(q *request) *attempt {
+	for _, a := range q.attempts {
+		if !a.neverRan {
+			return a
+		}
+	}
+	return nil
+}
+
 // session is what is remembered of one session.
 type session struct {
 	key     uint64
@@ -134,6 +190,16 @@
 	return s
 }
 
+// take hands over the actions gathered so far.
+func (r *Router) take() (out []Action) {
+	out, r.acts = r.acts, nil
+	return out
+}
+
+func (r *Router) do(a Action)                 { r.acts = append(r.acts, a) }
+func (r *Router) at(t Micros, token string)   { r.do(SetTimer{At: t, Token: token}) }
+func (r *Router) log(format string, a ...any) { r.do(Log{Text: fmt.Sprintf(format, a...)}) }
+
 // random is a splitmix64 sequence.
 type random struct{ state uint64 }
 
