--- a/brain/brain.go
+++ b/brain/brain.go
@@ -148,22 +148,16 @@
 	if e.HasSession {
 		q.session = r.sessions.get(e.Session)
 	}
-	if c.Need == NeedSession {
-		r.setSessionNeed(q, e)
-	}
-	r.at(max(r.end(q), r.now+1), q.id)
-	r.enqueue(q)
-	r.dispatch(q.group)
-}
-
-// setSessionNeed finds the commit that a session read must see: carried by the request, or remembered here.
-func (r *Router) setSessionNeed(q *request, e Arrival) {
-	switch {
+	switch { // the commit that a session read must see is carried by the request, or remembered here
+	case c.Need != NeedSession:
 	case r.set.TokensCarried && e.SinceWrite > 0:
 		q.need = r.now - e.SinceWrite
 	case !r.set.TokensCarried && q.session != nil:
 		q.need = q.session.mark
 	}
+	r.at(max(r.end(q), r.now+1), q.id)
+	r.enqueue(q)
+	r.dispatch(q.group)
 }
 
 // end is when a request stops being worth an answer.
@@ -185,9 +179,8 @@
 	return worth * one / int64(max(r.typical[q.kind]/1000, 1))
 }
 
-// expected is how long an answer may well take: twice the usual, never so long that a new request looks
-// hopeless. A request that has waited longer would mostly time out at the server and waste its work. Harm:
-// where latency varies little, a few that would have made it are given up.
+// expected is how long an answer may well take, never so long that a new request looks hopeless. With less
+// left it would mostly time out and waste its work. Harm: where latency varies little, a few more are given up.
 func (r *Router) expected(q *request) Micros {
 	return min(r.typical[q.kind]*expectTimes, q.class.Aim*expectMost/one)
 }
@@ -324,17 +317,16 @@
 	if len(from) == 0 {
 		return nil
 	}
-	if q.session != nil && q.session.stuck {
-		for _, s := range from {
-			if s.id == q.session.replica {
-				return s
-			}
+	if q.session == nil {
+		return from[r.rng.below(len(from))]
+	}
+	for _, s := range from {
+		if q.session.stuck && s.id == q.session.replica {
+			return s
 		}
 	}
 	s := from[r.rng.below(len(from))]
-	if q.session != nil {
-		q.session.replica, q.session.stuck = s.id, true
-	}
+	q.session.replica, q.session.stuck = s.id, true
 	return s
 }
 
@@ -424,10 +416,9 @@
 	}
 }
 
-// finish gives the one final answer that is not a served one, and stops what is still out. Where advice is
-// heeded a refused client is asked to stay away as long as it will: what is given up here is given up for
-// want of room or of a primary, and both outlast a client's patience more often than not. Harm: after a short
-// trouble the client comes back later than it could.
+// finish gives the one final answer that is not a served one, and stops what is still out. A refused client
+// is asked to stay away as long as it heeds: want of room or of a primary mostly outlasts its patience. Harm:
+// after a short trouble it comes back later than it could.
 func (r *Router) finish(q *request) {
 	if mayRefuse(q) {
 		advice := Micros(0)
@@ -473,13 +464,11 @@
 	a.server.open = drop(a.server.open, a)
 	r.learn(a, e)
 	switch {
-	case e.Final:
-		q.done = true
-	case q.done:
+	case e.Final && !q.done:
+		r.close(q)
+	case q.done || q.outstanding() > 0:
 	case !r.mayResend(q):
-		if q.outstanding() == 0 {
-			r.finish(q)
-		}
+		r.finish(q)
 	case !r.affords(e.Result):
 		r.finish(q)
 	default:
@@ -537,14 +526,12 @@
 // answered notes an answer: the class's usual latency, the session's mark and the server's strain.
 func (r *Router) answered(s *server, q *request, e Outcome) {
 	r.typical[q.kind] += (e.Latency - r.typical[q.kind]) / smoothing
-	if q.class.Need == NeedWrite {
+	if q.class.Need == NeedWrite && q.session != nil {
 		commit := e.Position
 		if commit == 0 {
 			commit = r.now
 		}
-		if q.session != nil {
-			q.session.mark = max(q.session.mark, commit)
-		}
+		q.session.mark = max(q.session.mark, commit)
 	}
 	s.restSpan = 0
 	if q.class.Need == NeedBounded || q.class.Need == NeedSession && q.need > 0 {
