--- a/brain/brain.go
+++ b/brain/brain.go
@@ -180,7 +180,7 @@
 }
 
 // expected is how long an answer may well take, never so long that a new request looks hopeless. With less
-// left it would mostly time out and waste its work. Harm: where latency varies little, a few more are given up.
+// left it would mostly time out and waste its work. Harm: where latency varies little, a few too many end so.
 func (r *Router) expected(q *request) Micros {
 	return min(r.typical[q.kind]*expectTimes, q.class.Aim*expectMost/one)
 }
