Servers start at one attempt a gateway; rare outcomes cut deeper; reads leave a limited primary to writes

A cut now counts for the time since the server's last word; reads get the square of a limited primary's chance. May harm: a server that answers seldom is held back by one slow answer.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,7 +27,7 @@
 	strainLow    = 350     // below it a limit in full use grows
 	smoothing    = 12      // outcomes that a moving mean looks back on
 	cutTo        = 850     // what a cut leaves of a limit
-	mostCuts     = 4       // a cut counts for the half aims since the last one, up to so many more
+	mostCuts     = 8       // a cut counts for the half aims since the last word, up to so many more
 	badHigh      = 400     // share of bad outcomes at which a server is ejected ...
 	badPeers     = 2       // ... if it is this many times its peers' share
 	ejectGrowth  = 8       // an ejection grows up to this many times its first span
@@ -607,9 +607,7 @@
 func (r *Router) strained(s *server, q *request, latency Micros) {
 	x := min(int64(latency*one/q.class.Aim), 4*one)
 	gap := int64(r.now - s.strainAt)
-	weight := max(one/smoothing, gap*one/(gap+2*int64(r.maxAim)))
-	s.strain += (x - s.strain) * weight / one
-	s.strainAt = r.now
+	s.strain += (x - s.strain) * max(one/smoothing, gap*one/(gap+2*int64(r.maxAim))) / one
 	switch {
 	case s.strain > strainHigh:
 		if r.now-s.cutAt > r.minAim/2 {
@@ -618,6 +616,7 @@
 	case s.strain < strainLow && int64(len(s.open)+2)*one > s.limit:
 		s.limit += max(one*one/max(s.limit, one)/int64(r.set.Gateways), min(s.limit, one-s.limit)/levelPart)
 	}
+	s.strainAt = r.now
 }
 
 // rest leaves a server alone that turned a request away unseen, longer each time until it answers. It guards
@@ -629,13 +628,14 @@
 }
 
 // firstLimit is a server's limit before anything is learned of it.
-func (r *Router) firstLimit() int64 { return max(2*one, startLimit*one/int64(r.set.Gateways)) }
+func (r *Router) firstLimit() int64 { return max(one, startLimit*one/int64(r.set.Gateways)) }
 
-// cut lowers a server's limit, to one attempt at the least, or to a part of the start's for few gateways: at
-// so few attempts their latency is the server's own, and a limit that low finds its way back slowly.
+// cut lowers a server's limit, the more the longer nothing was heard of it: where outcomes are rare each
+// stands for many of other gateways. The least is a part of the start's limit: at so few attempts the latency is the
+// server's own, and a limit that low finds its way back slowly.
 func (r *Router) cut(s *server) {
 	least := max(leastChance, startLimit*one/floorPart/int64(r.set.Gateways))
-	for n := min((r.now-s.cutAt)/(r.minAim/2), mostCuts); n >= 0; n-- {
+	for n := min((r.now-max(s.cutAt, s.strainAt))/(r.minAim/2), mostCuts); n >= 0; n-- {
 		s.limit = max(least, s.limit*cutTo/one)
 	}
 	s.cutAt = r.now
@@ -723,7 +723,11 @@
 		return false
 	}
 	warmth := r.warmth(s)
-	room := max(min(one, s.limit), s.limit*share/one*warmth/one)
+	least := min(one, s.limit)
+	if share < one {
+		least = least * least / one
+	}
+	room := max(least, s.limit*share/one*warmth/one)
 	if room < one && len(s.open) == 0 {
 		room = one * r.chance(s, room)
 	}
