--- a/brain/brain.go
+++ b/brain/brain.go
@@ -631,8 +631,8 @@
 func (r *Router) firstLimit() int64 { return max(one, startLimit*one/int64(r.set.Gateways)) }
 
 // cut lowers a server's limit, the more the longer nothing was heard of it: where outcomes are rare each
-// stands for many of other gateways. The least is a part of the start's limit: at so few attempts the latency is the
-// server's own, and a limit that low finds its way back slowly.
+// stands for many of other gateways. The least is a part of the start's limit: at so few attempts the latency
+// is the server's own, and a limit that low finds its way back slowly.
 func (r *Router) cut(s *server) {
 	least := max(leastChance, startLimit*one/floorPart/int64(r.set.Gateways))
 	for n := min((r.now-max(s.cutAt, s.strainAt))/(r.minAim/2), mostCuts); n >= 0; n-- {
