--- a/brain/brain.go
+++ b/brain/brain.go
@@ -917,18 +917,19 @@
 }
 
 // probeDue says whether to probe a server for its health: to find a lost primary, to see whether one that is
-// down has come back, and when one has fallen silent. Only a group in use is looked at.
+// down has come back, and when one has fallen silent. Only a group in use is looked at. An answer that told a
+// server's role is as good as a probe, and many gateways ask the dead no oftener than arrivals pay for.
 func (r *Router) probeDue(g *group, s *server) bool {
 	since := r.now - s.probedAt
 	switch {
 	case !r.mayProbe(g, s):
 		return false
 	case s.down:
-		return since >= s.downSpan
+		return since >= s.downSpan && r.paysProbe() || since >= r.maxAim*ejectGrowth
 	case s.suspect:
 		return since >= r.sweepSpan()
 	case g.primary == nil:
-		return since >= r.minAim/2
+		return r.now-max(s.probedAt, s.roleAt) >= r.minAim/2
 	case r.silent(s):
 		return since >= r.set.ConnectTimeout
 	}
@@ -945,7 +946,7 @@
 // probeStalest probes replicas whose known position is older than half the bound, the one probed longest ago
 // first, as far as the arrivals pay for it. Harm: with little traffic most positions are old.
 func (r *Router) probeStalest(g *group) {
-	for r.probes >= one {
+	for {
 		var old *server
 		for _, s := range g.members {
 			due := s != g.primary && !s.down && r.now-max(s.pos, s.probedAt) > r.minBound/2 && r.mayProbe(g, s)
@@ -953,14 +954,22 @@
 				old = s
 			}
 		}
-		if old == nil {
+		if old == nil || !r.paysProbe() {
 			return
 		}
-		r.probes -= one
 		r.probe(old)
 	}
 }
 
+// paysProbe spends from what the arrivals pay for probes.
+func (r *Router) paysProbe() bool {
+	if r.probes < one {
+		return false
+	}
+	r.probes -= one
+	return true
+}
+
 // silent tells that a server has been at work for longer than an aim without a word.
 func (r *Router) silent(s *server) bool {
 	return len(s.open) > 0 && r.now-max(s.heardAt, s.busySince) > r.minAim
