A limit below one is the chance of each request, not of each span of time

One lucky attempt a span is little for the gateways that carry most of the traffic: what they held back showed at a primary that was not short of room.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -361,7 +361,6 @@
 	if len(s.open) == 0 {
 		s.busySince = r.now
 	}
-	s.lucky = 0
 	s.open = append(s.open, a)
 	if r.warmth(s) < one {
 		s.sends, s.coldDrawnAt = append(s.sends, r.now), r.now
@@ -713,12 +712,12 @@
 
 // takes tells whether a request may go to a server now, within a share of the server's limit.
 func (r *Router) takes(s *server, q *request, share int64) bool {
-	return r.usable(s) && r.hasRoom(s, share) && r.inScope(q, s)
+	return r.usable(s) && r.hasRoom(s, q, share) && r.inScope(q, s)
 }
 
 // hasRoom tells whether this gateway may have one more attempt out at a server, within a share of its limit.
 // A cold server's limit shrinks with its warmth, and what is sent to it keeps a budget.
-func (r *Router) hasRoom(s *server, share int64) bool {
+func (r *Router) hasRoom(s *server, q *request, share int64) bool {
 	if r.now < s.restUntil {
 		return false
 	}
@@ -728,22 +727,20 @@
 		least = least * least / one
 	}
 	room := max(least, s.limit*share/one*warmth/one)
-	if room < one && len(s.open) == 0 {
-		room = one * r.chance(s, room)
+	if room < one && r.luck(q) < room {
+		room = one
 	}
 	return int64(len(s.open)+1)*one <= room && (warmth == one || r.coldBudget(s, warmth))
 }
 
-// chance reads a limit below one attempt: it is the chance of one, drawn once in half an aim. A limit of one
-// each lets hundreds of gateways bury a server; chances hold back those with little and much traffic alike.
-func (r *Router) chance(s *server, room int64) int64 {
-	if r.now >= s.drawnUntil {
-		s.drawnUntil, s.lucky = r.now+r.minAim/2, 0
-		if int64(r.rng.below(one)) < room {
-			s.lucky = 1
-		}
+// luck is a request's draw, from 0 to 999, anew after each aim. A limit below one attempt is the chance that
+// a request may go: one attempt each lets hundreds of gateways bury a server, and one now and then is too much
+// for those with little traffic and too little for those with much; a chance holds all back alike.
+func (r *Router) luck(q *request) int64 {
+	if r.now >= q.luckUntil {
+		q.luck, q.luckUntil = int64(r.rng.below(one)), r.now+q.class.Aim
 	}
-	return s.lucky
+	return q.luck
 }
 
 // warmth is the least share of its capacity that a server has, by the settings' ramp.
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -190,3 +190,34 @@
 		t.Errorf("%.2f of the reads go to a replica that has been sound for long", got)
 	}
 }
+
+// A limited server must not starve the busy gateways: each of their requests has the same chance as a quiet one's.
+func TestBusyGatewayHasTheSameChance(t *testing.T) {
+	shares := map[brain.Micros]float64{}
+	for _, gap := range []brain.Micros{25 * ms, 1000 * ms} {
+		set := settings()
+		set.Gateways, set.CanProbe = 200, false
+		g := newRig(t, set)
+		g.group(1)
+		went, reads := 0, 400
+		for i := 0; i < reads+40; i++ {
+			id := fmt.Sprint("w", i)
+			got := sent(g.after(gap).arrive(id, freshRead), id)
+			res, took, wait := brain.ResultOK, 165*ms, 20*ms // neither strained nor at ease
+			if i < 40 {
+				res, took, wait = brain.ResultTimeout, 400*ms, 400*ms
+			}
+			if len(got) > 0 {
+				g.after(wait).step(brain.Outcome{ID: id, Server: got[0], Result: res, Latency: took, Final: true})
+				if i >= 40 {
+					went++
+				}
+			}
+			g.step(brain.Dropped{ID: id})
+		}
+		shares[gap] = float64(went) / float64(reads)
+	}
+	if busy, quiet := shares[25*ms], shares[1000*ms]; busy < quiet/3 || busy < 0.05 {
+		t.Errorf("a busy gateway sent %.2f of its reads, a quiet one %.2f", busy, quiet)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -48,15 +48,13 @@
 	roleAt  Micros   // time of the newest proof of its role
 	role    Role
 
-	open       []*attempt // attempts out, oldest first
-	busySince  Micros
-	limit      int64 // attempts this gateway lets be out at once, in thousandths
-	cutAt      Micros
-	strainAt   Micros
-	drawnUntil Micros // a limit below one attempt is drawn as a chance: not again before then
-	lucky      int64  // 1: the draw allows one attempt
-	strain     int64  // moving mean of latency over aim, in thousandths
-	bad        int64  // moving share of attempts that failed, in thousandths
+	open      []*attempt // attempts out, oldest first
+	busySince Micros
+	limit     int64 // attempts this gateway lets be out at once, in thousandths
+	cutAt     Micros
+	strainAt  Micros
+	strain    int64 // moving mean of latency over aim, in thousandths
+	bad       int64 // moving share of attempts that failed, in thousandths
 
 	suspect   bool // a connection failed or broke: a probe shall tell whether it is down
 	down      bool // its probes fail
@@ -115,19 +113,21 @@
 
 // request is one accepted request.
 type request struct {
-	id       string
-	kind     int // its class's index
-	class    *Class
-	group    *group
-	session  *session
-	need     Position // what a replica must have applied; for bounded reads it moves with the clock
-	deadline Micros
-	aimAt    Micros
-	attempts []*attempt
-	missed   []ServerID
-	waiting  bool
-	done     bool
-	bound    bool // its answer has begun to flow
+	id        string
+	kind      int // its class's index
+	class     *Class
+	group     *group
+	session   *session
+	need      Position // what a replica must have applied; for bounded reads it moves with the clock
+	deadline  Micros
+	aimAt     Micros
+	attempts  []*attempt
+	missed    []ServerID
+	luck      int64 // its draw against limits below one attempt
+	luckUntil Micros
+	waiting   bool
+	done      bool
+	bound     bool // its answer has begun to flow
 }
 
 // outstanding counts the attempts that are out.
