--- a/brain/brain.go
+++ b/brain/brain.go
@@ -734,8 +734,8 @@
 }
 
 // luck is a request's draw, from 0 to 999, anew after each aim. A limit below one attempt is the chance that
-// a request may go: one attempt each lets hundreds of gateways bury a server, and one now and then is too much
-// for those with little traffic and too little for those with much; a chance holds all back alike.
+// a request may go: one attempt each lets hundreds of gateways bury a server, and one now and then is too
+// much for the quiet ones and too little for the busy; a chance holds all back alike.
 func (r *Router) luck(q *request) int64 {
 	if r.now >= q.luckUntil {
 		q.luck, q.luckUntil = int64(r.rng.below(one)), r.now+q.class.Aim
