--- a/brain/brain.go
+++ b/brain/brain.go
@@ -215,12 +215,14 @@
 
 // place finds a server for a request, or nil to wait.
 func (r *Router) place(q *request) *server {
-	if q.class.Need == NeedWrite || q.class.Need == NeedFresh {
+	if primaryBound(q) {
 		return r.placeOnPrimary(q)
 	}
 	return r.placeRead(q)
 }
 
+func primaryBound(q *request) bool { return q.class.Need == NeedWrite || q.class.Need == NeedFresh }
+
 // placeOnPrimary sends writes and fresh reads to the last known primary. Without one, fresh reads wait, and
 // writes try the members, at most one round of misses a pace for all writes together and half of their
 // attempts: the list's primary first, then the most advanced, for that one is elected.
@@ -543,7 +545,7 @@
 
 // missed notes that a server turned a request away untouched: it is no primary, or too far behind.
 func (r *Router) missed(s *server, q *request) {
-	if q.class.Need == NeedWrite || q.class.Need == NeedFresh {
+	if primaryBound(q) {
 		s.writeMiss = r.now
 		r.role(s, RoleReplica, r.now)
 		return
@@ -733,12 +735,15 @@
 	return int64(len(s.open)+1)*one <= room && (warmth == one || r.coldBudget(s, warmth))
 }
 
-// luck is a request's draw, from 0 to 999, anew after each aim. A limit below one attempt is the chance that
-// a request may go: one attempt each lets hundreds of gateways bury a server, and one now and then is too
-// much for the quiet ones and too little for the busy; a chance holds all back alike.
+// luck is a request's draw, from 0 to 999, anew after each aim, and sooner for what has only the primary to
+// go to. A limit below one attempt is the chance that a request may go: one attempt each lets hundreds of
+// gateways bury a server, and one now and then is too much for the quiet ones and too little for the busy.
 func (r *Router) luck(q *request) int64 {
 	if r.now >= q.luckUntil {
 		q.luck, q.luckUntil = int64(r.rng.below(one)), r.now+q.class.Aim
+		if primaryBound(q) {
+			q.luckUntil = r.now + q.class.Aim/sweepsPerAim
+		}
 	}
 	return q.luck
 }
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -221,3 +221,36 @@
 		t.Errorf("a busy gateway sent %.2f of its reads, a quiet one %.2f", busy, quiet)
 	}
 }
+
+// A write that draws badly at a limited primary must not be late for it: it has nowhere else to go.
+func TestWritesDrawAgainWithinTheirAim(t *testing.T) {
+	set := settings()
+	set.Gateways, set.CanProbe = 200, false
+	g := newRig(t, set)
+	g.group(1)
+	aim := set.Classes[unsafeWrite].Aim
+	for i := 0; i < 40; i++ {
+		id := fmt.Sprint("t", i)
+		if len(sent(g.after(500*ms).arrive(id, freshRead), id)) > 0 {
+			g.after(aim).step(brain.Outcome{ID: id, Server: 1, Result: brain.ResultTimeout, Latency: aim, Final: true})
+		}
+		g.step(brain.Dropped{ID: id})
+	}
+	went, first := 0, 0
+	for i := 0; i < 100; i++ {
+		id := fmt.Sprint("w", i)
+		n := len(sent(g.after(500*ms).arrive(id, unsafeWrite), id))
+		first += n
+		for wait := brain.Micros(0); n == 0 && wait < aim; wait += 25 * ms {
+			n = len(sent(g.sweep(25*ms), id))
+		}
+		if went += n; n > 0 {
+			g.after(aim).step(brain.Outcome{ID: id, Server: 1, Result: brain.ResultTimeout, Latency: aim, Final: true})
+		} else {
+			g.step(brain.Dropped{ID: id})
+		}
+	}
+	if first > 40 || went < 60 {
+		t.Errorf("of 100 writes at a limited primary %d went at once and %d within their aim", first, went)
+	}
+}
