The cold budget uses the whole fall multiple of the mean share, chances two thirds of it

The mean share is what a server answers at its usual load, so its whole multiple still lies under the fall; quiet gateways, whose share is a guess, keep a third back.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,12 +35,13 @@
 	retryBurst   = 10      // such attempts saved up
 	probeShare   = 250     // probes for freshness alone, for each arrival
 	sweepsPerAim = 16
-	expectTimes  = 2   // an answer may well take this many times the usual ...
-	expectMost   = 750 // ... but no more than this share of its aim
-	levelPart    = 8   // replicas within this part of the smallest bound are level
-	crowdFactor  = 2   // a replica is crowded beyond this many times the emptiest one's attempts, plus one
-	readRoom     = 500 // share of the primary's limit that reads of replicas may fill
-	coldMargin   = 800 // share of the fall budget that is used
+	expectTimes  = 2    // an answer may well take this many times the usual ...
+	expectMost   = 750  // ... but no more than this share of its aim
+	levelPart    = 8    // replicas within this part of the smallest bound are level
+	crowdFactor  = 2    // a replica is crowded beyond this many times the emptiest one's attempts, plus one
+	readRoom     = 500  // share of the primary's limit that reads of replicas may fill
+	coldMargin   = 1000 // share of the fall budget that is used ...
+	coldChance   = 1500 // ... and by how much less where it is a chance: draws go up to this
 )
 
 // New makes a router and returns what it does first.
@@ -766,7 +767,7 @@
 		s.sends = s.sends[1:]
 	}
 	if r.now-s.coldDrawnAt >= r.set.FallWindow {
-		s.coldDrawnAt, s.coldDraw = r.now, int64(r.rng.below(one))
+		s.coldDrawnAt, s.coldDraw = r.now, int64(r.rng.below(coldChance))
 	}
 	share := max(r.usualServed, startLimit*one/int64(r.set.Gateways))
 	budget := share * r.set.FallMultiple / one * warmth / one * coldMargin / one
