--- a/brain/brain.go
+++ b/brain/brain.go
@@ -899,7 +899,7 @@
 	}
 	for _, g := range r.order {
 		for _, s := range append([]*server(nil), g.members...) {
-			if s.state == MemberGone && s.forbidden && len(s.open) == 0 {
+			if r.forgettable(s) {
 				g.members = drop(g.members, s)
 				delete(r.servers, s.id)
 				continue
@@ -919,6 +919,13 @@
 	r.do(Probe{Server: s.id})
 }
 
+// forgettable tells whether a server may leave memory: the list calls it gone, and that binds or it has been
+// out of reach for as long as a list may be old. A list that is wrong costs nothing learned.
+func (r *Router) forgettable(s *server) bool {
+	dead := s.down && r.now-s.heardAt > max(r.set.AskWithin, r.set.Ramp)
+	return s.state == MemberGone && len(s.open) == 0 && (s.forbidden || dead)
+}
+
 // probeDue says whether to probe a server for its health: to find a lost primary, to see whether one that is
 // down has come back, and when one has fallen silent. Only a group in use is looked at. An answer that told a
 // server's role is as good as a probe, and many gateways ask the dead no oftener than arrivals pay for.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -886,3 +886,45 @@
 		t.Error("the same events gave different actions")
 	}
 }
+
+// Where only draining binds, a list may call running servers gone for a while: they stay in use. One that is truly
+// gone must still leave memory, or it is probed for ever.
+func TestGoneServersAreForgottenOnlyWhenOutOfReach(t *testing.T) {
+	set := settings()
+	set.OnlyDrainingBinds = true
+	g := newRig(t, set)
+	g.group(3)
+	g.step(brain.MemberNews{Form: brain.ListFull}) // an empty list
+	last := map[brain.ServerID]brain.Micros{}
+	served := 0
+	for i := 0; i < 4000; i++ {
+		id := fmt.Sprint("g", i)
+		if got := sent(g.arrive(id, anyRead), id); len(got) == 1 {
+			res := brain.ResultOK
+			if got[0] == 3 {
+				res = brain.ResultConnectFailed
+			} else {
+				served++
+			}
+			last[got[0]] = g.now - origin
+			g.outcome(id, 0, got[0], res)
+		}
+		g.step(brain.Dropped{ID: id})
+		for _, a := range g.sweep(25 * ms) {
+			if p, ok := a.(brain.Probe); ok {
+				last[p.Server] = g.now - origin
+				res := brain.ResultOK
+				if p.Server == 3 {
+					res = brain.ResultConnectFailed
+				}
+				g.step(brain.Probed{Server: p.Server, Result: res})
+			}
+		}
+	}
+	if served < 3900 {
+		t.Errorf("%d of 4000 reads were served while the list was empty", served)
+	}
+	if last[3] > 30_000*ms {
+		t.Errorf("a server that is gone and out of reach was still tried %d s on", last[3]/1000/ms)
+	}
+}
