--- a/brain/property_test.go
+++ b/brain/property_test.go
@@ -292,7 +292,7 @@
 		set.Checks = brain.Checks(seed % 3)
 		set.TokensCarried = seed%2 == 0
 		set.ListAsked, set.OnlyDrainingBinds = seed%5 == 0, seed%7 == 0
-		set.Gateways, set.CanCancel, set.AdviseRetry = 1+int(seed%4), seed%4 != 0, seed%3 == 0
+		set.Gateways, set.CanCancel, set.AdviseRetry = []int{1, 2, 3, 40, 250}[seed%5], seed%4 != 0, seed%3 == 0
 		set.MaxAttempts = 1 + int(seed%8)
 		w := &world{t: t, seed: seed, set: set, rng: rng, now: origin,
 			reqs: map[string]*wreq{}, srv: map[brain.ServerID]*wsrv{}}
