--- a/brain/brain.go
+++ b/brain/brain.go
@@ -22,7 +22,7 @@
 	maxSessions  = 1 << 14 // sessions remembered; older marks merge into one floor
 	startLimit   = 12      // attempts out at one server, by all gateways together, before anything is learned
 	floorPart    = 3       // a cut leaves this part of the start's limit ...
-	leastChance  = 100     // ... or this chance of one attempt
+	leastChance  = 50      // ... or this chance of one attempt
 	strainHigh   = 450     // mean latency over aim at which a server's limit is cut
 	strainLow    = 350     // below it a limit in full use grows
 	smoothing    = 12      // outcomes that a moving mean looks back on
@@ -609,7 +609,7 @@
 func (r *Router) strained(s *server, q *request, latency Micros) {
 	x := min(int64(latency*one/q.class.Aim), 4*one)
 	gap := int64(r.now - s.strainAt)
-	s.strain += (x - s.strain) * max(one/smoothing, gap*one/(gap+2*int64(r.maxAim))) / one
+	s.strain += (x - s.strain) * max(one/smoothing, gap*one/(gap+int64(r.maxAim))) / one
 	switch {
 	case s.strain > strainHigh:
 		if r.now-s.cutAt > r.minAim/2 {
