--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -928,3 +928,79 @@
 		t.Errorf("a server that is gone and out of reach was still tried %d s on", last[3]/1000/ms)
 	}
 }
+
+// Dead servers are asked no oftener than arrivals pay for: hundreds of gateways would ask each of them for ever.
+func TestProbesOfTheDeadArePaidByArrivals(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(3)
+	probes := 0
+	for i := 0; i < 2400; i++ { // a minute, a read a second
+		if i%40 == 0 {
+			id := fmt.Sprint("d", i)
+			for n := 0; n < 3; n++ {
+				got := sent(g.arrive(id, anyRead), id)
+				if len(got) == 0 {
+					break
+				}
+				res := brain.ResultOK
+				if got[0] == 3 {
+					res = brain.ResultConnectFailed
+				}
+				g.outcome(id, n, got[0], res)
+			}
+			g.step(brain.Dropped{ID: id})
+		}
+		for _, a := range g.sweep(25 * ms) {
+			p, ok := a.(brain.Probe)
+			if !ok {
+				continue
+			}
+			if p.Server == 3 {
+				probes++
+				g.step(brain.Probed{Server: 3, Result: brain.ResultConnectFailed})
+				continue
+			}
+			g.fresh(p.Server, 0)
+		}
+	}
+	if probes < 5 || probes > 40 {
+		t.Errorf("%d probes of a dead server in a minute with 60 arrivals", probes)
+	}
+}
+
+// An answer that tells a replica's role is as good as a probe while the primary is looked for.
+func TestAnsweredRolesSaveProbes(t *testing.T) {
+	probes := map[bool]int{}
+	for _, told := range []bool{false, true} {
+		set := settings()
+		set.Checks = brain.ChecksRefuse
+		g := newRig(t, set)
+		var ms3 []brain.Member
+		for id := brain.ServerID(1); id <= 3; id++ {
+			ms3 = append(ms3, member(id, false))
+		}
+		g.step(brain.MemberNews{Form: brain.ListCached, Members: ms3})
+		for i := 0; i < 400; i++ {
+			id := fmt.Sprint("r", i)
+			for _, s := range sent(g.arrive(id, anyRead), id) {
+				o := brain.Outcome{ID: id, Server: s, Final: true, Latency: 20 * ms}
+				if told {
+					o.Role, o.Position = brain.RoleReplica, g.now
+				}
+				g.step(o)
+			}
+			g.step(brain.Dropped{ID: id})
+			for _, a := range g.sweep(25 * ms) {
+				if p, ok := a.(brain.Probe); ok {
+					probes[told]++
+					g.step(brain.Probed{Server: p.Server, Result: brain.ResultTimeout})
+					g.step(brain.Probed{Server: p.Server, Report: brain.Report{
+						HasPosition: true, Position: g.now, Role: brain.RoleUnknown}})
+				}
+			}
+		}
+	}
+	if probes[true]*3 > probes[false] {
+		t.Errorf("%d probes where answers tell roles, %d where they do not", probes[true], probes[false])
+	}
+}
