--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -254,3 +254,30 @@
 		t.Errorf("of 100 writes at a limited primary %d went at once and %d within their aim", first, went)
 	}
 }
+
+// Reads that fall back to a limited primary get less of its chance than what only it can take.
+func TestReadsLeaveALimitedPrimaryToWrites(t *testing.T) {
+	went := map[int]int{}
+	for _, class := range []int{freshRead, boundedRead} {
+		set := settings()
+		set.Gateways, set.CanProbe = 200, false
+		g := newRig(t, set)
+		g.group(1) // no replica: bounded reads have only the primary
+		aim := set.Classes[class].Aim
+		for i := 0; i < 300; i++ {
+			id := fmt.Sprint("p", i)
+			n := len(sent(g.after(100*ms).arrive(id, class), id))
+			if n > 0 && i%4 == 0 { // some are slow: the limit stays below one
+				g.after(aim).step(brain.Outcome{ID: id, Server: 1, Result: brain.ResultTimeout, Latency: aim, Final: true})
+			} else if n > 0 {
+				g.after(20 * ms).step(brain.Outcome{ID: id, Server: 1, Latency: 60 * ms, Final: true})
+			}
+			g.step(brain.Dropped{ID: id})
+			went[class] += n
+		}
+	}
+	if went[boundedRead]*4 > went[freshRead]*3 {
+		t.Errorf("%d bounded reads went to a limited primary, and %d that have nowhere else to go",
+			went[boundedRead], went[freshRead])
+	}
+}
