Tidy: one spend for both budgets, no factor of one, nothing left over from second copies

The retry and probe budgets were spent by the same code twice; the cold margin had become a factor of one; conclude still held cases for two attempts out. No scan for stale positions when no probe can be paid.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,15 +33,14 @@
 	ejectGrowth  = 8       // an ejection grows up to this many times its first span
 	retryShare   = 200     // further attempts that may have run, for each arrival
 	retryBurst   = 10      // such attempts saved up
-	probeShare   = 250     // probes for freshness alone, for each arrival
+	probeShare   = 250     // probes for freshness, and of dead servers, for each arrival
 	sweepsPerAim = 16
 	expectTimes  = 2    // an answer may well take this many times the usual ...
 	expectMost   = 750  // ... but no more than this share of its aim
 	levelPart    = 8    // replicas within this part of the smallest bound are level
 	crowdFactor  = 2    // a replica is crowded beyond this many times the emptiest one's attempts, plus one
 	readRoom     = 500  // share of the primary's limit that reads of replicas may fill
-	coldMargin   = 1000 // share of the fall budget that is used ...
-	coldChance   = 1500 // ... and by how much less where it is a chance: draws go up to this
+	coldChance   = 1500 // a chance of the cold budget is drawn up to this: above one, as its share is a guess
 )
 
 // New makes a router and returns what it does first.
@@ -466,12 +465,10 @@
 	a.server.open = drop(a.server.open, a)
 	r.learn(a, e)
 	switch {
-	case e.Final && !q.done:
-		r.close(q)
-	case q.done || q.outstanding() > 0:
-	case !r.mayResend(q):
-		r.finish(q)
-	case !r.affords(e.Result):
+	case e.Final:
+		q.done = true
+	case q.done:
+	case !r.mayResend(q) || !r.affords(e.Result):
 		r.finish(q)
 	default:
 		r.enqueue(q)
@@ -483,13 +480,15 @@
 // affords spends from the retry budget for a repeat of what may have run, so that slowness or errors
 // everywhere do not multiply the load. What never ran costs nothing.
 func (r *Router) affords(res Result) bool {
-	if neverRan(res) {
-		return true
-	}
-	if r.retries < one {
+	return neverRan(res) || spend(&r.retries)
+}
+
+// spend takes one from a budget that arrivals fill, if there is one.
+func spend(budget *int64) bool {
+	if *budget < one {
 		return false
 	}
-	r.retries -= one
+	*budget -= one
 	return true
 }
 
@@ -666,7 +665,8 @@
 	r.log("server %d ejected for %d ms, bad %d", s.id, s.ejectSpan/1000, s.bad)
 }
 
-// readmit ends an ejection: one attempt at a time, and the next bad one ejects again.
+// readmit ends an ejection: one attempt at a time, and the next bad one ejects again. It also forgets a cut
+// below one attempt after as long, or a server seldom used stays shunned.
 func (r *Router) readmit(s *server) {
 	if s.ejected && r.now-s.ejectedAt >= s.ejectSpan {
 		s.ejected, s.limit, s.strain = false, one, strainHigh
@@ -758,7 +758,7 @@
 	return r.set.ColdShare + (one-r.set.ColdShare)*int64(max(age, 0))/int64(r.set.Ramp)
 }
 
-// coldBudget keeps the sends within any fall window under a margin of what brings a cold server down. Each
+// coldBudget keeps the sends within any fall window under what brings a cold server down. Each
 // gateway keeps to its own share of the work, measured by what it gets from a server in the mean, so that all
 // together stay below the fall however unevenly they are used; less than one send is a chance, drawn once a
 // window. Every attempt counts, refused ones too.
@@ -770,7 +770,7 @@
 		s.coldDrawnAt, s.coldDraw = r.now, int64(r.rng.below(coldChance))
 	}
 	share := max(r.usualServed, startLimit*one/int64(r.set.Gateways))
-	budget := share * r.set.FallMultiple / one * warmth / one * coldMargin / one
+	budget := share * r.set.FallMultiple / one * warmth / one
 	return int64(len(s.sends))*one+s.coldDraw < budget
 }
 
@@ -935,7 +935,7 @@
 	case !r.mayProbe(g, s):
 		return false
 	case s.down:
-		return since >= s.downSpan && r.paysProbe() || since >= r.maxAim*ejectGrowth
+		return since >= s.downSpan && spend(&r.probes) || since >= r.maxAim*ejectGrowth
 	case s.suspect:
 		return since >= r.sweepSpan()
 	case g.primary == nil:
@@ -956,7 +956,7 @@
 // probeStalest probes replicas whose known position is older than half the bound, the one probed longest ago
 // first, as far as the arrivals pay for it. Harm: with little traffic most positions are old.
 func (r *Router) probeStalest(g *group) {
-	for {
+	for r.probes >= one {
 		var old *server
 		for _, s := range g.members {
 			due := s != g.primary && !s.down && r.now-max(s.pos, s.probedAt) > r.minBound/2 && r.mayProbe(g, s)
@@ -964,22 +964,13 @@
 				old = s
 			}
 		}
-		if old == nil || !r.paysProbe() {
+		if old == nil || !spend(&r.probes) {
 			return
 		}
 		r.probe(old)
 	}
 }
 
-// paysProbe spends from what the arrivals pay for probes.
-func (r *Router) paysProbe() bool {
-	if r.probes < one {
-		return false
-	}
-	r.probes -= one
-	return true
-}
-
 // silent tells that a server has been at work for longer than an aim without a word.
 func (r *Router) silent(s *server) bool {
 	return len(s.open) > 0 && r.now-max(s.heardAt, s.busySince) > r.minAim
