--- a/cmd/marblespan/main.go
+++ b/cmd/marblespan/main.go
@@ -17,11 +17,8 @@
 		os.Exit(2)
 	}
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
-	cfg, err := config.Load(os.Getenv)
-	if err == nil {
-		err = program.Run(cfg, os.Stderr)
-	}
-	if err != nil {
+	load := func() (*config.Config, error) { return config.Load(os.Getenv) }
+	if err := program.Run(load, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "marblespan:", err)
 		os.Exit(1)
 	}
--- a/cmd/marblespan/main_test.go
+++ b/cmd/marblespan/main_test.go
@@ -104,6 +104,13 @@
 
 // start runs the gateway with one primary behind it, and returns its log, line by line.
 func start(t *testing.T, addr string, server *standin.Server) (*exec.Cmd, *bufio.Scanner) {
+	t.Helper()
+	cmd, log, _ := startAt(t, addr, server)
+	return cmd, log
+}
+
+// startAt also returns the path of the configuration.
+func startAt(t *testing.T, addr string, server *standin.Server) (*exec.Cmd, *bufio.Scanner, string) {
 	t.Helper()
 	target := standin.Target{
 		UID: "p", Endpoint: server.Addr(), Group: 1, State: "ready", Weight: 1, Role: "primary",
@@ -112,10 +119,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd := gateway(t, sample(t, map[string]any{
+	path := sample(t, map[string]any{
 		"listen": addr, "discovery": disc.Addr(),
 		"known": map[string]any{"rev": 1, "all": true, "targets": []standin.Target{target}},
-	}), "1")
+	})
+	cmd := gateway(t, path, "1")
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -129,7 +137,7 @@
 		cmd.Process.Kill()
 		disc.Close()
 	})
-	return cmd, bufio.NewScanner(log)
+	return cmd, bufio.NewScanner(log), path
 }
 
 // Values of 64 KiB in hex, both ways, on hundreds of connections at once: whatever is not served is refused, and the
@@ -218,7 +226,7 @@
 	}
 	defer server.Close()
 	addr := freeAddr(t)
-	cmd, lines := start(t, addr, server)
+	cmd, lines, path := startAt(t, addr, server)
 	until := func(words ...string) string {
 		for lines.Scan() {
 			all := true
@@ -251,8 +259,24 @@
 	}
 	cmd.Process.Signal(syscall.SIGUSR1)
 	until(`"class":"booking"`, `"requests":1`, `"served":1`)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+	until("reload failed", "PROXY_CONFIG")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+	until("reloaded")
 	cmd.Process.Signal(syscall.SIGTERM)
 	until("stopping")
+	cmd.Process.Signal(syscall.SIGHUP) // while it stops: taken over as before
+	until("reloaded")
 	until(`"party":"client"`, `"reason":"drain"`)
 	until(`"class":"booking"`, `"served":1`)
 	until("stopped")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"marblespan/internal/protocol/discovery"
@@ -164,6 +165,25 @@
 	return nil
 }
 
+// Fixed lists the keys whose values in next differ from those in force and cannot be taken over by a running gateway.
+// The seed and the list last known only matter at a start.
+func (c *Config) Fixed(next *Config) []string {
+	var keys []string
+	for _, k := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen},
+		{"limits.cores", c.Cores == next.Cores}, {"limits.memory_mb", c.MemoryMB == next.MemoryMB},
+		{"limits.sockets", c.Sockets == next.Sockets}, {"settings", reflect.DeepEqual(c.Facts, next.Facts)},
+	} {
+		if !k.same {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
+
 func choose(given *string, fallback string) string {
 	if given != nil && *given != "" {
 		return *given
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -36,6 +36,9 @@
 	messageShare = 50
 )
 
+// signalQueue is how many signals may wait while one is dealt with; the system folds further ones of a kind anyway.
+const signalQueue = 16
+
 // logLines is how many lines the log may lag behind before it drops some rather than hold anybody up.
 const logLines = 8192
 
@@ -72,25 +75,58 @@
 	accepting chan struct{}
 }
 
-// Run runs a gateway until SIGTERM or SIGINT, and prints its counters on SIGUSR1 and at the end.
-func Run(cfg *config.Config, out io.Writer) error {
+// Run runs a gateway until SIGTERM or SIGINT. It prints its counters on SIGUSR1 and at the end, and on SIGHUP takes over
+// what load reads; also while it stops, for drains are still told then.
+func Run(load func() (*config.Config, error), out io.Writer) error {
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	cfg, err := load()
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * heapShare / 100)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	defer signal.Stop(signals)
 	g, err := Start(cfg, out)
 	if err != nil {
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGUSR1 {
-			break
+	var stopped chan struct{}
+	for {
+		select {
+		case s := <-signals:
+			switch s {
+			case syscall.SIGUSR1:
+				g.Print()
+			case syscall.SIGHUP:
+				g.Reload(load())
+			default:
+				if stopped == nil {
+					stopped = make(chan struct{})
+					go func() {
+						defer close(stopped)
+						g.Stop()
+					}()
+				}
+			}
+		case <-stopped:
+			return nil
 		}
-		g.Print()
 	}
-	g.Stop()
-	return nil
+}
+
+// Reload takes over what may change while the gateway runs, the address of discovery. A configuration that is at fault
+// leaves everything as it is.
+func (g *Gateway) Reload(next *config.Config, err error) {
+	if err != nil {
+		g.log.Error().Err(err).Msg("reload failed, the old configuration stays")
+		return
+	}
+	if fixed := g.cfg.Fixed(next); len(fixed) > 0 {
+		g.log.Warn().Strs("keys", fixed).Msg("changed keys that take a restart")
+	}
+	g.discovery.Move(next.Discovery)
+	g.log.Info().Str("discovery", next.Discovery).Msg("reloaded")
 }
 
 // Start makes a gateway that serves from now on.
