--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,6 +37,7 @@
 	sweepsPerAim = 16
 	expectTimes  = 2    // an answer may well take this many times the usual ...
 	expectMost   = 750  // ... but no more than this share of its aim
+	hopelessPart = 2    // with less left than this part of the usual latency nothing is sent
 	levelPart    = 8    // replicas within this part of the smallest bound are level
 	crowdFactor  = 2    // a replica is crowded beyond this many times the emptiest one's attempts, plus one
 	readRoom     = 500  // share of the primary's limit that reads of replicas may fill
@@ -173,7 +174,9 @@
 // seen.
 func (r *Router) value(q *request) int64 {
 	worth := q.class.Worth
-	if r.now+r.expected(q) > q.aimAt {
+	if r.pressed(q) {
+		worth = 0
+	} else if r.now+r.expected(q) > q.aimAt {
 		worth = worth * q.class.LateWorth / one
 	}
 	return worth * one / int64(max(r.typical[q.kind]/1000, 1))
@@ -185,6 +188,10 @@
 	return min(r.typical[q.kind]*expectTimes, q.class.Aim*expectMost/one)
 }
 
+// pressed tells that a request may well run out of time. Sent while others wait it would mostly waste its
+// work; where a server has room it costs nobody. Guards against shutting hasty clients out of idle servers.
+func (r *Router) pressed(q *request) bool { return r.now+r.expected(q) > r.end(q) }
+
 // enqueue puts a request into its group's queue; the dispatch that follows may send it at once.
 func (r *Router) enqueue(q *request) {
 	if !q.waiting {
@@ -193,8 +200,8 @@
 	}
 }
 
-// dispatch serves a group's queue, the best worth for its time first and the oldest among equals. What cannot
-// be answered in time any more gets its final answer now.
+// dispatch serves a group's queue, the best worth for its time first and the oldest among equals. What may
+// well not be answered in time comes last, and gets its final answer now if nobody else has left it room.
 func (r *Router) dispatch(g *group) {
 	if len(g.waiting) == 0 {
 		return
@@ -205,10 +212,14 @@
 		if q.done {
 			continue
 		}
-		if r.now+r.expected(q) > r.end(q) {
-			r.giveUp(q)
-		} else if s := r.place(q); s != nil {
+		var s *server
+		if r.now+r.typical[q.kind]/hopelessPart < r.end(q) {
+			s = r.place(q)
+		}
+		if s != nil {
 			r.send(q, s)
+		} else if r.pressed(q) {
+			r.giveUp(q)
 		}
 	}
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1004,3 +1004,34 @@
 		t.Errorf("%d probes where answers tell roles, %d where they do not", probes[true], probes[false])
 	}
 }
+
+// A request with less time left than an answer may well take still goes to a server with room: refusing it would shut
+// hasty clients out of idle servers. Without room, or without hope, it is answered at once.
+func TestHastyRequestsUseIdleServers(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(2)
+	for i := range 60 { // an answer usually takes about 100 ms
+		id := fmt.Sprint("w", i)
+		to := sent(g.arrive(id, anyRead), id)
+		if len(to) != 1 {
+			t.Fatalf("%s: %v", id, g.acts)
+		}
+		g.after(100 * ms).step(brain.Outcome{ID: id, Server: to[0], Final: true, Latency: 100 * ms})
+	}
+	hasty := func(id string, left brain.Micros) []brain.Action {
+		return g.step(brain.Arrival{ID: id, Class: anyRead, Group: 1, Left: left})
+	}
+	hasty("hopeless", 40*ms)
+	g.wantSent("hopeless")
+	g.wantEnd("hopeless", "refuse")
+	full := 0
+	for ; len(sent(hasty(fmt.Sprint("h", full), 120*ms), fmt.Sprint("h", full))) == 1; full++ {
+	}
+	if full == 0 {
+		t.Error("a hasty request found no room at idle servers")
+	}
+	g.wantEnd(fmt.Sprint("h", full), "refuse")
+	g.arrive("patient", anyRead)
+	g.wantSent("patient")
+	g.wantEnd("patient", "")
+}
