--- a/brain/api.go
+++ b/brain/api.go
@@ -275,6 +275,9 @@
 // CloseIdle closes idle connections to a server.
 type CloseIdle struct{ Server ServerID }
 
+// Forget tells that nothing is kept of a server any more: it is off the list and nothing is out at it.
+type Forget struct{ Server ServerID }
+
 // Tell sends bytes to another gateway, or to all of them.
 type Tell struct {
 	To   int // ToAll: every other gateway
@@ -300,6 +303,7 @@
 func (SetTimer) action()  {}
 func (Probe) action()     {}
 func (CloseIdle) action() {}
+func (Forget) action()    {}
 func (Tell) action()      {}
 func (Log) action()       {}
 func (Watch) action()     {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -913,6 +913,7 @@
 			if r.forgettable(s) {
 				g.members = drop(g.members, s)
 				delete(r.servers, s.id)
+				r.do(Forget{s.id})
 				continue
 			}
 			r.readmit(s)
--- a/brain/state.go
+++ b/brain/state.go
@@ -159,33 +159,35 @@
 	stuck   bool // replica is set
 }
 
-// sessions is a store of bounded size that forgets the session first seen longest ago.
+// sessions is a store of bounded size that forgets the session first seen longest ago. All of it is set aside at the
+// start, so that it does not grow through the day.
 type sessions struct {
 	byKey map[uint64]*session
-	ring  []uint64
+	ring  []session
 	next  int
 	floor Position // the highest mark forgotten
 }
 
 func newSessions(size int) *sessions {
-	return &sessions{byKey: map[uint64]*session{}, ring: make([]uint64, 0, size)}
+	return &sessions{byKey: make(map[uint64]*session, size), ring: make([]session, 0, size)}
 }
 
-// get finds or makes a session; a new one begins at the highest mark ever forgotten.
+// get finds or makes a session; a new one begins at the highest mark ever forgotten. A request that still holds the
+// one forgotten can only raise the new one's mark.
 func (t *sessions) get(key uint64) *session {
 	if s := t.byKey[key]; s != nil {
 		return s
 	}
 	if len(t.ring) < cap(t.ring) {
-		t.ring = append(t.ring, key)
-	} else {
-		old := t.byKey[t.ring[t.next]]
-		t.floor = max(t.floor, old.mark)
-		delete(t.byKey, old.key)
-		t.ring[t.next] = key
-		t.next = (t.next + 1) % len(t.ring)
+		t.ring = append(t.ring, session{})
 	}
-	s := &session{key: key, mark: t.floor}
+	s := &t.ring[t.next]
+	t.next = (t.next + 1) % cap(t.ring)
+	t.floor = max(t.floor, s.mark)
+	if t.byKey[s.key] == s {
+		delete(t.byKey, s.key)
+	}
+	*s = session{key: key, mark: t.floor}
 	t.byKey[key] = s
 	return s
 }
--- a/internal/program/client_test.go
+++ b/internal/program/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -78,7 +79,7 @@
 			c.t.Fatalf("after %q: %v", kinds, err)
 		}
 		kinds, bodies = kinds+string(k), append(bodies, body)
-		if k == kind {
+		if k == kind || k == 'E' && strings.Contains(body, "SFATAL\x00") {
 			return kinds, bodies
 		}
 	}
@@ -132,8 +133,9 @@
 	c := w.raw()
 	var all []byte
 	all = append(all, query(put("w1"))...)
-	for i := range 40 { // more than one buffer
-		all = append(all, query(look(fmt.Sprint("r", i))+strings.Repeat(" ", 300))...)
+	for i := range 60 { // more than one buffer
+		key := strings.Repeat("k", 250)
+		all = append(all, query(strings.Replace(look(fmt.Sprint("r", i)), "'k'", "'"+key+"'", 1))...)
 	}
 	c.Write(append(all, query("")...))
 	w.logged("started")
@@ -142,7 +144,7 @@
 	if !strings.HasSuffix(bodies[1], "value of w1") {
 		t.Fatalf("%q", bodies)
 	}
-	for i := range 40 {
+	for i := range 60 {
 		if _, bodies := c.until('Z'); !strings.HasSuffix(bodies[1], fmt.Sprint("value of r", i)) {
 			t.Fatalf("%d: %q", i, bodies)
 		}
@@ -163,6 +165,11 @@
 	}{
 		{"no comment", query("SELECT 1"), "08P01", true},
 		{"unknown class", query(strings.Replace(look("a"), "c=look", "c=nothing", 1)), "22023", true},
+		{"write of a class that reads", query(strings.Replace(put("a"), "c=put", "c=look", 1)), "22023", true},
+		{"two statements", query(look("a") + "; DROP TABLE kv"), "08P01", true},
+		{"another table", query(strings.Replace(look("a"), "kv", "pg_user", 1)), "08P01", true},
+		{"half a value", query(strings.Replace(put("a"), `\x01`, `\x0`, 1)), "08P01", true},
+		{"nothing behind the comment", query(look("a")[:strings.Index(look("a"), "*/")+3]), "08P01", true},
 		{"bad d", query(strings.Replace(look("a"), "d=4000", "d=soon", 1)), "08P01", true},
 		{"unknown group", query(strings.Replace(look("a"), "cluster=7", "cluster=70", 1)), "53300", true},
 		{"function call", typed('F', "\x00\x00"), "0A000", true},
@@ -229,28 +236,30 @@
 // Beyond the memory budget a request is refused before any attempt.
 func TestMemoryBudget(t *testing.T) {
 	w := newWorld(t, func(c *config.Config) { c.MemoryMB = 32 }) // 16 MB for messages
-	arrived, release := make(chan struct{}, 1024), make(chan struct{})
+	arrived, gate := make(chan struct{}, 1024), make(chan struct{})
+	release := sync.OnceFunc(func() { close(gate) })
+	defer release()
 	hold := func(q *standin.Query) {
 		arrived <- struct{}{}
-		<-release
+		<-gate
 		q.Serve([]byte("v"))
 	}
 	w.primary.SetHandle(hold)
 	w.replica.SetHandle(hold)
-	big := strings.Replace(put("big"), `\x01`, `\x`+strings.Repeat("00", 60<<10), 1)
-	const clients = 100 // each needs a quarter of a megabyte: more than there is
+	value := strings.Repeat("00", 60<<10)
+	const clients = 180 // each holds an eighth of a megabyte: more than there is
 	var conns []*reading
-	for range clients {
+	for i := range clients {
 		c := w.raw()
 		conns = append(conns, c)
-		c.Write(query(big))
+		c.Write(query(strings.Replace(put(fmt.Sprint("big", i)), `\x01`, `\x`+value, 1)))
 	}
 	eventually(t, func() bool { return w.gateway.clients.Counts.OverMemory.Load() > 0 },
-		func() string { return "nothing was refused for memory" })
+		func() string { return fmt.Sprintf("nothing was refused for memory: %d held, %+v", w.gateway.buffers.Held(), w.counts()) })
 	if held := w.gateway.buffers.Held(); held > 16<<20 {
 		t.Errorf("%d bytes held", held)
 	}
-	close(release)
+	release()
 	served, refused := 0, 0
 	for _, c := range conns {
 		kinds, bodies := c.until('Z')
@@ -375,17 +384,43 @@
 // A client that never starts up, and one that stops in the middle of a message, are ended; one that idles is closed.
 func TestClientTimeouts(t *testing.T) {
 	w := newWorld(t, nil, func(g *Gateway) {
-		g.clients.Limits.Startup, g.clients.Limits.Message = 100*time.Millisecond, 100*time.Millisecond
+		g.clients.Limits.Newcomer, g.clients.Limits.Message = 300*time.Millisecond, 100*time.Millisecond
 		g.clients.Limits.Idle = 300 * time.Millisecond
 	})
-	w.open().ends()
+	for name, sent := range map[string][]byte{
+		"nothing": nil, "half a length": {0, 0}, "half a start-up": startup()[:20],
+	} {
+		c := w.open()
+		c.Write(sent)
+		if k, body, err := c.next(); err == nil {
+			t.Errorf("%s: got %q %q, want the connection's end", name, k, body)
+		}
+	}
 	halfway := w.raw()
 	halfway.Write(query(look("a"))[:20])
+	if kinds, bodies := halfway.until('E'); !strings.Contains(bodies[0], "08P01") {
+		t.Errorf("half a message: %s %q", kinds, bodies)
+	}
 	halfway.ends()
+	drips := w.raw() // one time for the whole message, not one for each read
+	since := time.Now()
+	for _, b := range query(look("a")) {
+		if _, err := drips.Write([]byte{b}); err != nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := time.Since(since); took > patience/2 {
+		t.Errorf("a message in drips was read for %v", took)
+	}
 	w.raw().ends()
 	w.logged(`"party":"client"`, `"reason":"timeout"`)
 	w.logged(`"party":"client"`, `"reason":"idle"`)
-	if n := len(w.replica.Queries()); n != 0 {
+	served := w.raw() // one that has been served idles for as long as others may
+	served.Write(query(look("served")))
+	served.until('Z')
+	served.ends()
+	if n := len(w.replica.Queries()); n != 1 {
 		t.Errorf("%d statements were sent on", n)
 	}
 }
@@ -409,3 +444,94 @@
 	w.logged("outcomes of probes", `"sent":`)
 	w.logged("member lists", `"watches":1`)
 }
+
+// A client that sends bad statements is answered each time, ever later, and then ended; its like at full speed costs
+// nobody else anything.
+func TestRepeatedBadStatements(t *testing.T) {
+	w := newWorld(t, nil, func(g *Gateway) { g.clients.Limits.Pause = time.Millisecond })
+	bad := w.raw()
+	go func() {
+		for range 300 {
+			if _, err := bad.Write(query("DROP TABLE kv")); err != nil {
+				return
+			}
+		}
+	}()
+	errors, fatal := 0, 0
+	for {
+		k, body, err := bad.next()
+		if err != nil {
+			break
+		}
+		if k == 'E' {
+			errors++
+			if strings.Contains(body, "SFATAL\x00") {
+				fatal++
+			}
+		}
+	}
+	if errors < 2 || errors > 20 || fatal != 1 {
+		t.Errorf("%d errors, %d of them fatal", errors, fatal)
+	}
+	w.logged(`"party":"client"`, `"reason":"protocol"`, "too many bad messages")
+	w.asks(w.dial(), look("fine"), "value of fine", "")
+}
+
+// An id that another request has under way is turned away, whoever uses it, and that request is served untouched. Once it
+// is over, the id may be used again.
+func TestIDInUse(t *testing.T) {
+	w := newWorld(t, nil)
+	arrived, release := make(chan struct{}, 8), make(chan struct{})
+	w.primary.SetHandle(func(q *standin.Query) {
+		arrived <- struct{}{}
+		<-release
+		q.Serve([]byte("value of " + q.ID()))
+	})
+	first, second := w.raw(), w.dial()
+	first.Write(query(put("same")))
+	<-arrived
+	w.asks(second, put("same"), "", "22023")
+	w.asks(second, look("same"), "", "22023")
+	close(release)
+	if kinds, bodies := first.until('Z'); kinds != "TDCZ" || !strings.HasSuffix(bodies[1], "value of same") {
+		t.Errorf("%s %q", kinds, bodies)
+	}
+	w.asks(second, put("same"), "value of same", "")
+	if n := len(w.primary.Queries()) + len(w.replica.Queries()); n != 2 {
+		t.Errorf("%d statements reached a server", n)
+	}
+}
+
+// A client that finds no room is told so before its start-up, in a way that invites it to come again.
+func TestNoRoomForAClient(t *testing.T) {
+	w := newWorld(t, func(c *config.Config) { c.Sockets = 64 })
+	arrived, gate := make(chan struct{}, 64), make(chan struct{})
+	release := sync.OnceFunc(func() { close(gate) })
+	defer release()
+	hold := func(q *standin.Query) {
+		arrived <- struct{}{}
+		<-gate
+		q.Serve([]byte("v"))
+	}
+	w.primary.SetHandle(hold)
+	w.replica.SetHandle(hold)
+	busy := 0
+	for ; busy < 64; busy++ {
+		c := w.open()
+		c.Write(startup())
+		kinds, bodies := c.until('Z')
+		if kinds[0] == 'E' {
+			if !strings.Contains(bodies[0], "C53300\x00") {
+				t.Errorf("%s %q", kinds, bodies)
+			}
+			break
+		}
+		c.Write(query(put(fmt.Sprint("b", busy))))
+		eventually(t, func() bool { return w.counts().Requests[1] == int64(busy+1) },
+			func() string { return fmt.Sprintf("request %d did not come in", busy) })
+	}
+	if busy < 10 || busy > 40 {
+		t.Errorf("%d clients found room, with 64 descriptors", busy)
+	}
+	w.logged(`"party":"client"`, `"reason":"descriptors"`)
+}
--- a/internal/protocol/postgres/errors.go
+++ b/internal/protocol/postgres/errors.go
@@ -1,6 +1,9 @@
 package postgres
 
-import "strconv"
+import (
+	"errors"
+	"strconv"
+)
 
 // The SQLSTATEs that the gateway writes or tells apart.
 const (
@@ -45,13 +48,13 @@
 	return AppendReady(finish(b, at))
 }
 
-// parseError reads an ErrorResponse's code and whether it is fatal.
-func parseError(b []byte) (code string, fatal bool) {
+// parseError reads an ErrorResponse's code and whether it is fatal. One that is not whole tells nothing.
+func parseError(b []byte) (code string, fatal bool, err error) {
 	for len(b) > 1 {
 		field := b[0]
 		value, rest, ok := cut(b[1:])
-		if !ok {
-			return code, fatal
+		if !ok || field == 0 {
+			return "", false, errors.New("ErrorResponse that cannot be read")
 		}
 		switch field {
 		case fieldCode:
@@ -61,5 +64,18 @@
 		}
 		b = rest
 	}
-	return code, fatal
+	if len(b) != 1 || b[0] != 0 || !isState(code) {
+		return "", false, errors.New("ErrorResponse without an SQLSTATE or an end")
+	}
+	return code, fatal, nil
+}
+
+// isState tells whether a code is an SQLSTATE: five digits or capital letters.
+func isState(code string) bool {
+	for i := range len(code) {
+		if c := code[i]; (c < '0' || c > '9') && (c < 'A' || c > 'Z') {
+			return false
+		}
+	}
+	return len(code) == 5
 }
--- a/internal/protocol/postgres/frame_test.go
+++ b/internal/protocol/postgres/frame_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -92,9 +93,9 @@
 func join(parts ...[]byte) []byte { return bytes.Join(parts, nil) }
 
 var (
-	oneColumn = message('T', "\x00\x01content\x00rest")
+	oneColumn = message('T', "\x00\x01content\x00"+strings.Repeat("\x00", 17)+"\x01")
 	row       = message('D', "\x00\x01\x00\x00\x00\x02ab")
-	complete  = message('C', "SELECT 1\x00")
+	tag       = message('C', "SELECT 1\x00")
 	ready     = AppendReady(nil)
 )
 
@@ -109,13 +110,12 @@
 		code   string
 		ready  bool
 	}{
-		{"served", join(oneColumn, row, complete, role, at, load, ready), true, "", true},
-		{"not yet ready", join(oneColumn, row, complete), true, "", false},
-		{"no row", join(oneColumn, complete, ready), false, "", true},
+		{"served", join(oneColumn, row, tag, role, at, load, ready), true, "", true},
+		{"not yet ready", join(oneColumn, row, tag), true, "", false},
 		{"row without an end", join(oneColumn, row), false, "", false},
+		{"notices and parameters between", join(oneColumn, message('N', "any"), row, load, tag, ready), true, "", true},
+		{"parameter that cannot be read", join(message('S', "load"), oneColumn, row, tag, ready), true, "", true},
 		{"miss", join(AppendError(nil, false, CodeReadOnly, "m", 0), role, ready), false, CodeReadOnly, true},
-		{"error behind a row", join(oneColumn, row, AppendError(nil, false, "XX000", "m", 0), ready), false, "XX000", true},
-		{"error without a code", join(message('E', "Mx\x00\x00"), ready), false, CodeProtocol, true},
 	} {
 		r, err := reply(t, c.in)
 		if err != nil || r.Served() != c.served || r.Code != c.code || r.Ready != c.ready {
@@ -132,17 +132,42 @@
 }
 
 func TestReplyRejects(t *testing.T) {
+	failed := AppendError(nil, false, "XX000", "m", 0)
 	for name, in := range map[string][]byte{
-		"row without a description": row,
-		"two rows":                  join(oneColumn, row, row),
-		"two columns":               message('T', "\x00\x02"),
-		"two descriptions":          join(oneColumn, oneColumn),
-		"row of another length":     join(oneColumn, message('D', "\x00\x01\x00\x00\x00\x09ab")),
-		"row of two columns":        join(oneColumn, message('D', "\x00\x02\x00\x00\x00\x02ab")),
-		"short row":                 join(oneColumn, message('D', "\x00\x01")),
-		"password asked for":        message('R', "\x00\x00\x00\x03"),
-		"copy":                      message('G', "\x00"),
-		"status without an end":     message('S', "role\x00primary"),
+		"row without a description":  row,
+		"two rows":                   join(oneColumn, row, row),
+		"two columns":                message('T', "\x00\x02"),
+		"two descriptions":           join(oneColumn, oneColumn),
+		"description cut short":      message('T', "\x00\x01content\x00\x00"),
+		"description with more":      message('T', "\x00\x01content\x00"+strings.Repeat("\x00", 19)),
+		"description without a name": message('T', "\x00\x01"+strings.Repeat("\x00", 19)),
+		"unknown format":             message('T', "\x00\x01c\x00"+strings.Repeat("\x00", 17)+"\x07"),
+		"row of another length":      join(oneColumn, message('D', "\x00\x01\x00\x00\x00\x09ab")),
+		"row of a negative length":   join(oneColumn, message('D', "\x00\x01\xff\xff\xff\xfeab")),
+		"null":                       join(oneColumn, message('D', "\x00\x01\xff\xff\xff\xff")),
+		"row of two columns":         join(oneColumn, message('D', "\x00\x02\x00\x00\x00\x02ab")),
+		"short row":                  join(oneColumn, message('D', "\x00\x01")),
+		"no row":                     join(oneColumn, tag),
+		"tag alone":                  tag,
+		"tag without an end":         join(oneColumn, row, message('C', "SELECT 1")),
+		"empty tag":                  join(oneColumn, row, message('C', "\x00")),
+		"noise in the tag":           join(oneColumn, row, message('C', "SEL\x80CT\x00")),
+		"two tags":                   join(oneColumn, row, tag, tag),
+		"error behind a row":         join(oneColumn, row, failed),
+		"error behind the answer":    join(oneColumn, row, tag, failed),
+		"two errors":                 join(failed, failed),
+		"error without a code":       message('E', "Mx\x00\x00"),
+		"error with half a code":     message('E', "C533\x00\x00"),
+		"error without an end":       message('E', "C53300\x00"),
+		"error that goes on":         message('E', "C53300\x00\x00more"),
+		"row behind an error":        join(failed, oneColumn),
+		"ready without an answer":    ready,
+		"ready behind half of one":   join(oneColumn, row, ready),
+		"ready in a transaction":     join(oneColumn, row, tag, message('Z', "T")),
+		"ready without a state":      join(oneColumn, row, tag, message('Z', "")),
+		"empty answer":               message('I', ""),
+		"start-up's word":            message('R', "\x00\x00\x00\x00"),
+		"copy":                       message('G', "\x00"),
 	} {
 		if r, err := reply(t, in); err == nil {
 			t.Errorf("%s was taken: %+v", name, r)
@@ -150,10 +175,35 @@
 	}
 }
 
+func TestReplyToAStartup(t *testing.T) {
+	admitted := message('R', "\x00\x00\x00\x00")
+	for _, c := range []struct {
+		name      string
+		in        []byte
+		taken, ok bool
+	}{
+		{"admitted", join(admitted, message('S', "role\x00primary\x00"), message('K', "12345678"), ready), true, true},
+		{"turned away", AppendError(nil, true, CodeRefused, "m", 0), true, false},
+		{"password asked for", message('R', "\x00\x00\x00\x03"), false, false},
+		{"ready at once", ready, false, false},
+		{"a row", join(admitted, oneColumn), false, false},
+	} {
+		r, err := Reply{Starting: true}, error(nil)
+		for in := c.in; len(in) > 0 && err == nil; {
+			h, _ := ParseHeader(in)
+			err = r.Take(h, in[HeaderSize:HeaderSize+h.Body])
+			in = in[HeaderSize+h.Body:]
+		}
+		if (err == nil) != c.taken || r.Ready != c.ok || r.Served() {
+			t.Errorf("%s: %+v, %v", c.name, r, err)
+		}
+	}
+}
+
 func TestAppendErrorRoundTrip(t *testing.T) {
 	b := AppendError(nil, false, CodeRefused, "later", 250)
-	code, fatal := parseError(b[HeaderSize:])
-	if code != CodeRefused || fatal || !bytes.Contains(b, []byte("\x00D250\x00")) {
+	code, fatal, err := parseError(b[HeaderSize:])
+	if err != nil || code != CodeRefused || fatal || !bytes.Contains(b, []byte("\x00D250\x00")) {
 		t.Errorf("%q: %s, %v", b, code, fatal)
 	}
 	if bytes.Contains(AppendError(nil, false, CodeRefused, "later", 0), []byte("\x00D")) {
@@ -162,28 +212,27 @@
 }
 
 func TestLoadFields(t *testing.T) {
-	got := LoadFields("x0=1796133629.802, x1=0,broken,util=0.61")
+	got, ok := LoadFields("x0=1796133629.802, x1=0,util=0.61")
 	want := []Field{{"x0", "1796133629.802"}, {"x1", "0"}, {"util", "0.61"}}
-	if len(got) != len(want) {
-		t.Fatalf("%v", got)
+	if !ok || !slices.Equal(got, want) {
+		t.Errorf("%v, %v", got, ok)
 	}
-	for i := range want {
-		if got[i] != want[i] {
-			t.Errorf("%v, want %v", got[i], want[i])
-		}
-	}
-	if LoadFields("") != nil {
+	if got, ok := LoadFields(""); got != nil || !ok {
 		t.Error("fields of nothing")
 	}
+	if got, ok := LoadFields("x0=1,broken,util=0.61"); got != nil || ok {
+		t.Errorf("part of a report that cannot be read was taken: %v", got)
+	}
 }
 
 func FuzzReply(f *testing.F) {
-	f.Add(join(oneColumn, row, complete, ready))
+	f.Add(join(oneColumn, row, tag, ready))
 	f.Add(AppendError(nil, true, "XX000", "m", 0))
 	f.Add(message('S', "role\x00primary\x00"))
 	f.Add(message('D', "\x00\x01\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		var r Reply
+		var kinds []byte
 		for len(in) >= HeaderSize {
 			h, err := ParseHeader(in)
 			if err != nil || h.Body > len(in)-HeaderSize {
@@ -194,8 +243,9 @@
 				return
 			}
 			RowValue(body)
-			if r.Served() && (r.rows != 1 || r.columns != 1) {
-				t.Fatalf("served without one row of one column: %+v", r)
+			kinds = append(kinds, h.Type)
+			if r.Served() && strings.NewReplacer("S", "", "N", "", "Z", "").Replace(string(kinds)) != "TDC" {
+				t.Fatalf("served behind %q", kinds)
 			}
 			in = in[HeaderSize+h.Body:]
 		}
--- a/internal/protocol/postgres/reply.go
+++ b/internal/protocol/postgres/reply.go
@@ -7,23 +7,37 @@
 	"strings"
 )
 
-// Reply follows a server's answer to one query, message by message, until ReadyForQuery.
+// Reply follows a server's answer to one query, message by message, until ReadyForQuery. Only one order of messages is
+// an answer; whatever departs from it is spoilt, and nothing that it said may be believed.
 type Reply struct {
+	Starting bool   // it answers the start-up, not a query
 	Code     string // of an ErrorResponse, if there was one
 	Fatal    bool   // the server closes behind that error
-	Row      bool   // a DataRow of one column came
-	Complete bool   // CommandComplete came
 	Ready    bool   // ReadyForQuery came: the connection is free again
 	Params   Params
-	rows     int
-	columns  int
+	stage    stage
 }
 
+// stage is how far an answer has come.
+type stage uint8
+
+const (
+	begun stage = iota
+	described
+	withRow
+	complete
+	admitted // of a start-up: it needs no password
+	refused  // an ErrorResponse came
+)
+
 // Params are the ParameterStatus values that the gateway uses.
 type Params struct{ Role, Position, Load string }
 
 // Served tells whether the answer is a whole row.
-func (r *Reply) Served() bool { return r.Code == "" && r.Row && r.Complete }
+func (r *Reply) Served() bool { return r.stage == complete }
+
+// Begun tells whether a part of the answer has come that only more of it can make whole.
+func (r *Reply) Begun() bool { return r.stage == described || r.stage == withRow }
 
 // Passes tells whether a message of this type is part of the value that goes on to the client.
 func Passes(kind byte) bool {
@@ -33,54 +47,107 @@
 // Take reads one message. The body of a DataRow need hold no more than its beginning.
 func (r *Reply) Take(h Header, body []byte) error {
 	switch h.Type {
-	case TypeParameterStatus:
-		return r.Params.take(body)
-	case TypeRowDescription:
-		if r.columns > 0 || len(body) < 2 {
-			return errors.New("unexpected RowDescription")
-		}
-		if r.columns = int(binary.BigEndian.Uint16(body)); r.columns != 1 {
-			return fmt.Errorf("RowDescription of %d columns", r.columns)
-		}
-	case TypeDataRow:
-		if r.columns != 1 || len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
-			return errors.New("unexpected DataRow")
-		}
-		if n := int32(binary.BigEndian.Uint32(body[2:])); n >= 0 && int(n) != h.Body-6 || n < 0 && h.Body != 6 {
-			return errors.New("DataRow does not fit its column")
-		}
-		if r.rows++; r.rows > 1 {
-			return errors.New("more than one DataRow")
-		}
-		r.Row = true
-	case TypeCommandComplete:
-		r.Complete = true
+	case TypeNotice:
+		return nil
+	case TypeParameterStatus: // one that cannot be read says nothing; the answer around it may be good
+		r.Params.take(body)
+		return nil
 	case TypeError:
-		r.Code, r.Fatal = parseError(body)
-		if r.Code == "" {
-			r.Code = CodeProtocol
+		if r.stage != begun && r.stage != admitted {
+			return errors.New("an ErrorResponse behind part of an answer")
 		}
+		var err error
+		r.stage = refused
+		r.Code, r.Fatal, err = parseError(body)
+		return err
 	case TypeReady:
+		if len(body) != 1 || body[0] != 'I' {
+			return errors.New("ReadyForQuery within a transaction")
+		}
+		if r.stage != refused && r.stage != complete && r.stage != admitted {
+			return errors.New("ReadyForQuery without an answer")
+		}
 		r.Ready = true
-	case TypeEmptyQuery, TypeNotice, TypeBackendKeyData:
-	case TypeAuthentication:
-		if len(body) < 4 || binary.BigEndian.Uint32(body) != 0 {
+		return nil
+	}
+	if r.Starting {
+		return r.start(h, body)
+	}
+	switch {
+	case h.Type == TypeRowDescription && r.stage == begun:
+		r.stage = described
+		return checkDescription(body)
+	case h.Type == TypeDataRow && r.stage == described:
+		r.stage = withRow
+		return checkRow(h, body)
+	case h.Type == TypeCommandComplete && r.stage == withRow:
+		r.stage = complete
+		return checkTag(body)
+	}
+	return fmt.Errorf("unexpected message of type %q", h.Type)
+}
+
+// start reads a message that only a start-up brings.
+func (r *Reply) start(h Header, body []byte) error {
+	switch {
+	case h.Type == TypeAuthentication && r.stage == begun:
+		if len(body) != 4 || binary.BigEndian.Uint32(body) != 0 {
 			return errors.New("the server asks for a password")
 		}
+		r.stage = admitted
+	case h.Type == TypeBackendKeyData && r.stage == admitted:
 	default:
 		return fmt.Errorf("unexpected message of type %q", h.Type)
 	}
 	return nil
 }
 
-func (p *Params) take(body []byte) error {
+// fieldSize is what follows a column's name in a RowDescription: the ids of table, column and type, sizes and format.
+const fieldSize = 18
+
+func checkDescription(body []byte) error {
+	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
+		return errors.New("RowDescription of another number of columns than one")
+	}
+	name, rest, ok := cut(body[2:])
+	if !ok || name == "" || len(rest) != fieldSize || binary.BigEndian.Uint16(rest[fieldSize-2:]) > 1 {
+		return errors.New("RowDescription that cannot be read")
+	}
+	return nil
+}
+
+// checkRow checks a row's frame. A null is no value that a statement of ours can bring.
+func checkRow(h Header, body []byte) error {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+		return errors.New("DataRow of another number of columns than one")
+	}
+	if n := int32(binary.BigEndian.Uint32(body[2:])); n < 0 || int(n) != h.Body-6 {
+		return errors.New("DataRow does not fit its column")
+	}
+	return nil
+}
+
+func checkTag(body []byte) error {
+	tag, rest, ok := cut(body)
+	if !ok || tag == "" || len(rest) > 0 {
+		return errors.New("CommandComplete without a tag")
+	}
+	for i := range len(tag) {
+		if tag[i] < ' ' || tag[i] > '~' {
+			return errors.New("CommandComplete with a tag that cannot be read")
+		}
+	}
+	return nil
+}
+
+func (p *Params) take(body []byte) {
 	name, rest, ok := cut(body)
 	if !ok {
-		return errors.New("ParameterStatus without a value")
+		return
 	}
-	value, _, ok := cut(rest)
-	if !ok {
-		return errors.New("ParameterStatus without an end")
+	value, rest, ok := cut(rest)
+	if !ok || len(rest) > 0 {
+		return
 	}
 	switch name {
 	case "role":
@@ -90,7 +157,6 @@
 	case "load":
 		p.Load = value
 	}
-	return nil
 }
 
 // RowValue is the single column of a DataRow whose whole body is given.
@@ -104,13 +170,18 @@
 // Field is one value of a load report.
 type Field struct{ Name, Value string }
 
-// LoadFields splits a load report, such as inflight=7,util=0.61.
-func LoadFields(report string) []Field {
+// LoadFields splits a load report, such as inflight=7,util=0.61. It tells whether all of it could be read.
+func LoadFields(report string) ([]Field, bool) {
+	if report == "" {
+		return nil, true
+	}
 	var out []Field
 	for _, pair := range strings.Split(report, ",") {
-		if name, value, ok := strings.Cut(strings.TrimSpace(pair), "="); ok {
-			out = append(out, Field{name, value})
+		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		if !ok {
+			return nil, false
 		}
+		out = append(out, Field{name, value})
 	}
-	return out
+	return out, true
 }
--- a/internal/protocol/postgres/statement.go
+++ b/internal/protocol/postgres/statement.go
@@ -8,78 +8,138 @@
 	"strings"
 )
 
-// Statement is what the comment before a client's statement says of it.
+// Statement is a client's statement, checked whole.
 type Statement struct {
+	ID       string
 	Class    string
 	Wait     int64 // milliseconds from the client's send until it stops waiting
 	Group    int
 	After    int64 // Unix milliseconds that the read must see; 0: none
 	Repeat   bool  // the client says that it repeats itself
 	Key      string
-	waitFrom int // where the digits of d stand in the message's body
+	Write    bool // an INSERT; otherwise a SELECT
+	waitFrom int  // where the digits of d stand in the message's body
 	waitTo   int
 }
 
-// maxWait bounds d: a day.
-const maxWait = 24 * 60 * 60 * 1000
+// The two forms of a statement, around its comment, key and value.
+const (
+	commentOpen  = "/* "
+	commentClose = " */ "
+	selectOpen   = "SELECT content FROM kv WHERE name = '"
+	selectClose  = "'\x00"
+	insertOpen   = "INSERT INTO kv (name, content) VALUES ('"
+	insertValue  = "', '\\x"
+	insertClose  = "') RETURNING content\x00"
+)
+
+// The bounds of what a statement holds.
+const (
+	maxWait  = 24 * 60 * 60 * 1000 // of d: a day
+	maxText  = 256                 // of an id, a class, a key and any value that goes on unread
+	maxValue = 64 << 10
+)
 
 // IsEmpty tells whether a query's text holds no statement at all.
 func IsEmpty(text []byte) bool {
 	return len(bytes.Trim(text, " \t\r\n;\x00")) == 0
 }
 
-// ParseStatement reads the comment and the key of a statement. Given is the beginning of the message's body, or
-// all of it; comment and key must stand within.
-func ParseStatement(given []byte) (Statement, error) {
+// ParseStatement checks a whole statement, given in parts as its message's body. Comment and key must stand within the
+// first part; of the value only the digits may go on behind it. A server must never see anything but these two forms:
+// what it cannot read ends its connection, whatever else waits there.
+func ParseStatement(parts [][]byte) (Statement, error) {
 	var s Statement
-	open := bytes.Index(given, []byte("/*"))
-	if open < 0 || len(bytes.TrimSpace(given[:open])) != 0 {
+	var given []byte
+	if len(parts) > 0 {
+		given = parts[0]
+	}
+	if !bytes.HasPrefix(given, []byte(commentOpen)) {
 		return s, errors.New("the statement begins with no comment")
 	}
-	length := bytes.Index(given[open+2:], []byte("*/"))
+	length := bytes.Index(given[len(commentOpen):], []byte(commentClose))
 	if length < 0 {
 		return s, errors.New("the statement's comment has no end")
 	}
-	comment := given[open+2 : open+2+length]
+	end := len(commentOpen) + length
+	if err := s.comment(given[:end]); err != nil {
+		return s, err
+	}
+	at := end + len(commentClose)
+	if bytes.HasPrefix(given[at:], []byte(insertOpen)) {
+		s.Write = true
+		at += len(insertOpen)
+	} else if bytes.HasPrefix(given[at:], []byte(selectOpen)) {
+		at += len(selectOpen)
+	} else {
+		return s, errors.New("the statement is neither of the forms that are served here")
+	}
+	n := 0
+	for at+n < len(given) && isKey(given[at+n]) {
+		n++
+	}
+	if n == 0 || n > maxText {
+		return s, fmt.Errorf("the key has a length of %d, not from 1 to %d", n, maxText)
+	}
+	s.Key = string(given[at : at+n])
+	rest := append([][]byte{given[at+n:]}, parts[1:]...)
+	tail := selectClose
+	if s.Write {
+		if !bytes.HasPrefix(rest[0], []byte(insertValue)) {
+			return s, errors.New("the statement has no value in hexadecimal digits")
+		}
+		rest[0] = rest[0][len(insertValue):]
+		if n, rest = hexDigits(rest); n%2 != 0 || n > 2*maxValue {
+			return s, fmt.Errorf("the value has %d hexadecimal digits, not an even number up to %d", n, 2*maxValue)
+		}
+		tail = insertClose
+	}
+	if !equal(rest, tail) {
+		return s, errors.New("the statement does not end as it should")
+	}
+	return s, nil
+}
+
+// comment reads the names and values up to the comment's end.
+func (s *Statement) comment(given []byte) error {
 	seen := map[string]bool{}
-	for at := 0; at <= len(comment); {
-		end := bytes.IndexByte(comment[at:], ',')
+	for at := len(commentOpen); at <= len(given); {
+		end := bytes.IndexByte(given[at:], ',')
 		if end < 0 {
-			end = len(comment) - at
+			end = len(given) - at
+		}
+		name, value, ok := strings.Cut(string(given[at:at+end]), "=")
+		if !ok || !plain(name) {
+			return fmt.Errorf("%.40q is no name=value", given[at:at+end])
 		}
-		pair := comment[at : at+end]
-		name, value, ok := strings.Cut(strings.TrimSpace(string(pair)), "=")
-		if !ok {
-			return s, fmt.Errorf("%.40q is no name=value", pair)
+		if !plain(value) {
+			return fmt.Errorf("%s is %.40q, not from 1 to %d letters, digits and -_.:", name, value, maxText)
 		}
 		if seen[name] {
-			return s, fmt.Errorf("%.40q stands twice", name)
+			return fmt.Errorf("%.40q stands twice", name)
 		}
 		seen[name] = true
 		if err := s.take(name, value); err != nil {
-			return s, err
+			return err
 		}
 		if name == "d" {
-			s.waitTo = open + 2 + at + len(bytes.TrimRight(pair, " \t\r\n"))
+			s.waitTo = at + end
 			s.waitFrom = s.waitTo - len(value)
 		}
 		at += end + 1
 	}
 	for _, name := range []string{"id", "c", "d", "cluster"} {
 		if !seen[name] {
-			return s, fmt.Errorf("the comment lacks %s", name)
+			return fmt.Errorf("the comment lacks %s", name)
 		}
 	}
-	s.Key = firstQuoted(given[open+2+length+2:])
-	return s, nil
+	return nil
 }
 
 func (s *Statement) take(name, value string) (err error) {
 	switch name {
 	case "id":
-		if value == "" {
-			return errors.New("id is empty")
-		}
+		s.ID = value
 	case "c":
 		s.Class = value
 	case "d":
@@ -104,17 +164,45 @@
 	return int64(v), nil
 }
 
-// firstQuoted is the first text in single quotes.
-func firstQuoted(b []byte) string {
-	from := bytes.IndexByte(b, '\'')
-	if from < 0 {
-		return ""
+// plain tells whether a text may stand in a comment: nothing that could end it or a quote.
+func plain(s string) bool {
+	if len(s) == 0 || len(s) > maxText {
+		return false
+	}
+	for i := range len(s) {
+		switch c := s[i]; {
+		case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', strings.IndexByte("-_.:", c) >= 0:
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// isKey tells whether a byte may stand in a key: printable, and neither the quote nor the backslash.
+func isKey(c byte) bool { return c >= ' ' && c <= '~' && c != '\'' && c != '\\' }
+
+// hexDigits counts the digits that the parts begin with, and returns what follows them.
+func hexDigits(parts [][]byte) (n int, rest [][]byte) {
+	for k, p := range parts {
+		for i, c := range p {
+			if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+				return n + i, append([][]byte{p[i:]}, parts[k+1:]...)
+			}
+		}
+		n += len(p)
 	}
-	to := bytes.IndexByte(b[from+1:], '\'')
-	if to < 0 {
-		return ""
+	return n, nil
+}
+
+func equal(parts [][]byte, want string) bool {
+	for _, p := range parts {
+		if len(p) > len(want) || string(p) != want[:len(p)] {
+			return false
+		}
+		want = want[len(p):]
 	}
-	return string(b[from+1 : from+1+to])
+	return want == ""
 }
 
 // AppendQueryHead writes the beginning of the message that passes a statement on: the head, and the body up to
--- a/internal/protocol/postgres/statement_test.go
+++ b/internal/protocol/postgres/statement_test.go
@@ -19,14 +19,15 @@
 		want       Statement
 	}{
 		{"read", selectText, Statement{
-			Class: "basket", Wait: 480, Group: 2, After: 1767225600123, Key: "7f3a9c21e0b4d655"}},
+			ID: "9b1f03aa5c7e2d41", Class: "basket", Wait: 480, Group: 2, After: 1767225600123, Key: "7f3a9c21e0b4d655"}},
 		{"write, repeated", insertText, Statement{
-			Class: "order", Wait: 480, Group: 2, Repeat: true, Key: "7f3a9c21e0b4d655"}},
-		{"other names and spaces are passed over", " /*k=4, id=a ,d=1 , c=x,cluster=0,more=y=z*/SELECT 1\x00",
-			Statement{Class: "x", Wait: 1}},
-		{"d last", "/*id=a,c=x,cluster=1,d=99999*/\x00", Statement{Class: "x", Wait: 99999, Group: 1}},
+			ID: "9b1f03aa5c7e2d41", Class: "order", Wait: 480, Group: 2, Repeat: true, Key: "7f3a9c21e0b4d655", Write: true}},
+		{"other names, d last", "/* k=4,id=a,c=x-y,cluster=0,more=z,d=99999 */ " + plainRead, Statement{
+			ID: "a", Class: "x-y", Wait: 99999, Key: "k"}},
+		{"no value", "/* id=a,c=x,d=1,cluster=0 */ INSERT INTO kv (name, content) VALUES ('k', '\\x') RETURNING content\x00",
+			Statement{ID: "a", Class: "x", Wait: 1, Key: "k", Write: true}},
 	} {
-		got, err := ParseStatement([]byte(c.text))
+		got, err := parse(c.text)
 		if err != nil {
 			t.Errorf("%s: %v", c.name, err)
 			continue
@@ -38,32 +39,92 @@
 	}
 }
 
+const plainRead = "SELECT content FROM kv WHERE name = 'k'\x00"
+
+func parse(text string) (Statement, error) { return ParseStatement([][]byte{[]byte(text)}) }
+
 func TestParseStatementRejects(t *testing.T) {
 	for text, want := range map[string]string{
-		"SELECT 1":                                "no comment",
-		"SELECT 1 /* id=a,c=x,d=1,cluster=1":      "no comment",
-		"/* id=a,c=x,d=1,cluster=1 SELECT":        "no end",
-		"/* id=a,c=x,d=1 */ SELECT":               "lacks cluster",
-		"/* c=x,d=1,cluster=1 */ SELECT":          "lacks id",
-		"/* id=,c=x,d=1,cluster=1 */ S":           "id is empty",
-		"/* id=a,c=x,d=-1,cluster=1 */ S":         "d is \"-1\"",
-		"/* id=a,c=x,d=,cluster=1 */ S":           "d is \"\"",
-		"/* id=a,c=x,d=1e3,cluster=1 */ S":        "d is \"1e3\"",
-		"/* id=a,c=x,d=1,cluster=9999999999 */ S": "cluster is",
-		"/* id=a,c=x,d=1,d=2,cluster=1 */ S":      "stands twice",
-		"/* id=a,c=x,d=1,cluster=1,after=x */ S":  "after is",
-		"/* id=a,c=x,d=1,cluster */ S":            "no name=value",
-		"/**/":                                    "no name=value",
+		"":                                                                     "no comment",
+		plainRead:                                                              "no comment",
+		" /* id=a,c=x,d=1,cluster=1 */ S":                                      "no comment",
+		"/* id=a,c=x,d=1,cluster=1 SELECT":                                     "no end",
+		"/* id=a,c=x,d=1 */ SELECT":                                            "lacks cluster",
+		"/* c=x,d=1,cluster=1 */ SELECT":                                       "lacks id",
+		"/* id=,c=x,d=1,cluster=1 */ S":                                        "id is \"\"",
+		"/* id=a b,c=x,d=1,cluster=1 */ S":                                     "id is \"a b\"",
+		"/* id=a'b,c=x,d=1,cluster=1 */ S":                                     "id is",
+		"/* id=a,c=x,d=1,cluster=1,x=/* */ */ S":                               "x is",
+		"/* id=a,c=x,d=-1,cluster=1 */ S":                                      "d is \"-1\"",
+		"/* id=a,c=x,d=+1,cluster=1 */ S":                                      "d is \"+1\"",
+		"/* id=a,c=x,d=,cluster=1 */ S":                                        "d is \"\"",
+		"/* id=a,c=x,d=1e3,cluster=1 */ S":                                     "d is \"1e3\"",
+		"/* id=a,c=x,d=99999999999999999,cluster=1 */":                         "no end",
+		"/* id=a,c=x,d=9999999999999,cluster=1 */ S":                           "d is",
+		"/* id=a,c=x,d=1,cluster=9999999999 */ S":                              "cluster is",
+		"/* id=a,c=x,d=1,d=2,cluster=1 */ S":                                   "stands twice",
+		"/* id=a,c=x,d=1,cluster=1,after=x */ S":                               "after is",
+		"/* id=a,c=x,d=1,cluster */ S":                                         "no name=value",
+		"/* id=a,c=x,d=1,cluster=1, */ S":                                      "no name=value",
+		"/*  */ S":                                                             "no name=value",
+		okComment + "":                                                         "neither of the forms",
+		okComment + "SELECT 1\x00":                                             "neither of the forms",
+		okComment + "select content from kv where name = 'k'\x00":              "neither of the forms",
+		okComment + "DELETE FROM kv WHERE name = 'k'\x00":                      "neither of the forms",
+		okComment + "SELECT content FROM kv WHERE name = ''\x00":               "the key has a length of 0",
+		okComment + "SELECT content FROM kv WHERE name = 'a\\b'\x00":           "does not end",
+		okComment + "SELECT content FROM kv WHERE name = 'k":                   "does not end",
+		okComment + "SELECT content FROM kv WHERE name = 'k'":                  "does not end",
+		okComment + "SELECT content FROM kv WHERE name = 'k' \x00":             "does not end",
+		okComment + "SELECT content FROM kv WHERE name = 'k'\x00\x00":          "does not end",
+		okComment + "SELECT content FROM kv WHERE name = 'k' OR 'a' = 'a'\x00": "does not end",
+		okComment + "SELECT content FROM kv WHERE name = '" + strings.Repeat("k", 300) + "'\x00": "a length of 300",
+		okComment + "INSERT INTO kv (name, content) VALUES ('k', 'x') RETURNING content\x00":     "no value",
+		okComment + "INSERT INTO kv (name, content) VALUES ('k', '\\x0') RETURNING content\x00":  "1 hexadecimal digits",
+		okComment + "INSERT INTO kv (name, content) VALUES ('k', '\\x0g') RETURNING content\x00": "1 hexadecimal digits",
+		okComment + "INSERT INTO kv (name, content) VALUES ('k', '\\x00') RETURNING name\x00":    "does not end",
+		okComment + "INSERT INTO kv (name, content) VALUES ('k', '\\x00'); DROP TABLE kv\x00":    "does not end",
+		okComment + "INSERT INTO kv (name, content) VALUES ('k', '\\x00":                         "does not end",
 	} {
-		if _, err := ParseStatement([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := parse(text); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: got %v, want an error with %q", text, err, want)
 		}
 	}
+	if _, err := ParseStatement(nil); err == nil {
+		t.Error("nothing at all was taken")
+	}
+}
+
+const okComment = "/* id=a,c=x,d=1,cluster=1 */ "
+
+// A value goes on through as many parts as it takes, and its end may be cut anywhere.
+func TestParseStatementInParts(t *testing.T) {
+	value := strings.Repeat("0aF9", 6000)
+	text := strings.Replace(insertText, "9f03", value, 1)
+	for at := strings.Index(text, value); at <= len(text); at += 7 {
+		for _, parts := range [][][]byte{
+			{[]byte(text[:at]), []byte(text[at:])}, {[]byte(text[:at]), {}, []byte(text[at:]), {}},
+		} {
+			if s, err := ParseStatement(parts); err != nil || !s.Write || s.Key != "7f3a9c21e0b4d655" {
+				t.Fatalf("cut at %d: %+v, %v", at, s, err)
+			}
+			bad := append(append([][]byte{}, parts...), []byte("x"))
+			if _, err := ParseStatement(bad); err == nil {
+				t.Fatalf("cut at %d with a byte too many", at)
+			}
+		}
+	}
+	for digits, ok := range map[int]bool{2 * maxValue: true, 2*maxValue + 2: false} {
+		text := strings.Replace(insertText, "9f03", strings.Repeat("0", digits), 1)
+		if _, err := ParseStatement([][]byte{[]byte(text[:4096]), []byte(text[4096:])}); (err == nil) != ok {
+			t.Errorf("%d digits: %v", digits, err)
+		}
+	}
 }
 
 // passOn is the message that goes to a server for a statement.
 func passOn(text []byte, wait int64) ([]byte, error) {
-	s, err := ParseStatement(text)
+	s, err := ParseStatement([][]byte{text})
 	if err != nil {
 		return nil, err
 	}
@@ -99,14 +160,17 @@
 func FuzzStatement(f *testing.F) {
 	f.Add([]byte(selectText))
 	f.Add([]byte(insertText))
-	f.Add([]byte("/*id=a,c=x,cluster=1,d=9 */"))
-	f.Add([]byte("/* d = 5,id=a,c=x,cluster=1*/''"))
+	f.Add([]byte(okComment + plainRead))
+	f.Add([]byte("/* d=5,id=a,c=x,cluster=1 */ ''"))
 	f.Add([]byte("/*/"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		s, err := ParseStatement(text)
+		s, err := ParseStatement([][]byte{text})
 		if err != nil {
 			return
 		}
+		if bytes.Count(text, []byte("'")) != 2 && !s.Write || bytes.IndexByte(text, 0) != len(text)-1 {
+			t.Fatalf("taken: %q", text)
+		}
 		got, err := passOn(text, 77)
 		if err != nil {
 			t.Fatal(err)
@@ -114,7 +178,7 @@
 		if h, err := ParseHeader(got); err == nil && h.Body != len(got)-HeaderSize {
 			t.Fatalf("length %d of %d", h.Body, len(got)-HeaderSize)
 		}
-		again, err := ParseStatement(got[HeaderSize:])
+		again, err := ParseStatement([][]byte{got[HeaderSize:]})
 		if err != nil || again.Wait != 77 {
 			t.Fatalf("%q became %q: %v, d=%d", text, got, err, again.Wait)
 		}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -20,6 +20,7 @@
 	now      brain.Micros
 	requests map[string]*request
 	byClient map[Client]*request
+	byName   map[string]*request // by the client's id, for as long as anything is out for it
 	next     uint64
 	timers   timers
 	pending  []brain.Event // events that actions have called for, to be told after them
@@ -30,6 +31,7 @@
 // request is one request the module knows of.
 type request struct {
 	id       string
+	name     string // the client's id
 	client   Client
 	payload  Payload
 	class    int
@@ -46,8 +48,9 @@
 ) *Core {
 	c := &Core{
 		facts: facts, servers: servers, discovery: disc, log: log, now: now,
-		requests: map[string]*request{}, byClient: map[Client]*request{}, members: newMembers(),
-		Counts: newCounts(len(facts.Names)),
+		requests: map[string]*request{}, byClient: map[Client]*request{}, byName: map[string]*request{},
+		members: newMembers(),
+		Counts:  newCounts(len(facts.Names)),
 	}
 	router, first := brain.New(now, seed, facts.Settings)
 	c.router = router
@@ -132,12 +135,23 @@
 		e.Client.Answer(Answer{Kind: Refused})
 		return
 	}
+	if e.ID != "" && c.byName[e.ID] != nil {
+		// Every request has an id of its own. A second one under it would be a second copy to the servers, whoever sent
+		// it; the first is left alone.
+		c.Counts.Answers[Rejected][e.Arrival.Class]++
+		e.Payload.Free()
+		e.Client.Answer(Answer{Kind: Rejected})
+		return
+	}
 	c.next++
 	id := "r" + strconv.FormatUint(c.next, 10)
 	q := &request{
-		id: id, client: e.Client, payload: e.Payload, class: e.Arrival.Class, deadline: e.ReadAt + e.Wait,
+		id: id, name: e.ID, client: e.Client, payload: e.Payload, class: e.Arrival.Class, deadline: e.ReadAt + e.Wait,
 	}
 	c.requests[id], c.byClient[e.Client] = q, q
+	if q.name != "" {
+		c.byName[q.name] = q
+	}
 	c.Counts.Requests[q.class]++
 	a := e.Arrival
 	a.ID, a.Left = id, max(q.deadline-c.now, 0)
@@ -187,6 +201,7 @@
 func (c *Core) forget(q *request) {
 	if q.over && q.out == 0 {
 		delete(c.requests, q.id)
+		delete(c.byName, q.name)
 	}
 }
 
@@ -215,6 +230,9 @@
 			c.servers.Probe(a.Server, c.now, c.now+c.facts.Settings.ConnectTimeout)
 		case brain.CloseIdle:
 			c.servers.CloseIdle(a.Server)
+		case brain.Forget:
+			c.members.forget(a.Server)
+			c.servers.Forget(a.Server)
 		case brain.Watch:
 			c.Counts.Watches++
 			if a.On {
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -48,6 +49,7 @@
 	s.probes = append(s.probes, id)
 }
 func (s *fakeServers) CloseIdle(brain.ServerID)           {}
+func (s *fakeServers) Forget(id brain.ServerID)           { delete(s.places, id) }
 func (s *fakeServers) Place(id brain.ServerID, at string) { s.places[id] = at }
 
 type fakeDiscovery struct{ from []int64 }
@@ -345,3 +347,63 @@
 		t.Error("a stopped owner ran something")
 	}
 }
+
+// On a long day servers are replaced without end: nothing stays of one that is gone, and one that comes back while an
+// attempt is out at it is still the same.
+func TestReplacedServersAreForgotten(t *testing.T) {
+	r := newRig(t)
+	tell := func(entries ...discovery.Entry) {
+		r.core.Handle(r.now, ListNews{List: discovery.List{Rev: 42, Entries: entries}})
+		r.pass(100_000)
+	}
+	r.pass(100_000)
+	tell(entry("never", discovery.Gone, false))
+	before := len(r.core.members.ids)
+	for i := range 500 {
+		uid := "s" + strconv.Itoa(i)
+		tell(entry(uid, discovery.Ready, false))
+		tell(entry(uid, discovery.Draining, false))
+		tell(entry(uid, discovery.Gone, false))
+	}
+	r.pass(1_000_000)
+	if m := r.core.members; len(m.ids) != before || len(m.uids) != before || len(m.live) != before ||
+		len(r.servers.places) != before {
+		t.Errorf("%d numbers, %d uids, %d live and %d places kept, want %d", len(m.ids), len(m.uids), len(m.live),
+			len(r.servers.places), before)
+	}
+	for len(r.servers.jobs) == 0 || r.servers.jobs[len(r.servers.jobs)-1].Server == 1 {
+		r.request(0, 900_000)
+	}
+	last := len(r.servers.jobs) - 1
+	id := r.servers.jobs[last].Server
+	uid := r.core.members.uids[id]
+	tell(entry(uid, discovery.Gone, false))
+	tell(entry(uid, discovery.Ready, false))
+	if r.core.members.ids[uid] != id {
+		t.Error("a server that came back while an attempt was out got another number")
+	}
+	r.end(last, brain.ResultOK)
+}
+
+// What a client calls its requests is remembered for just as long as anything is out for them.
+func TestNamesInUse(t *testing.T) {
+	r := newRig(t)
+	ask := func() *fakeClient {
+		c := &fakeClient{}
+		r.core.Handle(r.now, &Request{
+			Client: c, ID: "x", Payload: &fakePayload{holders: 1}, ReadAt: r.now, Wait: 1_000_000,
+			Arrival: brain.Arrival{Class: 1, Group: 7},
+		})
+		return c
+	}
+	first := ask()
+	r.want(ask(), Rejected)
+	r.core.Handle(r.now, Gone{Client: first})
+	r.want(ask(), Rejected) // its attempt is still out
+	r.end(0, brain.ResultCancelled)
+	r.want(ask())
+	r.end(1, brain.ResultOK)
+	if len(r.core.byName) != 0 {
+		t.Errorf("%d names kept", len(r.core.byName))
+	}
+}
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -8,7 +8,7 @@
 		"served", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss",
 	}
 	FormNames = [...]string{"delta", "full", "cached", "failed"}
-	KindNames = [...]string{"served", "refused", "failed"}
+	KindNames = [...]string{"served", "refused", "failed", "rejected"}
 )
 
 // Counts are the owner's counters since the start.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,6 +26,7 @@
 	Served Kind = iota
 	Refused
 	Failed
+	Rejected // its id is that of a request still under way
 )
 
 // Answer is the one final answer to a request.
@@ -54,6 +55,7 @@
 	Probe(server brain.ServerID, sent, until brain.Micros)
 	CloseIdle(brain.ServerID)
 	Place(server brain.ServerID, endpoint string)
+	Forget(server brain.ServerID)
 }
 
 // Discovery asks for the member list. What it brings comes as ListNews.
@@ -69,6 +71,7 @@
 // Request is a client's request, whole.
 type Request struct {
 	Client  Client
+	ID      string // the client's; empty: none
 	Payload Payload
 	Arrival brain.Arrival // ID and Left are filled in by the owner
 	ReadAt  brain.Micros  // when its last byte was read
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -23,25 +23,35 @@
 
 // Timeouts are the time limits of client connections.
 type Timeouts struct {
-	Startup time.Duration // a client that does not start up
-	Message time.Duration // a message that stops halfway
-	Idle    time.Duration // a client long idle may sit on a machine that is cut off
-	Answer  time.Duration // a client that does not read its answer
-	Linger  time.Duration // after a last word, for the client to read it
+	Newcomer time.Duration // from the accept until a first whole request
+	Message  time.Duration // from a later message's first byte until its last
+	Idle     time.Duration // a client long idle may sit on a machine that is cut off
+	Answer   time.Duration // a client that does not read its answer
+	Linger   time.Duration // after a last word, for the client to read it
+	Pause    time.Duration // before the next message of a client that has sent a bad one, doubling
 }
 
-// DefaultTimeouts are the limits of a gateway in service. They only end what is broken: a client's own patience is
-// seconds, and a connection held for minutes without a request is worth less than its descriptor.
+// DefaultTimeouts are the limits of a gateway in service. A connection may be closed after 2 s without a request, and one
+// that never sends a whole one is owed its end within 3 s; a request is small and comes at once, in however many pieces.
+// One that has been served may idle for long: it gives way when descriptors run short, not before.
 var DefaultTimeouts = Timeouts{
-	Startup: 10 * time.Second, Message: 10 * time.Second, Idle: 5 * time.Minute, Answer: 5 * time.Second,
-	Linger: 200 * time.Millisecond,
+	Newcomer: 2500 * time.Millisecond, Message: 2500 * time.Millisecond, Idle: 5 * time.Minute, Answer: 5 * time.Second,
+	Linger: 200 * time.Millisecond, Pause: 10 * time.Millisecond,
 }
 
+// mostStrikes is how many bad messages a connection may send, each behind a pause twice as long as the one before: the
+// last ones come seconds after the first. It guards against clients that ask the same again at full speed; a client in
+// service sends none.
+const mostStrikes = 8
+
 // askTimeout is the time between looks at a request whose client has sent more ahead than a buffer holds.
 const askTimeout = time.Minute
 
-// answerReserve is set aside for the answer to each request: the largest value, in hex, and its messages' heads.
-const answerReserve = 130 << 10
+// lateRequest is how long a request that was on its way in when its connection's time was up may take to arrive.
+const lateRequest = 100 * time.Millisecond
+
+// largestAnswer bounds a message of an answer: the largest value, in hex, and its head.
+const largestAnswer = 130 << 10
 
 // lingerBytes bounds what is passed over after a last word.
 const lingerBytes = 1 << 20
@@ -82,12 +92,25 @@
 	closing bool
 	reason  transport.Reason
 	served  int
+
+	newBy   time.Time // when a newcomer's time is up
+	known   bool      // it has sent a whole request
+	strikes int       // bad messages
 }
 
-// Serve serves one connection to its end.
-func (s *Clients) Serve(conn *transport.Conn) {
+// Serve serves one connection to its end. One that cannot stay is turned away before its start-up, with an error that
+// invites it to come again.
+func (s *Clients) Serve(conn *transport.Conn, stays bool) {
 	since := time.Now()
-	c := &client{all: s, conn: conn, told: make(chan struct{}, 1)}
+	if !stays {
+		remote := conn.Remote()
+		conn.Write(since.Add(s.Limits.Linger), net.Buffers{postgres.AppendError(nil, true, postgres.CodeRefused,
+			"too many clients already", 0)})
+		conn.Close()
+		s.Ends.End(transport.Client, remote, transport.EndDescriptors, since, 0, nil)
+		return
+	}
+	c := &client{all: s, conn: conn, told: make(chan struct{}, 1), newBy: since.Add(s.Limits.Newcomer)}
 	s.mu.Lock()
 	if s.open == nil {
 		s.open = map[*client]struct{}{}
@@ -173,16 +196,25 @@
 	return c.answer != nil
 }
 
+// by is when the client must have done what it is given a time for. A newcomer has one time for everything.
+func (c *client) by(limit time.Duration) time.Time {
+	if !c.known {
+		return c.newBy
+	}
+	return time.Now().Add(limit)
+}
+
 // idle waits for n bytes between requests. What has come already is served, whoever asks for the end.
-func (c *client) idle(n int, timeout time.Duration) (transport.Reason, error) {
-	c.all.Fds.Park(c)
+func (c *client) idle(n int) (transport.Reason, error) {
+	c.all.Fds.Park(c, c.known)
 	c.rest(true)
 	defer func() {
 		c.rest(false)
 		c.all.Fds.Unpark(c)
 	}()
-	deadline := time.Now().Add(timeout)
+	deadline := c.by(c.all.Limits.Idle)
 	pending := c.isClosing
+	late := false
 	for {
 		err := c.conn.Wait(n, deadline, pending)
 		switch {
@@ -196,16 +228,29 @@
 			}
 			pending = nil // a request is on its way in: closing now would cut it off
 		case errors.Is(err, transport.ErrDeadline):
-			if c.conn.Buffered() > 0 {
+			switch {
+			case c.conn.Buffered() > 0:
 				return transport.EndTimeout, err
+			case late || c.conn.Quiet():
+				return transport.EndIdle, err
 			}
-			return transport.EndIdle, err
+			late, deadline = true, time.Now().Add(lateRequest)
 		default:
 			return transport.ReasonOf(err), err
 		}
 	}
 }
 
+// strike counts a bad message, and makes its sender wait before the next one is read.
+func (c *client) strike() (transport.Reason, error) {
+	c.all.Counts.Malformed.Add(1)
+	if c.strikes++; c.strikes >= mostStrikes {
+		return c.end(errors.New("too many bad messages"))
+	}
+	time.Sleep(c.all.Limits.Pause << c.strikes)
+	return 0, nil
+}
+
 // run serves start-up and then one message after another.
 func (c *client) run(process uint32) (transport.Reason, error) {
 	if reason, err := c.startup(process); err != nil {
@@ -216,14 +261,14 @@
 	}
 	skipping := false // after an error in the extended protocol, up to Sync
 	for {
-		if reason, err := c.idle(postgres.HeaderSize, c.all.Limits.Idle); err != nil {
+		if reason, err := c.idle(postgres.HeaderSize); err != nil {
 			return reason, err
 		}
 		h, err := postgres.ParseHeader(c.conn.Peek(postgres.HeaderSize))
 		if err != nil {
 			return c.reject(err)
 		}
-		c.conn.ReadBy(time.Now().Add(c.all.Limits.Message))
+		c.conn.ReadBy(c.by(c.all.Limits.Message))
 		if err := c.conn.Skip(postgres.HeaderSize); err != nil {
 			return transport.ReasonOf(err), err
 		}
@@ -255,7 +300,11 @@
 			} else {
 				skipping = true
 			}
-			err = c.write(out)
+			if err = c.write(out); err == nil {
+				if reason, err := c.strike(); err != nil {
+					return reason, err
+				}
+			}
 		default:
 			return c.reject(errors.New("message of unknown type " + strconv.Quote(string(h.Type))))
 		}
@@ -268,7 +317,7 @@
 // startup answers the connection's first packets.
 func (c *client) startup(process uint32) (transport.Reason, error) {
 	for {
-		if reason, err := c.idle(4, c.all.Limits.Startup); err != nil {
+		if reason, err := c.idle(4); err != nil {
 			if reason == transport.EndIdle {
 				reason = transport.EndTimeout
 			}
@@ -279,7 +328,7 @@
 			return c.reject(err)
 		}
 		packet := make([]byte, 4+n)
-		c.conn.ReadBy(time.Now().Add(c.all.Limits.Message))
+		c.conn.ReadBy(c.newBy)
 		if _, err := io.ReadFull(c.conn.Reader(), packet); err != nil {
 			return transport.ReasonOf(err), err
 		}
@@ -306,6 +355,11 @@
 // reject ends a connection on which the framing is lost.
 func (c *client) reject(cause error) (transport.Reason, error) {
 	c.all.Counts.Malformed.Add(1)
+	return c.end(cause)
+}
+
+// end gives the last word and leaves the client time to read it.
+func (c *client) end(cause error) (transport.Reason, error) {
 	if c.write(postgres.AppendError(nil, true, postgres.CodeProtocol, cause.Error(), 0)) == nil {
 		c.conn.Linger(time.Now().Add(c.all.Limits.Linger), lingerBytes)
 	}
@@ -319,9 +373,10 @@
 
 // query reads one query and answers it.
 func (c *client) query(body int) (transport.Reason, error) {
-	reserve := body + answerReserve
+	// Of the answer only a first buffer is set aside. A larger one waits at its server's link until there is room for
+	// it: were the largest reserved for every request, a small gateway would refuse for memory that nobody uses.
+	reserve := body + transport.BufferSize
 	if !c.all.Buffers.Reserve(reserve) {
-		// Refused before any attempt: half a value must never be all that there is room for.
 		c.all.Counts.OverMemory.Add(1)
 		if err := c.conn.Skip(body); err != nil {
 			return transport.ReasonOf(err), err
@@ -332,6 +387,9 @@
 	text := c.all.Buffers.NewMessage()
 	if err := text.Fill(c.conn.Reader(), body); err != nil {
 		text.Free()
+		if transport.ReasonOf(err) == transport.EndTimeout {
+			c.end(errors.New("the message did not come in time"))
+		}
 		return transport.ReasonOf(err), err
 	}
 	readAt := c.all.Clock.Now()
@@ -344,31 +402,42 @@
 		c.all.Counts.Empty.Add(1)
 		return reasoned(c.write(postgres.AppendEmptyAnswer(nil)))
 	}
-	st, err := postgres.ParseStatement(text.First())
+	st, err := postgres.ParseStatement(text.From(0))
 	if err != nil {
 		text.Free()
-		c.all.Counts.Malformed.Add(1)
-		return c.complain(postgres.CodeProtocol, err.Error())
+		return c.rebuke(postgres.CodeProtocol, err.Error())
 	}
 	class, ok := c.all.Facts.Classes[st.Class]
 	if !ok {
 		text.Free()
-		c.all.Counts.Malformed.Add(1)
-		return c.complain(postgres.CodeBadValue, "class "+strconv.Quote(st.Class)+" is not known")
+		return c.rebuke(postgres.CodeBadValue, "class "+strconv.Quote(st.Class)+" is not known")
+	}
+	if st.Write != c.all.Facts.Writes(class) {
+		text.Free()
+		return c.rebuke(postgres.CodeBadValue, "class "+strconv.Quote(st.Class)+" is not for such statements")
 	}
 	a := brain.Arrival{Class: class, Group: st.Group, Repeat: st.Repeat}
-	if c.all.Facts.HasSession(class) && st.Key != "" {
+	if c.all.Facts.HasSession(class) {
 		sum := fnv.New64a()
 		sum.Write([]byte(st.Key))
 		a.Session, a.HasSession = sum.Sum64(), true
 	}
+	c.known = true
 	c.all.Owner.Post(&routing.Request{
-		Client: c, Payload: &query{text: text, statement: st}, Arrival: a, ReadAt: readAt,
+		Client: c, ID: st.ID, Payload: &query{text: text, statement: st}, Arrival: a, ReadAt: readAt,
 		Wait: brain.Micros(st.Wait) * 1000, After: brain.Micros(st.After) * 1000,
 	})
 	return c.await()
 }
 
+// rebuke answers a bad statement.
+func (c *client) rebuke(code, message string) (transport.Reason, error) {
+	if reason, err := c.complain(code, message); err != nil {
+		return reason, err
+	}
+	return c.strike()
+}
+
 // complain answers a query that never became a request.
 func (c *client) complain(code, message string) (transport.Reason, error) {
 	return reasoned(c.write(postgres.AppendReady(postgres.AppendError(nil, false, code, message, 0))))
@@ -429,6 +498,8 @@
 			"no server can take this in time", int64(a.RetryAfter/1000)))))
 	case routing.Failed:
 		return c.complain(postgres.CodeFailed, "the statement failed, and may have run")
+	case routing.Rejected:
+		return c.rebuke(postgres.CodeBadValue, "the id is that of a request still under way")
 	}
 	c.served++
 	parts := append(a.Value.From(0), postgres.AppendReady(nil))
--- a/internal/session/client_test.go
+++ b/internal/session/client_test.go
@@ -21,7 +21,7 @@
 	defer l.Close()
 	fds := transport.NewDescriptors(1024)
 	conn, err := transport.Dial(context.Background(), l.Addr().String(), time.Now().Add(patience),
-		transport.NewBuffers(1<<20), fds)
+		transport.NewBuffers(1<<20), fds, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -31,7 +31,7 @@
 	}
 	t.Cleanup(func() { conn.Close(); peer.Close() })
 	all := &Clients{Fds: fds, Ends: transport.NewEnds(zerolog.Nop()), Limits: DefaultTimeouts}
-	return &client{all: all, conn: conn, told: make(chan struct{}, 1)}, peer
+	return &client{all: all, conn: conn, told: make(chan struct{}, 1), known: true}, peer
 }
 
 // A connection that is asked to close while a request has already reached the machine serves that request first.
@@ -47,11 +47,11 @@
 	}
 	c.CloseIdle(transport.EndRoom)
 	time.AfterFunc(10*time.Millisecond, func() { peer.Write([]byte{0, 0, 0, 4}) })
-	if reason, err := c.idle(5, patience); err != nil {
+	if reason, err := c.idle(5); err != nil {
 		t.Fatalf("closed for %s (%v) with a request in the kernel", reason, err)
 	}
 	c.conn.Skip(5)
-	if reason, err := c.idle(5, patience); err == nil || reason != transport.EndRoom {
+	if reason, err := c.idle(5); err == nil || reason != transport.EndRoom {
 		t.Errorf("then %s, %v, want it closed for room", reason, err)
 	}
 }
--- a/internal/session/link.go
+++ b/internal/session/link.go
@@ -110,7 +110,7 @@
 	t.carriedBy(l)
 	clock := l.all.Clock
 	by := clock.Time(min(clock.Now()+l.all.Facts.Settings.ConnectTimeout, t.Until))
-	conn, err := transport.Dial(t.ctx, l.place.endpoint, by, l.all.Buffers, l.all.Fds)
+	conn, err := transport.Dial(t.ctx, l.place.endpoint, by, l.all.Buffers, l.all.Fds, t.probe)
 	if err != nil {
 		return brain.ResultConnectFailed, transport.DialReason(err), err
 	}
@@ -120,7 +120,7 @@
 	if _, err := conn.Write(by, net.Buffers{postgres.AppendStartup(nil, l.all.User, l.all.DB)}); err != nil {
 		return brain.ResultConnectFailed, transport.ReasonOf(err), err
 	}
-	var reply postgres.Reply
+	reply := postgres.Reply{Starting: true}
 	if _, err := l.read(&reply, by, t, nil); err != nil {
 		reason := transport.ReasonOf(err)
 		if errors.Is(err, transport.ErrDeadline) {
@@ -179,7 +179,7 @@
 	closing := l.closing
 	l.mu.Unlock()
 	if !closing {
-		l.all.Fds.Park(l)
+		l.all.Fds.Park(l, true)
 		l.place.idle.Put(l)
 	}
 	l.all.finish(t, e)
@@ -275,6 +275,8 @@
 	report, err := l.read(&reply, until, t, value)
 	e, reason := ended{params: reply.Params, report: report}, carryOn
 	switch {
+	case errors.Is(err, errProtocol): // spoilt: it may have run, and nothing that it said is believed
+		e, reason = ended{result: brain.ResultError}, transport.EndProtocol
 	case reply.Served():
 		e.result, e.value = brain.ResultOK, value
 	case reply.Code != "":
@@ -283,15 +285,11 @@
 		e.result, reason = brain.ResultCancelled, transport.EndAbandoned
 	case errors.Is(err, transport.ErrDeadline):
 		e.result, reason = brain.ResultTimeout, transport.EndTimeout
-	case errors.Is(err, errProtocol):
-		e.result, reason = brain.ResultError, transport.EndProtocol
-	case err != nil:
+	default:
 		e.result, reason = brain.ResultReset, transport.ReasonOf(err)
-	default: // ReadyForQuery without a row: nobody made an answer, and it may have run
-		e.result = brain.ResultError
 	}
-	if err != nil && reason == carryOn {
-		reason = transport.EndServerFailed
+	if reason == carryOn && (err != nil || l.conn.Buffered() > 0) {
+		reason = transport.EndServerFailed // more came than belongs to the answer: it must not become the next one's
 	}
 	if e.value == nil {
 		value.Free()
@@ -303,12 +301,21 @@
 var errProtocol = errors.New("protocol broken")
 
 // read reads messages up to ReadyForQuery. What belongs to the value goes into value; of a probe's row it returns
-// the text.
+// the text. An answer that has begun must go on: one that stops for longer than a connection may take to come up is
+// spoilt, and its request need not wait for its own end. Harm: a machine that is held up in the middle of an answer.
 func (l *link) read(reply *postgres.Reply, by time.Time, t *task, value *transport.Message) (string, error) {
 	row := ""
 	for !reply.Ready {
-		if err := l.conn.Wait(postgres.HeaderSize, by, t.cancelled); err != nil {
-			return row, err
+		due := by
+		if reply.Begun() {
+			due = l.stall(by)
+		}
+		if err := l.conn.Wait(1, due, t.cancelled); err != nil {
+			return row, stalled(err, due, by)
+		}
+		due = l.stall(by)
+		if err := l.conn.Wait(postgres.HeaderSize, due, t.cancelled); err != nil {
+			return row, stalled(err, due, by)
 		}
 		h, err := postgres.ParseHeader(l.conn.Peek(postgres.HeaderSize))
 		if err != nil {
@@ -316,13 +323,14 @@
 		}
 		whole := postgres.HeaderSize + h.Body
 		head := min(whole, transport.BufferSize)
-		if err := l.conn.Wait(head, by, t.cancelled); err != nil {
-			return row, err
-		}
-		seen := l.conn.Peek(head)
-		if whole > head && (h.Type != postgres.TypeDataRow || value == nil || whole > answerReserve) {
+		if whole > head && (h.Type != postgres.TypeDataRow || value == nil || whole > largestAnswer) {
 			return row, errors.Join(errProtocol, errors.New("a message is too large"))
 		}
+		due = l.stall(by)
+		if err := l.conn.Wait(head, due, t.cancelled); err != nil {
+			return row, stalled(err, due, by)
+		}
+		seen := l.conn.Peek(head)
 		if err := reply.Take(h, seen[postgres.HeaderSize:]); err != nil {
 			return row, errors.Join(errProtocol, err)
 		}
@@ -330,12 +338,8 @@
 		case h.Type == postgres.TypeDataRow && value == nil:
 			row = postgres.RowValue(seen[postgres.HeaderSize:])
 		case value != nil && postgres.Passes(h.Type):
-			l.conn.ReadBy(by)
-			if err := value.Fill(l.conn.Reader(), whole); err != nil {
-				if t.cancelled() {
-					err = transport.ErrWoken
-				}
-				return row, deadline(err)
+			if err := l.fill(value, whole, by, t); err != nil {
+				return row, err
 			}
 			continue
 		}
@@ -349,6 +353,44 @@
 	return row, nil
 }
 
+// fill reads a message into the value, a buffer at a time. A large one waits here until there is memory for it: what
+// is held already goes out to its clients whatever happens here.
+func (l *link) fill(value *transport.Message, whole int, by time.Time, t *task) error {
+	if err := value.Grow(whole, by, t.cancelled); err != nil {
+		return err
+	}
+	for whole > 0 {
+		n := min(whole, transport.BufferSize)
+		due := l.stall(by)
+		l.conn.ReadBy(due)
+		if err := value.Fill(l.conn.Reader(), n); err != nil {
+			if t.cancelled() {
+				return transport.ErrWoken
+			}
+			return stalled(deadline(err), due, by)
+		}
+		whole -= n
+	}
+	return nil
+}
+
+// stall is when an answer that has begun and stops counts as spoilt.
+func (l *link) stall(by time.Time) time.Time {
+	due := time.Now().Add(time.Duration(l.all.Facts.Settings.ConnectTimeout) * time.Microsecond)
+	if due.After(by) {
+		return by
+	}
+	return due
+}
+
+// stalled tells an answer that stopped from one that did not come in time.
+func stalled(err error, due, by time.Time) error {
+	if errors.Is(err, transport.ErrDeadline) && due.Before(by) {
+		return errors.Join(errProtocol, errors.New("the answer stopped in its middle"))
+	}
+	return err
+}
+
 // deadline tells a deadline that a plain read has reached like one that a wait has.
 func deadline(err error) error {
 	if transport.ReasonOf(err) == transport.EndTimeout {
--- a/internal/session/link_test.go
+++ b/internal/session/link_test.go
@@ -1,6 +1,8 @@
 package session
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,8 +55,8 @@
 
 func (r *rig) job(id string) routing.Job {
 	text := r.servers.Buffers.NewMessage()
-	text.Append([]byte("/* id=" + id + ",c=x,d=5000,cluster=1 */ SELECT 1\x00"))
-	st, err := postgres.ParseStatement(text.First())
+	text.Append([]byte("/* id=" + id + ",c=x,d=5000,cluster=1 */ SELECT content FROM kv WHERE name = 'k'\x00"))
+	st, err := postgres.ParseStatement(text.From(0))
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -197,7 +199,7 @@
 // A value larger than what was set aside for it would break the memory budget.
 func TestOversizedAnswer(t *testing.T) {
 	r := newRig(t)
-	r.server.SetHandle(func(q *standin.Query) { q.Serve(make([]byte, answerReserve)) })
+	r.server.SetHandle(func(q *standin.Query) { q.Serve(make([]byte, largestAnswer)) })
 	r.servers.Send(r.job("a"))
 	if e := r.ended(); e.Result != brain.ResultError || e.Value != nil {
 		t.Errorf("ended with %s", routing.ResultNames[e.Result])
@@ -320,3 +322,85 @@
 		t.Error("carried out on the connection that had failed")
 	}
 }
+
+// message is a message as a server writes it, made here and not by the gateway's codec.
+func message(kind byte, body string) string {
+	n := len(body) + 4
+	return string([]byte{kind, byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}) + body
+}
+
+// A spoilt answer is one attempt that may have run: nothing that it said is believed, and its connection is never used
+// again. None of them may hold its request up until its end.
+func TestSpoiltAnswers(t *testing.T) {
+	whole := string(standin.Row([]byte("v")))
+	claims := message('S', "role\x00primary\x00") + message('S', "applied_ms\x001796133629826\x00")
+	for name, raw := range map[string]string{
+		"noise":                         "\x91\x02\xfe\x00\x7f\x11 and more of it",
+		"a line that never ends":        strings.Repeat("x", 300<<10),
+		"a value said to hold 3 GB":     whole[:len(whole)-len(message('C', "SELECT 1\x00"))-12] + "D\xb2\xd0\x5e\x00" + strings.Repeat("y", 300<<10),
+		"a length below four":           "T\x00\x00\x00\x01",
+		"a refusal that cannot be read": claims + message('E', "C53300") + message('Z', "I"),
+		"a row that stops":              claims + whole[:len(whole)-20],
+		"a header that stops":           "T\x00\x00",
+		"an answer without its end":     claims + message('T', whole[5:5+26+4])[:20],
+		"noise before the end":          claims + whole + "\x00\x00\x00\x00\x00\x00\x00",
+	} {
+		r := newRig(t)
+		r.server.SetHandle(func(q *standin.Query) { q.Write([]byte(raw)) })
+		r.servers.Send(r.job("a"))
+		e := r.ended()
+		if e.Result != brain.ResultError || e.Role != brain.RoleUnknown || e.Position != 0 || e.Value != nil {
+			t.Errorf("%s: ended with %s, role %d at %d", name, routing.ResultNames[e.Result], e.Role, e.Position)
+		}
+		if e.Latency > 4_000_000 {
+			t.Errorf("%s: held for %d us", name, e.Latency)
+		}
+		<-r.server.Closed
+		if n := r.servers.Fds.Used(); n != 0 {
+			t.Errorf("%s: %d connections kept", name, n)
+		}
+	}
+}
+
+// What comes right behind a good answer belongs to nobody. It is never taken for the next request's answer.
+func TestSurplusBehindAnAnswer(t *testing.T) {
+	r := newRig(t)
+	whole := string(standin.Row([]byte("first"))) + message('Z', "I")
+	r.server.SetHandle(func(q *standin.Query) {
+		if q.ID() == "first" {
+			q.Write([]byte(whole + whole))
+			return
+		}
+		q.Serve([]byte("second"))
+	})
+	for _, id := range []string{"first", "second"} {
+		r.servers.Send(r.job(id))
+		e := r.ended()
+		if e.Result != brain.ResultOK {
+			t.Fatalf("%s ended with %s", id, routing.ResultNames[e.Result])
+		}
+		if parts := e.Value.From(0); !bytes.Contains(bytes.Join(parts, nil), []byte(id)) {
+			t.Errorf("%s got %q", id, parts)
+		}
+		e.Value.Free()
+	}
+	if n := r.server.Opened(); n != 2 {
+		t.Errorf("%d connections opened, want one for each", n)
+	}
+}
+
+// A good answer with a load report that cannot be read is served; of such a report nothing is believed.
+func TestUnreadableReport(t *testing.T) {
+	r := newRig(t)
+	r.server.SetHandle(func(q *standin.Query) {
+		q.Write([]byte(message('S', "load\x00x0=1796133629.826,\xff\x00") + message('S', "load") +
+			string(standin.Row([]byte("v"))) + message('Z', "I")))
+	})
+	r.servers.Send(r.job("a"))
+	if e := r.ended(); e.Result != brain.ResultOK || e.Report.HasPosition {
+		t.Errorf("ended with %s, report %+v", routing.ResultNames[e.Result], e.Report)
+	}
+	if r.servers.report("x0=1796133629.826,x1=zero").HasPosition {
+		t.Error("half a report was believed")
+	}
+}
--- a/internal/session/servers.go
+++ b/internal/session/servers.go
@@ -96,6 +96,17 @@
 	}
 }
 
+// Forget drops a server's place once nothing is out there. Its idle connections are closed.
+func (s *Servers) Forget(server brain.ServerID) {
+	s.mu.Lock()
+	p := s.places[server]
+	delete(s.places, server)
+	s.mu.Unlock()
+	if p != nil {
+		closeAll(p)
+	}
+}
+
 func closeAll(p *place) {
 	for _, l := range p.idle.TakeAll() {
 		l.CloseIdle(transport.EndReplaced)
@@ -194,11 +205,15 @@
 
 var roles = map[string]brain.Role{"primary": brain.RolePrimary, "replica": brain.RoleReplica}
 
-// report reads a load report; what cannot be read is left out.
+// report reads a load report. One of which any part cannot be read says nothing.
 func (s *Servers) report(text string) brain.Report {
 	var rep brain.Report
-	for _, f := range postgres.LoadFields(text) {
-		settings.AddReport(&rep, f.Name, f.Value, 0)
+	fields, ok := postgres.LoadFields(text)
+	for _, f := range fields {
+		ok = ok && settings.AddReport(&rep, f.Name, f.Value, 0) == nil
+	}
+	if !ok {
+		return brain.Report{}
 	}
 	return rep
 }
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -192,7 +192,7 @@
 
 // run carries the call out. Of a whole list it returns the version.
 func (c *call) run(from int64) (int64, transport.Reason, error) {
-	conn, err := transport.Dial(c.ctx, c.addr, time.Now().Add(c.all.Limits.Connect), c.all.Buffers, c.all.Fds)
+	conn, err := transport.Dial(c.ctx, c.addr, time.Now().Add(c.all.Limits.Connect), c.all.Buffers, c.all.Fds, true)
 	if err != nil {
 		return 0, transport.DialReason(err), err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,9 @@
 	return need == brain.NeedWrite || need == brain.NeedSession
 }
 
+// Writes tells whether requests of a class change data.
+func (f *Facts) Writes(class int) bool { return f.Settings.Classes[class].Need == brain.NeedWrite }
+
 // number is a wire number kept as its text until its unit is known.
 type number string
 
--- a/internal/transport/buffer.go
+++ b/internal/transport/buffer.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // BufferSize is the one size of buffers. Nearly every message fits into one; a value of 64 KiB in hex takes 17.
@@ -44,10 +45,11 @@
 
 // Message is a run of bytes kept in pooled buffers. It may be shared: each holder frees it once.
 type Message struct {
-	pool   *Buffers
-	chunks []*[BufferSize]byte
-	size   int
-	refs   atomic.Int32
+	pool     *Buffers
+	chunks   []*[BufferSize]byte
+	size     int
+	reserved int // bytes set aside for it by Grow
+	refs     atomic.Int32
 }
 
 // NewMessage makes an empty message with one holder.
@@ -71,7 +73,31 @@
 	for _, c := range m.chunks {
 		m.pool.chunks.Put(c)
 	}
-	m.chunks, m.size = nil, 0
+	m.pool.Release(m.reserved)
+	m.chunks, m.size, m.reserved = nil, 0, 0
+}
+
+// growPoll is how often a message that waits for memory looks again. What frees memory is an answer that has been
+// written, a matter of milliseconds.
+const growPoll = time.Millisecond
+
+// Grow sets bytes aside for what is about to be added. What goes beyond the first buffer waits until they fit; a
+// message's first buffer is not counted, as there are only as many as connections.
+func (m *Message) Grow(n int, by time.Time, pending func() bool) error {
+	if n <= BufferSize {
+		return nil
+	}
+	for !m.pool.Reserve(n) {
+		if pending() {
+			return ErrWoken
+		}
+		if !time.Now().Before(by) {
+			return ErrDeadline
+		}
+		time.Sleep(growPoll)
+	}
+	m.reserved += n
+	return nil
 }
 
 // Size is the number of bytes in the message.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -29,13 +29,14 @@
 	r       *bufio.Reader
 	buffers *Buffers
 	fds     *Descriptors
+	client  bool
 	close   sync.Once
 }
 
-func newConn(nc *net.TCPConn, buffers *Buffers, fds *Descriptors) *Conn {
+func newConn(nc *net.TCPConn, buffers *Buffers, fds *Descriptors, client bool) *Conn {
 	r := buffers.readers.Get().(*bufio.Reader)
 	r.Reset(nc)
-	return &Conn{nc: nc, r: r, buffers: buffers, fds: fds}
+	return &Conn{nc: nc, r: r, buffers: buffers, fds: fds, client: client}
 }
 
 // Wake ends the wait under way, or the next one whose pending sees what was left.
@@ -119,7 +120,7 @@
 		c.nc.Close()
 		c.r.Reset(nil)
 		c.buffers.readers.Put(c.r)
-		c.fds.give()
+		c.fds.give(c.client)
 	})
 }
 
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -5,14 +5,20 @@
 	"sync"
 )
 
-// Descriptors keeps account of open descriptors, and closes idle connections when they run short: the one idle
-// for longest first, never one with a request.
+// Descriptors keeps account of open descriptors, and closes idle connections when they run short, never one with a
+// request: first those that have never brought one, then the one idle for longest.
 type Descriptors struct {
-	mu     sync.Mutex
-	used   int
-	most   int
-	idle   *list.List
-	parked map[Idler]*list.Element
+	mu      sync.Mutex
+	used    int
+	clients int
+	most    int
+	idle    [2]*list.List // newcomers; others
+	parked  map[Idler]parking
+}
+
+type parking struct {
+	list *list.List
+	at   *list.Element
 }
 
 // Idler is a connection that may be idle. CloseIdle asks it to close if it still is; it must not block.
@@ -25,17 +31,29 @@
 // spareDescriptors is how many connections may still open before the cap while idle ones are being closed.
 const spareDescriptors = 32
 
+// urgentDescriptors are left to probes and discovery, a handful of calls: without their news the gateway is blind.
+const urgentDescriptors = 8
+
+// clientShare is the share of connections that clients may hold, in hundredths. At most a third of all descriptors carry
+// requests, and each request needs one more at a server: what idle and silent clients hold beyond this would be
+// taken from the servers.
+const clientShare = 55
+
 // NewDescriptors makes the account for a process that may hold so many descriptors.
 func NewDescriptors(limit int) *Descriptors {
-	return &Descriptors{most: max(limit-otherDescriptors, 8), idle: list.New(), parked: map[Idler]*list.Element{}}
+	return &Descriptors{
+		most: max(limit-otherDescriptors, 2*urgentDescriptors), idle: [2]*list.List{list.New(), list.New()},
+		parked: map[Idler]parking{},
+	}
 }
 
-// take counts one more descriptor and makes room where they run short. It tells whether the cap still holds.
-func (d *Descriptors) take() bool {
+// take counts a connection to a server or to discovery, and makes room where they run short. It tells whether the cap
+// still holds.
+func (d *Descriptors) take(urgent bool) bool {
 	d.mu.Lock()
 	d.used++
-	short := d.used + min(spareDescriptors, d.most/4) - d.most
-	ok := d.used <= d.most
+	short := d.used + d.spare() - d.most
+	ok := d.used <= d.most && (urgent || d.used <= d.most-urgentDescriptors)
 	d.mu.Unlock()
 	if short > 0 {
 		d.makeRoom()
@@ -43,31 +61,57 @@
 	return ok
 }
 
-func (d *Descriptors) give() {
+func (d *Descriptors) spare() int { return min(spareDescriptors, d.most/4) }
+
+// takeClient counts a client's connection. It tells whether it may stay: where the clients' share is used up one that is
+// idle gives way, and where none is, the newcomer.
+func (d *Descriptors) takeClient() bool {
+	d.mu.Lock()
+	d.used++
+	d.clients++
+	share := d.most * clientShare / 100
+	short := d.clients > share || d.used+d.spare() > d.most
+	over := d.clients > share+d.spare()/2 || d.used > d.most-urgentDescriptors
+	d.mu.Unlock()
+	return !(short && !d.makeRoom() && over)
+}
+
+func (d *Descriptors) give(client bool) {
 	d.mu.Lock()
 	d.used--
+	if client {
+		d.clients--
+	}
 	d.mu.Unlock()
 }
 
-// makeRoom asks the connection that was idle for longest to close.
-func (d *Descriptors) makeRoom() {
+// makeRoom asks an idle connection to close. It tells whether there was one.
+func (d *Descriptors) makeRoom() bool {
 	d.mu.Lock()
-	oldest := d.idle.Front()
-	if oldest == nil {
-		d.mu.Unlock()
-		return
+	var x Idler
+	for _, l := range d.idle {
+		if oldest := l.Front(); oldest != nil {
+			x = l.Remove(oldest).(Idler)
+			delete(d.parked, x)
+			break
+		}
 	}
-	x := d.idle.Remove(oldest).(Idler)
-	delete(d.parked, x)
 	d.mu.Unlock()
-	x.CloseIdle(EndRoom)
+	if x != nil {
+		x.CloseIdle(EndRoom)
+	}
+	return x != nil
 }
 
-// Park notes that a connection is idle from now on.
-func (d *Descriptors) Park(x Idler) {
+// Park notes that a connection is idle from now on, and whether it has ever carried a request.
+func (d *Descriptors) Park(x Idler, known bool) {
+	l := d.idle[0]
+	if known {
+		l = d.idle[1]
+	}
 	d.mu.Lock()
-	if d.parked[x] == nil {
-		d.parked[x] = d.idle.PushBack(x)
+	if _, parked := d.parked[x]; !parked {
+		d.parked[x] = parking{l, l.PushBack(x)}
 	}
 	d.mu.Unlock()
 }
@@ -75,8 +119,8 @@
 // Unpark notes that a connection is idle no longer.
 func (d *Descriptors) Unpark(x Idler) {
 	d.mu.Lock()
-	if e := d.parked[x]; e != nil {
-		d.idle.Remove(e)
+	if p, ok := d.parked[x]; ok {
+		p.list.Remove(p.at)
 		delete(d.parked, x)
 	}
 	d.mu.Unlock()
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -36,17 +36,18 @@
 func (l *Listener) Addr() string { return l.nl.Addr().String() }
 
 // Serve accepts until Close and serves each connection on a goroutine of its own. Accepting never stops for want
-// of descriptors: a request counts from the moment the kernel has it, whether it was accepted here or not.
-func (l *Listener) Serve(serve func(*Conn)) {
+// of descriptors: a request counts from the moment the kernel has it, whether it was accepted here or not. A connection
+// that finds no room is handed over with the word that it cannot stay.
+func (l *Listener) Serve(serve func(conn *Conn, stays bool)) {
 	for {
 		nc, err := l.nl.AcceptTCP()
 		switch {
 		case err == nil:
-			l.fds.take()
+			stays := l.fds.takeClient()
 			l.served.Add(1)
 			go func() {
 				defer l.served.Done()
-				serve(newConn(nc, l.buffers, l.fds))
+				serve(newConn(nc, l.buffers, l.fds, true), stays)
 			}()
 		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return
@@ -72,17 +73,19 @@
 // ErrNoDescriptor tells that the descriptor cap leaves no room for another connection.
 var ErrNoDescriptor = errors.New("no descriptor free")
 
-// Dial opens a connection, unless the deadline comes first or ctx ends.
-func Dial(ctx context.Context, addr string, deadline time.Time, buffers *Buffers, fds *Descriptors) (*Conn, error) {
-	if !fds.take() {
-		fds.give()
+// Dial opens a connection, unless the deadline comes first or ctx ends. An urgent one may take the last descriptors.
+func Dial(ctx context.Context, addr string, deadline time.Time, buffers *Buffers, fds *Descriptors, urgent bool) (
+	*Conn, error,
+) {
+	if !fds.take(urgent) {
+		fds.give(false)
 		return nil, ErrNoDescriptor
 	}
 	d := net.Dialer{Deadline: deadline}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		fds.give()
+		fds.give(false)
 		return nil, err
 	}
-	return newConn(nc.(*net.TCPConn), buffers, fds), nil
+	return newConn(nc.(*net.TCPConn), buffers, fds, false), nil
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	c, err := Dial(context.Background(), l.Addr().String(), far(), NewBuffers(1<<20), NewDescriptors(1024))
+	c, err := Dial(context.Background(), l.Addr().String(), far(), NewBuffers(1<<20), NewDescriptors(1024), false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,13 +100,13 @@
 	var asked []string
 	a, b, c := &idler{"a", &asked}, &idler{"b", &asked}, &idler{"c", &asked}
 	for _, x := range []*idler{a, b, c} {
-		d.Park(x)
+		d.Park(x, true)
 	}
-	d.Unpark(a) // it has a request now
-	d.Park(a)   // and is idle again: the youngest
+	d.Unpark(a)     // it has a request now
+	d.Park(a, true) // and is idle again: the youngest
 	d.Unpark(b)
 	for range 30 {
-		if !d.take() {
+		if !d.take(true) {
 			t.Fatal("below the cap there was no room")
 		}
 	}
@@ -114,19 +114,19 @@
 		t.Fatalf("%v asked with room left", asked)
 	}
 	for range 10 {
-		if !d.take() {
+		if !d.take(true) {
 			t.Fatal("at the cap there was no room")
 		}
 	}
 	if len(asked) != 2 || asked[0] != "c room" || asked[1] != "a room" {
 		t.Errorf("%v asked, want c and then a, and never b", asked)
 	}
-	if d.take() {
+	if d.take(true) {
 		t.Error("room beyond the cap")
 	}
-	d.give()
-	d.give()
-	if d.Used() != 39 || !d.take() {
+	d.give(false)
+	d.give(false)
+	if d.Used() != 39 || !d.take(true) {
 		t.Errorf("%d used", d.Used())
 	}
 }
@@ -248,19 +248,19 @@
 	addr := l.Addr().String()
 	l.Close()
 	fds := NewDescriptors(1024)
-	if _, err := Dial(context.Background(), addr, far(), NewBuffers(1), fds); ReasonOf(err) != EndRefused {
+	if _, err := Dial(context.Background(), addr, far(), NewBuffers(1), fds, false); ReasonOf(err) != EndRefused {
 		t.Errorf("nobody listens: %v", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if _, err := Dial(ctx, addr, far(), NewBuffers(1), fds); err == nil {
+	if _, err := Dial(ctx, addr, far(), NewBuffers(1), fds, false); err == nil {
 		t.Error("dialled after a cancel")
 	}
 	full := NewDescriptors(1)
-	for full.take() {
+	for full.take(true) {
 	}
 	used := full.Used()
-	if _, err := Dial(context.Background(), addr, far(), NewBuffers(1), full); !errors.Is(err, ErrNoDescriptor) {
+	if _, err := Dial(context.Background(), addr, far(), NewBuffers(1), full, true); !errors.Is(err, ErrNoDescriptor) {
 		t.Errorf("at the cap: %v", err)
 	}
 	if fds.Used() != 0 || full.Used() != used {
@@ -268,6 +268,70 @@
 	}
 }
 
+// Silent newcomers give way before a client that has been served, clients keep to their share, and the last descriptors
+// are left to what is urgent.
+func TestDescriptorShares(t *testing.T) {
+	const most = 100
+	d := NewDescriptors(otherDescriptors + most)
+	var asked []string
+	served, silent := &idler{"served", &asked}, &idler{"silent", &asked}
+	d.Park(served, true)
+	d.Park(silent, false) // later idle, and yet first
+	stayed := 0
+	for d.takeClient() {
+		stayed++
+	}
+	if len(asked) < 2 || asked[0] != "silent room" || asked[1] != "served room" {
+		t.Errorf("%v asked, want the silent one and then the other", asked)
+	}
+	if least := most * clientShare / 100; stayed < least || stayed > least+spareDescriptors {
+		t.Errorf("%d clients of a share of %d", stayed, least)
+	}
+	plain := 0
+	for ; d.take(false); plain++ {
+	}
+	if plain < most/5 {
+		t.Errorf("clients left %d descriptors to servers", plain)
+	}
+	d.give(false)
+	if !d.take(true) {
+		t.Error("none was left to what is urgent")
+	}
+}
+
+// What does not fit the budget waits for what is held, until its time is up or it is given up.
+func TestGrowWaitsForMemory(t *testing.T) {
+	b := NewBuffers(3 * BufferSize)
+	first, second := b.NewMessage(), b.NewMessage()
+	never := func() bool { return false }
+	if err := first.Grow(2*BufferSize, far(), never); err != nil {
+		t.Fatal(err)
+	}
+	if err := second.Grow(BufferSize, far(), never); err != nil || b.Held() != 2*BufferSize {
+		t.Errorf("a first buffer was counted: %v, %d held", err, b.Held())
+	}
+	if err := second.Grow(2*BufferSize, time.Now(), never); !errors.Is(err, ErrDeadline) {
+		t.Errorf("its time up: %v", err)
+	}
+	if err := second.Grow(2*BufferSize, far(), func() bool { return true }); !errors.Is(err, ErrWoken) {
+		t.Errorf("given up: %v", err)
+	}
+	asked := false
+	if err := second.Grow(2*BufferSize, far(), func() bool {
+		if !asked {
+			first.Free()
+		}
+		asked = true
+		return false
+	}); err != nil || !asked {
+		t.Errorf("after the first was freed: %v, %v", err, asked)
+	}
+	second.Free()
+	if b.Held() != 0 {
+		t.Errorf("%d held at the end", b.Held())
+	}
+}
+
 // What the kernel has accepted before the listener closes is served: a request counts from there.
 func TestListenerTakesInItsBacklog(t *testing.T) {
 	fds := NewDescriptors(1024)
@@ -286,7 +350,7 @@
 	}
 	served := make(chan struct{}, len(peers))
 	l.Close()
-	l.Serve(func(c *Conn) {
+	l.Serve(func(c *Conn, stays bool) {
 		served <- struct{}{}
 		c.Close()
 	})
