--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,7 +37,7 @@
 	sweepsPerAim = 16
 	expectTimes  = 2    // an answer may well take this many times the usual ...
 	expectMost   = 750  // ... but no more than this share of its aim
-	hopelessPart = 2    // with less left than this part of the usual latency nothing is sent
+	hopelessPart = 4    // with less left than this part of it nothing is sent
 	levelPart    = 8    // replicas within this part of the smallest bound are level
 	crowdFactor  = 2    // a replica is crowded beyond this many times the emptiest one's attempts, plus one
 	readRoom     = 500  // share of the primary's limit that reads of replicas may fill
@@ -115,7 +115,9 @@
 	case Timer:
 		if e.Token == "sweep" {
 			r.sweep()
-		} else if q := r.requests[e.Token]; q != nil {
+		} else if q := r.requests[e.Token]; q != nil && r.now < r.end(q) && len(q.attempts) > 0 {
+			r.at(r.end(q), q.id)
+		} else if q != nil {
 			r.giveUp(q)
 		}
 	case Probed:
@@ -132,7 +134,8 @@
 // ---- requests ----
 
 // accept takes a request in. Its end is the moment after which an answer earns nothing: for a repeatable
-// class without late worth the aim, for others a tick before the client stops waiting.
+// class without late worth the aim, for others a tick before the client stops waiting. With nothing sent by
+// half of its time it ends then: a later refusal costs the client the time in which it could come again.
 func (r *Router) accept(e Arrival) {
 	if r.requests[e.ID] != nil || e.Class < 0 || e.Class >= len(r.set.Classes) {
 		return
@@ -156,7 +159,7 @@
 	case !r.set.TokensCarried && q.session != nil:
 		q.need = q.session.mark
 	}
-	r.at(max(r.end(q), r.now+1), q.id)
+	r.at(max(min(r.end(q), r.now+e.Left/2-r.set.Tick), r.now+1), q.id)
 	r.enqueue(q)
 	r.dispatch(q.group)
 }
@@ -212,11 +215,9 @@
 		if q.done {
 			continue
 		}
-		var s *server
-		if r.now+r.typical[q.kind]/hopelessPart < r.end(q) {
-			s = r.place(q)
-		}
-		if s != nil {
+		if r.now+r.expected(q)/hopelessPart > r.end(q) {
+			r.giveUp(q)
+		} else if s := r.place(q); s != nil {
 			r.send(q, s)
 		} else if r.pressed(q) {
 			r.giveUp(q)
@@ -1004,9 +1005,8 @@
 			r.role(s, e.Report.Role, min(e.Report.Position, r.now))
 		}
 		r.dispatch(s.group)
-	case ResultConnectFailed, ResultReset:
-		r.markDown(s)
-	case ResultTimeout:
+	case ResultConnectFailed, ResultReset, ResultTimeout:
+		s.suspect = true
 		if s.probeFails++; s.probeFails > 1 || s.down {
 			r.markDown(s)
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -462,6 +462,17 @@
 		t.Error("no probe to tell whether it is down")
 	}
 	g.step(brain.Probed{Server: 2, Result: brain.ResultConnectFailed})
+	again := 0
+	g.after(ms).arrive("u", unsafeWrite)
+	for _, a := range g.sweep(25 * ms) {
+		if p, ok := a.(brain.Probe); ok && p.Server == 2 {
+			again++
+		}
+	}
+	if again != 1 {
+		t.Errorf("%d probes behind one that failed: a single one may have met a lossy path", again)
+	}
+	g.step(brain.Probed{Server: 2, Result: brain.ResultConnectFailed})
 	g.after(400*ms).arrive("still", anyRead)
 	g.wantSent("still", 1)
 	g.fresh(2, 0)
@@ -655,6 +666,13 @@
 			}
 			g.now = at
 			g.step(brain.Timer{Token: "q"})
+			for _, a := range g.acts { // half of its time is over, and an attempt is out
+				if s, ok := a.(brain.SetTimer); ok && s.Token == "q" && ending(g.acts, "q") == "" {
+					g.now = s.At
+					g.step(brain.Timer{Token: "q"})
+					break
+				}
+			}
 			if ending(g.acts, "q") == "" {
 				t.Errorf("class %d with %d members has no final answer at its end", class, members)
 			}
@@ -1035,3 +1053,37 @@
 	g.wantSent("patient")
 	g.wantEnd("patient", "")
 }
+
+// What nothing was sent for by half of its time is refused then, so that its client may come again; what is out at a
+// server goes on to its end.
+func TestNothingSentByHalfTime(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(2)
+	timer := func(id string) brain.Micros {
+		for _, a := range g.acts {
+			if s, ok := a.(brain.SetTimer); ok && s.Token == id {
+				return s.At - origin
+			}
+		}
+		t.Fatalf("no timer for %s", id)
+		return 0
+	}
+	g.arrive("out", unsafeWrite)
+	g.wantSent("out", 1)
+	at := timer("out")
+	for i := range 20 { // no room is left for the last of them
+		g.arrive(fmt.Sprint("w", i), unsafeWrite)
+	}
+	g.wantSent("w19")
+	if held := timer("w19"); held >= 1000*ms || held != at {
+		t.Errorf("looked at after %d us of 2 s", held)
+	}
+	g.now = origin + at
+	g.step(brain.Timer{Token: "w19"})
+	g.wantEnd("w19", "refuse")
+	g.step(brain.Timer{Token: "out"})
+	g.wantEnd("out", "")
+	if end := timer("out"); end < 1900*ms || end >= 2000*ms {
+		t.Errorf("then ends after %d us of 2 s", end)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -44,6 +44,7 @@
 	Payload Payload      // a share of it, freed by whoever carries the job out
 	Sent    brain.Micros // when the module asked for it
 	Until   brain.Micros // when to give it up
+	Once    bool         // it must not run twice: a reset that may have hidden its answer ends its request
 }
 
 // Attempt is an attempt under way. Cancel gives it up, if it still runs; it must not block.
--- /dev/null
+++ b/internal/session/asked.go
@@ -0,0 +1,268 @@
+package session
+
+import (
+	"errors"
+	"hash/fnv"
+	"net"
+	"strconv"
+	"time"
+
+	"marblespan/brain"
+	"marblespan/internal/protocol/postgres"
+	"marblespan/internal/routing"
+	"marblespan/internal/transport"
+)
+
+// mostAsked is how many queries of one connection may await their answers. Beyond it nothing more is read: a client that
+// sends hundreds at once holds a bounded part of memory and of the owner's time.
+const mostAsked = 64
+
+// asked is one query's place in the order of answers. It stands for its client at the owner.
+type asked struct {
+	client  *client
+	text    []byte          // what the gateway itself says to it
+	answer  *routing.Answer // what the owner has left; guarded by the client's lock, as gone is
+	gone    bool
+	reserve int // bytes set aside for it
+}
+
+// Answer leaves the final answer for the connection's goroutine.
+func (q *asked) Answer(a routing.Answer) {
+	c := q.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if q.gone {
+		a.Value.Free()
+		return
+	}
+	q.answer = &a
+	if c.queue[0] == q {
+		select {
+		case c.told <- struct{}{}:
+		default:
+		}
+		c.conn.Wake()
+	}
+}
+
+func (c *client) push(q *asked) {
+	c.mu.Lock()
+	c.queue = append(c.queue, q)
+	c.mu.Unlock()
+}
+
+// say puts an answer of the gateway's own into the queue.
+func (c *client) say(text []byte) { c.push(&asked{client: c, text: text}) }
+
+// complain answers a query that never became a request.
+func (c *client) complain(code, message string) {
+	c.say(postgres.AppendReady(postgres.AppendError(nil, false, code, message, 0)))
+}
+
+// rebuke answers a bad statement.
+func (c *client) rebuke(code, message string) (transport.Reason, error) {
+	c.complain(code, message)
+	return c.strike()
+}
+
+func (c *client) waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue)
+}
+
+// answered tells whether the oldest query has its answer.
+func (c *client) answered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) > 0 && (c.queue[0].answer != nil || c.queue[0].text != nil)
+}
+
+// flush writes the answers that are due, in the order of their queries.
+func (c *client) flush() (transport.Reason, error) {
+	for c.answered() {
+		c.mu.Lock()
+		q := c.queue[0]
+		if c.queue = c.queue[1:]; len(c.queue) == 0 {
+			c.queue = nil
+		}
+		c.mu.Unlock()
+		reason, err := c.pass(q)
+		c.all.Buffers.Release(q.reserve)
+		if err != nil {
+			return reason, err
+		}
+	}
+	return 0, nil
+}
+
+// pass writes one answer.
+func (c *client) pass(q *asked) (transport.Reason, error) {
+	if q.answer == nil {
+		return reasoned(c.write(q.text))
+	}
+	var out []byte
+	switch q.answer.Kind {
+	case routing.Served:
+		c.served++
+		parts := append(q.answer.Value.From(0), postgres.AppendReady(nil))
+		_, err := c.conn.Write(time.Now().Add(c.all.Limits.Answer), parts)
+		q.answer.Value.Free()
+		return reasoned(err)
+	case routing.Refused:
+		out = postgres.AppendError(nil, false, postgres.CodeRefused, "no server can take this in time",
+			int64(q.answer.RetryAfter/1000))
+	case routing.Failed:
+		out = postgres.AppendError(nil, false, postgres.CodeFailed, "the statement failed, and may have run", 0)
+	case routing.Rejected:
+		out = postgres.AppendError(nil, false, postgres.CodeBadValue, "the id is that of a request still under way", 0)
+		if reason, err := reasoned(c.write(postgres.AppendReady(out))); err != nil {
+			return reason, err
+		}
+		return c.strike()
+	}
+	return reasoned(c.write(postgres.AppendReady(out)))
+}
+
+func reasoned(err error) (transport.Reason, error) {
+	if err != nil {
+		return transport.ReasonOf(err), err
+	}
+	return 0, nil
+}
+
+// watch waits until the oldest query has its answer, told as ErrWoken, or a further message has come, of which the whole
+// is waited for where it fits a buffer. A client that has closed meanwhile has gone away.
+func (c *client) watch() (transport.Reason, error) {
+	n := postgres.HeaderSize
+	for {
+		full := c.deaf || c.waiting() >= mostAsked
+		if full {
+			n = c.conn.Buffered() + 1
+		}
+		if n > transport.BufferSize { // the socket is watched again once some of this is read
+			select {
+			case <-c.told:
+			case <-time.After(askTimeout):
+			}
+			if c.answered() {
+				return 0, transport.ErrWoken
+			}
+			continue
+		}
+		err := c.conn.Wait(n, time.Now().Add(askTimeout), c.answered)
+		switch {
+		case errors.Is(err, transport.ErrDeadline):
+		case errors.Is(err, transport.ErrWoken):
+			return 0, err
+		case err != nil:
+			return transport.EndPeerGone, err
+		case full:
+		default:
+			h, err := postgres.ParseHeader(c.conn.Peek(postgres.HeaderSize))
+			whole := postgres.HeaderSize + h.Body
+			if err != nil || whole > transport.BufferSize || c.conn.Buffered() >= whole {
+				return 0, nil
+			}
+			n = whole
+		}
+	}
+}
+
+// leave tells the owner that the client is gone; answers that have come or still come are dropped.
+func (c *client) leave() {
+	c.mu.Lock()
+	queue := c.queue
+	c.queue = nil
+	for _, q := range queue {
+		q.gone = true
+		if q.answer != nil {
+			q.answer.Value.Free()
+		}
+	}
+	c.mu.Unlock()
+	for _, q := range queue {
+		c.all.Buffers.Release(q.reserve)
+		if q.text == nil && q.answer == nil {
+			c.all.Owner.Post(routing.Gone{Client: q})
+		}
+	}
+}
+
+// query reads one query and asks it.
+func (c *client) query(body int, by time.Time) (transport.Reason, error) {
+	// Of the answer only a first buffer is set aside. A larger one waits at its server's link until there is room for
+	// it: were the largest reserved for every request, a small gateway would refuse for memory that nobody uses.
+	reserve := body + transport.BufferSize
+	if !c.all.Buffers.Reserve(reserve) {
+		c.all.Counts.OverMemory.Add(1)
+		c.complain(postgres.CodeRefused, "the gateway has no memory left for this")
+		return reasoned(c.conn.SkipBy(body, by))
+	}
+	text := c.all.Buffers.NewMessage()
+	if err := c.conn.Fill(text, body, by); err != nil {
+		text.Free()
+		c.all.Buffers.Release(reserve)
+		if transport.ReasonOf(err) == transport.EndTimeout {
+			c.end(errors.New("the message did not come in time"))
+		}
+		return transport.ReasonOf(err), err
+	}
+	arrival, st, fault, code := c.read(text, body)
+	if code != "" || fault == "" && st.ID == "" {
+		text.Free()
+		c.all.Buffers.Release(reserve)
+		switch code {
+		case "":
+			c.all.Counts.Empty.Add(1)
+			c.say(postgres.AppendEmptyAnswer(nil))
+		case postgres.CodeNotReady:
+			c.all.Counts.NotReady.Add(1)
+			c.complain(code, fault)
+		default:
+			return c.rebuke(code, fault)
+		}
+		return 0, nil
+	}
+	c.known = true
+	q := &asked{client: c, reserve: reserve}
+	c.push(q)
+	c.all.Owner.Post(&routing.Request{
+		Client: q, ID: st.ID, Payload: &query{text: text, statement: st}, Arrival: arrival, ReadAt: c.all.Clock.Now(),
+		Wait: brain.Micros(st.Wait) * 1000, After: brain.Micros(st.After) * 1000,
+	})
+	return 0, nil
+}
+
+// read makes a request of a query's text. An empty query makes none; for a bad one it tells the fault and its code.
+func (c *client) read(text *transport.Message, body int) (a brain.Arrival, st postgres.Statement, fault, code string) {
+	if body <= transport.BufferSize && postgres.IsEmpty(text.First()) {
+		if !c.all.Ready() {
+			return a, st, "no server is known yet", postgres.CodeNotReady
+		}
+		return a, st, "", ""
+	}
+	st, err := postgres.ParseStatement(text.From(0))
+	if err != nil {
+		return a, st, err.Error(), postgres.CodeProtocol
+	}
+	class, ok := c.all.Facts.Classes[st.Class]
+	if !ok {
+		return a, st, "class " + strconv.Quote(st.Class) + " is not known", postgres.CodeBadValue
+	}
+	if st.Write != c.all.Facts.Writes(class) {
+		return a, st, "class " + strconv.Quote(st.Class) + " is not for such statements", postgres.CodeBadValue
+	}
+	a = brain.Arrival{Class: class, Group: st.Group, Repeat: st.Repeat}
+	if c.all.Facts.HasSession(class) {
+		sum := fnv.New64a()
+		sum.Write([]byte(st.Key))
+		a.Session, a.HasSession = sum.Sum64(), true
+	}
+	return a, st, "", ""
+}
+
+func (c *client) write(b []byte) error {
+	_, err := c.conn.Write(time.Now().Add(c.all.Limits.Answer), net.Buffers{b})
+	return err
+}
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"hash/fnv"
 	"io"
 	"maps"
 	"net"
@@ -14,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"marblespan/brain"
 	"marblespan/internal/protocol/postgres"
 	"marblespan/internal/routing"
 	"marblespan/internal/settings"
@@ -79,16 +77,15 @@
 	Empty, NotReady, Malformed, OverMemory, Unsupported atomic.Int64
 }
 
-// client is one client's connection.
+// client is one client's connection. Its queries are answered in their order; each is asked as soon as it has come.
 type client struct {
 	all  *Clients
 	conn *transport.Conn
 	told chan struct{} // an answer was left, for when the socket cannot be watched
 
 	mu      sync.Mutex
-	answer  *routing.Answer
-	gone    bool
-	resting bool // waiting between requests: nothing is lost if it is woken
+	queue   []*asked // what awaits its answer, oldest first
+	resting bool     // waiting between requests: nothing is lost if it is woken
 	closing bool
 	reason  transport.Reason
 	served  int
@@ -96,6 +93,9 @@
 	newBy   time.Time // when a newcomer's time is up
 	known   bool      // it has sent a whole request
 	strikes int       // bad messages
+
+	skipping bool // after an error in the extended protocol, up to Sync
+	deaf     bool // its framing is lost: nothing more is read
 }
 
 // Serve serves one connection to its end. One that cannot stay is turned away before its start-up, with an error that
@@ -171,31 +171,12 @@
 	c.mu.Unlock()
 }
 
-// Answer leaves the final answer for the connection's goroutine.
-func (c *client) Answer(a routing.Answer) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.gone {
-		a.Value.Free()
-		return
-	}
-	c.answer = &a
-	c.told <- struct{}{}
-	c.conn.Wake()
-}
-
 func (c *client) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closing
 }
 
-func (c *client) isAnswered() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answer != nil
-}
-
 // by is when the client must have done what it is given a time for. A newcomer has one time for everything.
 func (c *client) by(limit time.Duration) time.Time {
 	if !c.known {
@@ -241,9 +222,12 @@
 	}
 }
 
-// strike counts a bad message, and makes its sender wait before the next one is read.
+// strike counts a bad message, and makes its sender wait before the next one is read, not for its answer.
 func (c *client) strike() (transport.Reason, error) {
 	c.all.Counts.Malformed.Add(1)
+	if reason, err := c.flush(); err != nil {
+		return reason, err
+	}
 	if c.strikes++; c.strikes >= mostStrikes {
 		return c.end(errors.New("too many bad messages"))
 	}
@@ -251,67 +235,73 @@
 	return 0, nil
 }
 
-// run serves start-up and then one message after another.
+// run serves start-up and then one message after another. It goes on reading while answers are awaited.
 func (c *client) run(process uint32) (transport.Reason, error) {
+	defer c.leave()
 	if reason, err := c.startup(process); err != nil {
 		return reason, err
 	}
 	if c.all.isDraining() { // it came after Drain had told all that were open
 		c.CloseIdle(transport.EndDrain)
 	}
-	skipping := false // after an error in the extended protocol, up to Sync
 	for {
-		if reason, err := c.idle(postgres.HeaderSize); err != nil {
+		reason, err := c.flush()
+		if err != nil {
 			return reason, err
 		}
-		h, err := postgres.ParseHeader(c.conn.Peek(postgres.HeaderSize))
+		if c.waiting() > 0 {
+			if reason, err = c.watch(); errors.Is(err, transport.ErrWoken) {
+				continue
+			}
+		} else {
+			reason, err = c.idle(postgres.HeaderSize)
+		}
+		if err == nil {
+			reason, err = c.message()
+		}
 		if err != nil {
-			return c.reject(err)
+			return reason, err
 		}
-		c.conn.ReadBy(c.by(c.all.Limits.Message))
-		if err := c.conn.Skip(postgres.HeaderSize); err != nil {
-			return transport.ReasonOf(err), err
+	}
+}
+
+// message reads one message whose head has come. Whatever is to be said of it takes its place in the queue.
+func (c *client) message() (transport.Reason, error) {
+	h, err := postgres.ParseHeader(c.conn.Peek(postgres.HeaderSize))
+	if err != nil {
+		return c.reject(err)
+	}
+	by := c.by(c.all.Limits.Message)
+	if err := c.conn.Skip(postgres.HeaderSize); err != nil {
+		return transport.ReasonOf(err), err
+	}
+	switch h.Type {
+	case postgres.TypeQuery:
+		if !c.skipping {
+			return c.query(h.Body, by)
 		}
-		switch h.Type {
-		case postgres.TypeQuery:
-			if skipping {
-				err = c.conn.Skip(h.Body)
-				break
-			}
-			if reason, err := c.query(h.Body); err != nil {
-				return reason, err
-			}
-		case postgres.TypeTerminate:
-			return transport.EndTerminate, nil
-		case postgres.TypeSync:
-			skipping = false
-			if err = c.conn.Skip(h.Body); err == nil {
-				err = c.write(postgres.AppendReady(nil))
-			}
-		case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f':
-			if err = c.conn.Skip(h.Body); err != nil || skipping || h.Type == 'H' || h.Type >= 'a' {
-				break
-			}
-			c.all.Counts.Unsupported.Add(1)
-			out := postgres.AppendError(nil, false, postgres.CodeUnsupported,
-				"only simple queries are served here", 0)
-			if h.Type == 'F' {
-				out = postgres.AppendReady(out)
-			} else {
-				skipping = true
-			}
-			if err = c.write(out); err == nil {
-				if reason, err := c.strike(); err != nil {
-					return reason, err
-				}
-			}
-		default:
-			return c.reject(errors.New("message of unknown type " + strconv.Quote(string(h.Type))))
+		return reasoned(c.conn.SkipBy(h.Body, by))
+	case postgres.TypeTerminate:
+		return transport.EndTerminate, io.EOF
+	case postgres.TypeSync:
+		c.skipping = false
+		c.say(postgres.AppendReady(nil))
+		return reasoned(c.conn.SkipBy(h.Body, by))
+	case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f':
+		if err = c.conn.SkipBy(h.Body, by); err != nil || c.skipping || h.Type == 'H' || h.Type >= 'a' {
+			return reasoned(err)
 		}
-		if err != nil {
-			return transport.ReasonOf(err), err
+		c.all.Counts.Unsupported.Add(1)
+		out := postgres.AppendError(nil, false, postgres.CodeUnsupported, "only simple queries are served here", 0)
+		if h.Type == 'F' {
+			out = postgres.AppendReady(out)
+		} else {
+			c.skipping = true
 		}
+		c.say(out)
+		return c.strike()
 	}
+	return c.reject(errors.New("message of unknown type " + strconv.Quote(string(h.Type))))
 }
 
 // startup answers the connection's first packets.
@@ -358,152 +348,21 @@
 	return c.end(cause)
 }
 
-// end gives the last word and leaves the client time to read it.
+// end answers what was asked before, gives the last word and leaves the client time to read it.
 func (c *client) end(cause error) (transport.Reason, error) {
-	if c.write(postgres.AppendError(nil, true, postgres.CodeProtocol, cause.Error(), 0)) == nil {
-		c.conn.Linger(time.Now().Add(c.all.Limits.Linger), lingerBytes)
-	}
-	return transport.EndProtocol, cause
-}
-
-func (c *client) write(b []byte) error {
-	_, err := c.conn.Write(time.Now().Add(c.all.Limits.Answer), net.Buffers{b})
-	return err
-}
-
-// query reads one query and answers it.
-func (c *client) query(body int) (transport.Reason, error) {
-	// Of the answer only a first buffer is set aside. A larger one waits at its server's link until there is room for
-	// it: were the largest reserved for every request, a small gateway would refuse for memory that nobody uses.
-	reserve := body + transport.BufferSize
-	if !c.all.Buffers.Reserve(reserve) {
-		c.all.Counts.OverMemory.Add(1)
-		if err := c.conn.Skip(body); err != nil {
-			return transport.ReasonOf(err), err
-		}
-		return c.complain(postgres.CodeRefused, "the gateway has no memory left for this")
-	}
-	defer c.all.Buffers.Release(reserve)
-	text := c.all.Buffers.NewMessage()
-	if err := text.Fill(c.conn.Reader(), body); err != nil {
-		text.Free()
-		if transport.ReasonOf(err) == transport.EndTimeout {
-			c.end(errors.New("the message did not come in time"))
-		}
-		return transport.ReasonOf(err), err
-	}
-	readAt := c.all.Clock.Now()
-	if body <= transport.BufferSize && postgres.IsEmpty(text.First()) {
-		text.Free()
-		if !c.all.Ready() {
-			c.all.Counts.NotReady.Add(1)
-			return c.complain(postgres.CodeNotReady, "no server is known yet")
+	for c.waiting() > 0 {
+		if reason, err := c.flush(); err != nil {
+			return reason, err
 		}
-		c.all.Counts.Empty.Add(1)
-		return reasoned(c.write(postgres.AppendEmptyAnswer(nil)))
-	}
-	st, err := postgres.ParseStatement(text.From(0))
-	if err != nil {
-		text.Free()
-		return c.rebuke(postgres.CodeProtocol, err.Error())
-	}
-	class, ok := c.all.Facts.Classes[st.Class]
-	if !ok {
-		text.Free()
-		return c.rebuke(postgres.CodeBadValue, "class "+strconv.Quote(st.Class)+" is not known")
-	}
-	if st.Write != c.all.Facts.Writes(class) {
-		text.Free()
-		return c.rebuke(postgres.CodeBadValue, "class "+strconv.Quote(st.Class)+" is not for such statements")
-	}
-	a := brain.Arrival{Class: class, Group: st.Group, Repeat: st.Repeat}
-	if c.all.Facts.HasSession(class) {
-		sum := fnv.New64a()
-		sum.Write([]byte(st.Key))
-		a.Session, a.HasSession = sum.Sum64(), true
-	}
-	c.known = true
-	c.all.Owner.Post(&routing.Request{
-		Client: c, ID: st.ID, Payload: &query{text: text, statement: st}, Arrival: a, ReadAt: readAt,
-		Wait: brain.Micros(st.Wait) * 1000, After: brain.Micros(st.After) * 1000,
-	})
-	return c.await()
-}
-
-// rebuke answers a bad statement.
-func (c *client) rebuke(code, message string) (transport.Reason, error) {
-	if reason, err := c.complain(code, message); err != nil {
-		return reason, err
-	}
-	return c.strike()
-}
-
-// complain answers a query that never became a request.
-func (c *client) complain(code, message string) (transport.Reason, error) {
-	return reasoned(c.write(postgres.AppendReady(postgres.AppendError(nil, false, code, message, 0))))
-}
-
-func reasoned(err error) (transport.Reason, error) {
-	if err != nil {
-		return transport.ReasonOf(err), err
-	}
-	return 0, nil
-}
-
-// await waits for the answer, and watches the socket meanwhile: a client that has closed has gone away.
-func (c *client) await() (transport.Reason, error) {
-	for {
-		ahead := c.conn.Buffered() + 1
-		if ahead > transport.BufferSize {
-			select { // a client that sends ahead this much is watched again once some of it is read
-			case <-c.told:
-				c.told <- struct{}{}
-			case <-time.After(askTimeout):
-			}
-			if !c.isAnswered() {
-				continue
+		if c.waiting() > 0 {
+			c.deaf = true
+			if reason, err := c.watch(); err != nil && !errors.Is(err, transport.ErrWoken) {
+				return reason, err
 			}
-		} else if err := c.conn.Wait(ahead, time.Now().Add(askTimeout), c.isAnswered); err == nil ||
-			errors.Is(err, transport.ErrDeadline) {
-			continue
-		} else if !errors.Is(err, transport.ErrWoken) {
-			c.leave()
-			return transport.EndPeerGone, err
 		}
-		<-c.told
-		c.mu.Lock()
-		a := c.answer
-		c.answer = nil
-		c.mu.Unlock()
-		return c.pass(a)
 	}
-}
-
-// leave tells the owner that the client is gone; an answer that has come or still comes is dropped.
-func (c *client) leave() {
-	c.mu.Lock()
-	c.gone = true
-	if c.answer != nil {
-		c.answer.Value.Free()
-	}
-	c.mu.Unlock()
-	c.all.Owner.Post(routing.Gone{Client: c})
-}
-
-// pass writes the answer.
-func (c *client) pass(a *routing.Answer) (transport.Reason, error) {
-	switch a.Kind {
-	case routing.Refused:
-		return reasoned(c.write(postgres.AppendReady(postgres.AppendError(nil, false, postgres.CodeRefused,
-			"no server can take this in time", int64(a.RetryAfter/1000)))))
-	case routing.Failed:
-		return c.complain(postgres.CodeFailed, "the statement failed, and may have run")
-	case routing.Rejected:
-		return c.rebuke(postgres.CodeBadValue, "the id is that of a request still under way")
+	if c.write(postgres.AppendError(nil, true, postgres.CodeProtocol, cause.Error(), 0)) == nil {
+		c.conn.Linger(time.Now().Add(c.all.Limits.Linger), lingerBytes)
 	}
-	c.served++
-	parts := append(a.Value.From(0), postgres.AppendReady(nil))
-	_, err := c.conn.Write(time.Now().Add(c.all.Limits.Answer), parts)
-	a.Value.Free()
-	return reasoned(err)
+	return transport.EndProtocol, cause
 }
--- a/internal/session/link.go
+++ b/internal/session/link.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"marblespan/brain"
@@ -23,6 +24,8 @@
 	closing bool
 	reason  transport.Reason
 	served  int
+
+	answered atomic.Int64 // the clock's reading at its last whole answer
 }
 
 // assign gives an idle link its next task, unless it is about to close.
@@ -163,11 +166,19 @@
 	l.served++
 	if reason != carryOn {
 		l.end()
-		if e.result == brain.ResultReset || t.probe && e.result == brain.ResultTimeout {
-			// The process or its machine is gone: on idle siblings a write would be lost like this one, after
-			// the machine's return too, when its kernel knows none of them. Harm: some new handshakes too many.
+		if e.result == brain.ResultReset && l.served > 1 {
+			l.place.doubted.Store(int64(l.all.Clock.Now()))
+		}
+		if t.probe && e.result == brain.ResultTimeout {
+			// The machine is cut off: when it is back its kernel knows none of the idle siblings, and a request on
+			// one of them would be lost like this probe. Harm: some new handshakes too many.
 			closeAll(l.place)
 		}
+		if t.probe && e.result == brain.ResultReset && l.served > 1 {
+			// Only the kept connection is known to be dead. A new one tells whether the server is.
+			l.all.dial(t, l.place)
+			return reason, err
+		}
 		l.all.finish(t, e)
 		return reason, err
 	}
@@ -178,6 +189,7 @@
 	}
 	closing := l.closing
 	l.mu.Unlock()
+	l.answered.Store(int64(l.all.Clock.Now()))
 	if !closing {
 		l.all.Fds.Park(l, true)
 		l.place.idle.Put(l)
--- a/internal/session/link_test.go
+++ b/internal/session/link_test.go
@@ -404,3 +404,65 @@
 		t.Error("half a report was believed")
 	}
 }
+
+// Where kept connections are reset under requests, what may not be repeated goes out on a new one.
+func TestDoubtedConnections(t *testing.T) {
+	r := newRig(t)
+	r.server.SetHandle(func(q *standin.Query) {
+		if q.ID() == "reset" {
+			q.Hangup()
+			return
+		}
+		q.Serve([]byte("v"))
+	})
+	send := func(id string, once bool) brain.Result {
+		job := r.job(id)
+		job.Once = once
+		r.servers.Send(job)
+		e := r.ended()
+		e.Value.Free()
+		return e.Result
+	}
+	send("first", true)
+	send("second", true)
+	if n := r.server.Opened(); n != 1 {
+		t.Fatalf("%d connections opened with nothing to doubt", n)
+	}
+	if res := send("reset", false); res != brain.ResultReset {
+		t.Fatalf("ended with %s", routing.ResultNames[res])
+	}
+	send("third", false)
+	send("fourth", false) // on the connection that is kept
+	before := r.server.Opened()
+	if res := send("fifth", true); res != brain.ResultOK || r.server.Opened() != before+1 {
+		t.Errorf("ended with %s on connection %d, want a new one behind %d", routing.ResultNames[res],
+			r.server.Opened(), before)
+	}
+	r.servers.place(1).doubted.Store(0)
+	if send("sixth", true); r.server.Opened() != before+1 {
+		t.Error("a new connection with nothing left to doubt")
+	}
+}
+
+// A probe that is reset on a kept connection tells nothing of the server: it is asked again on a new one.
+func TestProbeResetOnAKeptConnection(t *testing.T) {
+	r := newRig(t)
+	r.servers.place(1).idle.Put(r.idleLink())
+	r.server.SetProbe(func(q *standin.Query) bool {
+		if q.Conn == 1 {
+			q.Hangup()
+			return true
+		}
+		return false
+	})
+	now := r.servers.Clock.Now()
+	r.servers.Probe(1, now, now+5_000_000)
+	if p := (<-r.told).(routing.ProbeEnded); p.Result != brain.ResultOK {
+		t.Errorf("the probe ended with %s", routing.ResultNames[p.Result])
+	}
+	r.server.SetProbe(func(q *standin.Query) bool { q.Hangup(); return true })
+	r.servers.Probe(1, now, now+5_000_000)
+	if p := (<-r.told).(routing.ProbeEnded); p.Result != brain.ResultReset {
+		t.Errorf("with every connection reset it ended with %s", routing.ResultNames[p.Result])
+	}
+}
--- a/internal/session/servers.go
+++ b/internal/session/servers.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"marblespan/brain"
@@ -40,8 +41,15 @@
 	server   brain.ServerID
 	endpoint string
 	idle     transport.Pool[*link]
+	doubted  atomic.Int64 // the clock's reading when a kept connection was last reset under a request
 }
 
+// doubtFor is how long no kept connection is trusted with what must not run twice after one was reset under a request,
+// and later only those that have answered since. It guards against servers, machines back from being cut off and paths
+// to them that have dropped kept connections without a word. Closing all of them instead would cost handshakes on a path
+// that resets at random. Harm: some handshakes too many for writes in the seconds after a server's death.
+const doubtFor = 5 * brain.Micros(time.Second/time.Microsecond)
+
 // task is one attempt or one probe.
 type task struct {
 	routing.Job
@@ -146,11 +154,16 @@
 		go s.finish(t, ended{result: brain.ResultConnectFailed}) // the owner must not wait on its own queue
 		return
 	}
-	for {
+	doubted := p.doubted.Load()
+	for !t.Once || int64(s.Clock.Now()-doubtFor) >= doubted {
 		l, ok := p.idle.Take()
 		if !ok {
 			break
 		}
+		if t.Once && l.answered.Load() < doubted {
+			l.CloseIdle(transport.EndReplaced)
+			continue
+		}
 		if l.assign(t) {
 			return
 		}
--- a/internal/standin/postgres.go
+++ b/internal/standin/postgres.go
@@ -46,6 +46,7 @@
 	opened   int
 	queries  []string
 	refusing string
+	probe    func(*Query) bool
 	done     sync.WaitGroup
 	Closed   chan int // the number of each connection that has ended
 	Position atomic.Int64
@@ -164,6 +165,12 @@
 			continue
 		}
 		if q.SQL == "SHOW load" {
+			s.mu.Lock()
+			probe := s.probe
+			s.mu.Unlock()
+			if probe != nil && probe(q) {
+				continue
+			}
 			q.Serve([]byte(s.report()))
 			continue
 		}
@@ -175,6 +182,13 @@
 	}
 }
 
+// SetProbe has probes handled first by a function that tells whether it has dealt with them.
+func (s *Server) SetProbe(h func(*Query) bool) {
+	s.mu.Lock()
+	s.probe = h
+	s.mu.Unlock()
+}
+
 // SetHandle changes what the server does with queries.
 func (s *Server) SetHandle(h func(*Query)) {
 	s.mu.Lock()
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -81,6 +81,34 @@
 	return err
 }
 
+// Fill adds the next n bytes to a message. Unlike a plain read it goes on when the connection is woken meanwhile.
+func (c *Conn) Fill(m *Message, n int, by time.Time) error {
+	for n > 0 {
+		k := min(n, BufferSize)
+		if err := c.Wait(k, by, nil); err != nil {
+			return err
+		}
+		if err := m.Fill(c.r, k); err != nil {
+			return err
+		}
+		n -= k
+	}
+	return nil
+}
+
+// SkipBy passes over bytes, likewise.
+func (c *Conn) SkipBy(n int, by time.Time) error {
+	for n > 0 {
+		k := min(n, BufferSize)
+		if err := c.Wait(k, by, nil); err != nil {
+			return err
+		}
+		c.r.Discard(k)
+		n -= k
+	}
+	return nil
+}
+
 // Reader reads what the peer sent; it waits no longer than the deadline set last.
 func (c *Conn) Reader() io.Reader { return c.r }
 
