--- a/internal/program/client_test.go
+++ b/internal/program/client_test.go
@@ -601,3 +601,40 @@
 	}
 	w.logged(`"party":"client"`, `"reason":"descriptors"`)
 }
+
+// A stop waits for requests under way and for no message that has come in part only, whatever is sent behind it.
+func TestStopDoesNotWaitForHalfMessages(t *testing.T) {
+	w := newWorld(t, func(c *config.Config) {}, func(g *Gateway) { g.clients.Limits.Newcomer = patience })
+	arrived, gate := make(chan struct{}, 8), make(chan struct{})
+	release := sync.OnceFunc(func() { close(gate) })
+	defer release()
+	w.primary.SetHandle(func(q *standin.Query) {
+		arrived <- struct{}{}
+		<-gate
+		q.Serve([]byte("value of " + q.ID()))
+	})
+	silent, half, halfStart := w.open(), w.raw(), w.open()
+	half.Write(query(look("h"))[:30])
+	halfStart.Write(startup()[:10])
+	behind := w.raw() // half a message behind a request that is under way
+	behind.Write(append(query(put("b")), query(look("c"))[:30]...))
+	<-arrived
+	stopped := make(chan struct{})
+	w.stopped = true
+	go func() {
+		w.gateway.Stop()
+		close(stopped)
+	}()
+	for _, c := range []*reading{silent, half, halfStart} {
+		c.ends()
+	}
+	release()
+	if kinds, bodies := behind.until('Z'); kinds != "TDCZ" || !strings.HasSuffix(bodies[1], "value of b") {
+		t.Errorf("the request under way got %s %q", kinds, bodies)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(patience / 2):
+		t.Error("the stop waits")
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -54,6 +54,10 @@
 // front stops sending 0.4 s after SIGTERM, and it is killed 0.7 s after the longest deadline.
 const drainSlack = 600 * time.Millisecond
 
+// drainCut is how much longer messages that have come in part only are waited for. A request is taken with its last byte;
+// until then its client may send it elsewhere, and whoever stops halfway must not hold up the restart.
+const drainCut = 200 * time.Millisecond
+
 // drainPoll is how often a stopping gateway looks whether it is done.
 const drainPoll = 10 * time.Millisecond
 
@@ -202,13 +206,17 @@
 	for _, c := range g.cfg.Facts.Settings.Classes {
 		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
 	}
-	answered := func() {
-		for g.clients.Open() > 0 && time.Since(start) < longest+drainSlack {
+	until := func(done func() bool) {
+		for !done() && time.Since(start) < longest+drainSlack {
 			time.Sleep(drainPoll)
 		}
 	}
+	answered := func() { until(func() bool { return g.clients.Open() == 0 }) }
 	time.Sleep(drainAfter)
 	g.clients.Drain()
+	cut := time.Now().Add(drainCut)
+	until(func() bool { return g.clients.Open() == 0 || time.Now().After(cut) })
+	g.clients.CutOff()
 	answered()
 	g.listener.Close()
 	<-g.accepting
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -197,10 +197,10 @@
 	if !c.all.Buffers.Reserve(reserve) {
 		c.all.Counts.OverMemory.Add(1)
 		c.complain(postgres.CodeRefused, "the gateway has no memory left for this")
-		return reasoned(c.conn.SkipBy(body, by))
+		return reasoned(c.conn.SkipBy(body, by, c.isCut))
 	}
 	text := c.all.Buffers.NewMessage()
-	if err := c.conn.Fill(text, body, by); err != nil {
+	if err := c.conn.Fill(text, body, by, c.isCut); err != nil {
 		text.Free()
 		c.all.Buffers.Release(reserve)
 		if transport.ReasonOf(err) == transport.EndTimeout {
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -3,6 +3,7 @@
 package session
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"maps"
@@ -69,6 +70,7 @@
 	mu       sync.Mutex
 	open     map[*client]struct{}
 	draining bool
+	cut      bool
 	started  uint32
 }
 
@@ -87,6 +89,7 @@
 	queue   []*asked // what awaits its answer, oldest first
 	resting bool     // waiting between requests: nothing is lost if it is woken
 	closing bool
+	cut     bool // the gateway stops, and waits for no message that has not come whole
 	reason  transport.Reason
 	served  int
 
@@ -116,6 +119,9 @@
 		s.open = map[*client]struct{}{}
 	}
 	s.open[c] = struct{}{}
+	if s.cut {
+		c.newBy = since.Add(lateRequest)
+	}
 	s.started++
 	process := s.started
 	s.mu.Unlock()
@@ -140,6 +146,22 @@
 	}
 }
 
+// CutOff ends every connection that has brought a message in part only: its request has not been taken, and its client
+// sends it again elsewhere. Requests under way are still answered. It guards a stop against clients that send in drips or
+// stop halfway: each would hold the gateway up for as long as it may.
+func (s *Clients) CutOff() {
+	s.mu.Lock()
+	s.cut = true
+	all := slices.Collect(maps.Keys(s.open))
+	s.mu.Unlock()
+	for _, c := range all {
+		c.mu.Lock()
+		c.cut = true
+		c.conn.Wake()
+		c.mu.Unlock()
+	}
+}
+
 // Open is the number of client connections.
 func (s *Clients) Open() int {
 	s.mu.Lock()
@@ -171,6 +193,12 @@
 	c.mu.Unlock()
 }
 
+func (c *client) isCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut
+}
+
 func (c *client) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -187,7 +215,11 @@
 
 // idle waits for n bytes between requests. What has come already is served, whoever asks for the end.
 func (c *client) idle(n int) (transport.Reason, error) {
-	c.all.Fds.Park(c, c.known)
+	kind := transport.Newcomer
+	if c.known {
+		kind = transport.Asked
+	}
+	c.all.Fds.Park(c, kind)
 	c.rest(true)
 	defer func() {
 		c.rest(false)
@@ -259,6 +291,12 @@
 		if err == nil {
 			reason, err = c.message()
 		}
+		if errors.Is(err, transport.ErrWoken) && c.isCut() {
+			if reason, err := c.finish(); err != nil {
+				return reason, err
+			}
+			return transport.EndDrain, err
+		}
 		if err != nil {
 			return reason, err
 		}
@@ -280,15 +318,15 @@
 		if !c.skipping {
 			return c.query(h.Body, by)
 		}
-		return reasoned(c.conn.SkipBy(h.Body, by))
+		return reasoned(c.conn.SkipBy(h.Body, by, c.isCut))
 	case postgres.TypeTerminate:
 		return transport.EndTerminate, io.EOF
 	case postgres.TypeSync:
 		c.skipping = false
 		c.say(postgres.AppendReady(nil))
-		return reasoned(c.conn.SkipBy(h.Body, by))
+		return reasoned(c.conn.SkipBy(h.Body, by, c.isCut))
 	case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f':
-		if err = c.conn.SkipBy(h.Body, by); err != nil || c.skipping || h.Type == 'H' || h.Type >= 'a' {
+		if err = c.conn.SkipBy(h.Body, by, c.isCut); err != nil || c.skipping || h.Type == 'H' || h.Type >= 'a' {
 			return reasoned(err)
 		}
 		c.all.Counts.Unsupported.Add(1)
@@ -317,12 +355,13 @@
 		if err != nil {
 			return c.reject(err)
 		}
-		packet := make([]byte, 4+n)
-		c.conn.ReadBy(c.newBy)
-		if _, err := io.ReadFull(c.conn.Reader(), packet); err != nil {
+		packet := c.all.Buffers.NewMessage()
+		if err := c.conn.Fill(packet, 4+n, c.newBy, c.isCut); err != nil {
+			packet.Free()
 			return transport.ReasonOf(err), err
 		}
-		opening, start, err := postgres.ParseStartup(packet[4:])
+		opening, start, err := postgres.ParseStartup(bytes.Join(packet.From(4), nil))
+		packet.Free()
 		if err != nil {
 			return c.reject(err)
 		}
@@ -348,8 +387,8 @@
 	return c.end(cause)
 }
 
-// end answers what was asked before, gives the last word and leaves the client time to read it.
-func (c *client) end(cause error) (transport.Reason, error) {
+// finish answers what was asked before and reads nothing more.
+func (c *client) finish() (transport.Reason, error) {
 	for c.waiting() > 0 {
 		if reason, err := c.flush(); err != nil {
 			return reason, err
@@ -361,6 +400,14 @@
 			}
 		}
 	}
+	return 0, nil
+}
+
+// end answers what was asked before, gives the last word and leaves the client time to read it.
+func (c *client) end(cause error) (transport.Reason, error) {
+	if reason, err := c.finish(); err != nil {
+		return reason, err
+	}
 	if c.write(postgres.AppendError(nil, true, postgres.CodeProtocol, cause.Error(), 0)) == nil {
 		c.conn.Linger(time.Now().Add(c.all.Limits.Linger), lingerBytes)
 	}
--- a/internal/session/link.go
+++ b/internal/session/link.go
@@ -191,7 +191,7 @@
 	l.mu.Unlock()
 	l.answered.Store(int64(l.all.Clock.Now()))
 	if !closing {
-		l.all.Fds.Park(l, true)
+		l.all.Fds.Park(l, transport.Kept)
 		l.place.idle.Put(l)
 	}
 	l.all.finish(t, e)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -81,11 +81,12 @@
 	return err
 }
 
-// Fill adds the next n bytes to a message. Unlike a plain read it goes on when the connection is woken meanwhile.
-func (c *Conn) Fill(m *Message, n int, by time.Time) error {
+// Fill adds the next n bytes to a message. Unlike a plain read it goes on when the connection is woken meanwhile, unless
+// something is pending.
+func (c *Conn) Fill(m *Message, n int, by time.Time, pending func() bool) error {
 	for n > 0 {
 		k := min(n, BufferSize)
-		if err := c.Wait(k, by, nil); err != nil {
+		if err := c.Wait(k, by, pending); err != nil {
 			return err
 		}
 		if err := m.Fill(c.r, k); err != nil {
@@ -97,10 +98,10 @@
 }
 
 // SkipBy passes over bytes, likewise.
-func (c *Conn) SkipBy(n int, by time.Time) error {
+func (c *Conn) SkipBy(n int, by time.Time, pending func() bool) error {
 	for n > 0 {
 		k := min(n, BufferSize)
-		if err := c.Wait(k, by, nil); err != nil {
+		if err := c.Wait(k, by, pending); err != nil {
 			return err
 		}
 		c.r.Discard(k)
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -5,14 +5,27 @@
 	"sync"
 )
 
+// Idleness says whose idle connection it is. When descriptors run short the first kind gives way first, and within a kind
+// the one idle for longest.
+type Idleness uint8
+
+// The kinds of idle connections.
+const (
+	Newcomer Idleness = iota // a client that has never brought a request
+	Asked                    // a client that has
+	Kept                     // to a server; opening another costs that server work
+	idlenesses
+)
+
 // Descriptors keeps account of open descriptors, and closes idle connections when they run short, never one with a
-// request: first those that have never brought one, then the one idle for longest.
+// request.
 type Descriptors struct {
 	mu      sync.Mutex
 	used    int
 	clients int
 	most    int
-	idle    [2]*list.List // newcomers; others
+	asked   int // how many clients that have asked may be idle
+	idle    [idlenesses]*list.List
 	parked  map[Idler]parking
 }
 
@@ -39,11 +52,16 @@
 // taken from the servers.
 const clientShare = 55
 
+// idleAskedPart is the part of the descriptors that idle clients which have asked may hold: half of the third that clients
+// hold for requests at most. Clients that ask once and keep their connection would fill that third, and the next ones
+// would find no connection left. Harm: a client that pauses between requests may have to connect again.
+const idleAskedPart = 6
+
 // NewDescriptors makes the account for a process that may hold so many descriptors.
 func NewDescriptors(limit int) *Descriptors {
 	return &Descriptors{
-		most: max(limit-otherDescriptors, 2*urgentDescriptors), idle: [2]*list.List{list.New(), list.New()},
-		parked: map[Idler]parking{},
+		most: max(limit-otherDescriptors, 2*urgentDescriptors), parked: map[Idler]parking{},
+		idle: [idlenesses]*list.List{list.New(), list.New(), list.New()}, asked: max(limit/idleAskedPart, 1),
 	}
 }
 
@@ -89,12 +107,8 @@
 func (d *Descriptors) makeRoom() bool {
 	d.mu.Lock()
 	var x Idler
-	for _, l := range d.idle {
-		if oldest := l.Front(); oldest != nil {
-			x = l.Remove(oldest).(Idler)
-			delete(d.parked, x)
-			break
-		}
+	for k := Newcomer; k < idlenesses && x == nil; k++ {
+		x = d.oldest(k)
 	}
 	d.mu.Unlock()
 	if x != nil {
@@ -103,17 +117,31 @@
 	return x != nil
 }
 
-// Park notes that a connection is idle from now on, and whether it has ever carried a request.
-func (d *Descriptors) Park(x Idler, known bool) {
-	l := d.idle[0]
-	if known {
-		l = d.idle[1]
+// oldest takes out the connection of a kind that is idle for longest, if there is one. The caller holds the lock.
+func (d *Descriptors) oldest(k Idleness) Idler {
+	front := d.idle[k].Front()
+	if front == nil {
+		return nil
 	}
+	x := d.idle[k].Remove(front).(Idler)
+	delete(d.parked, x)
+	return x
+}
+
+// Park notes that a connection is idle from now on. Of the clients that have asked, too many idle ones give way at once.
+func (d *Descriptors) Park(x Idler, k Idleness) {
+	var last Idler
 	d.mu.Lock()
 	if _, parked := d.parked[x]; !parked {
-		d.parked[x] = parking{l, l.PushBack(x)}
+		d.parked[x] = parking{d.idle[k], d.idle[k].PushBack(x)}
+		if k == Asked && d.idle[k].Len() > d.asked {
+			last = d.oldest(k)
+		}
 	}
 	d.mu.Unlock()
+	if last != nil {
+		last.CloseIdle(EndRoom)
+	}
 }
 
 // Unpark notes that a connection is idle no longer.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -100,10 +101,10 @@
 	var asked []string
 	a, b, c := &idler{"a", &asked}, &idler{"b", &asked}, &idler{"c", &asked}
 	for _, x := range []*idler{a, b, c} {
-		d.Park(x, true)
+		d.Park(x, Kept)
 	}
 	d.Unpark(a)     // it has a request now
-	d.Park(a, true) // and is idle again: the youngest
+	d.Park(a, Kept) // and is idle again: the youngest
 	d.Unpark(b)
 	for range 30 {
 		if !d.take(true) {
@@ -275,8 +276,8 @@
 	d := NewDescriptors(otherDescriptors + most)
 	var asked []string
 	served, silent := &idler{"served", &asked}, &idler{"silent", &asked}
-	d.Park(served, true)
-	d.Park(silent, false) // later idle, and yet first
+	d.Park(served, Asked)
+	d.Park(silent, Newcomer) // later idle, and yet first
 	stayed := 0
 	for d.takeClient() {
 		stayed++
@@ -299,6 +300,26 @@
 	}
 }
 
+// Clients that ask once and keep their connection leave room for the next ones; servers' connections are not concerned.
+func TestIdleClientsGiveWay(t *testing.T) {
+	const limit = 60
+	d := NewDescriptors(limit)
+	var asked []string
+	for i := range 2 * limit / idleAskedPart {
+		d.Park(&idler{fmt.Sprint("server", i), &asked}, Kept)
+	}
+	for i := range limit / idleAskedPart {
+		d.Park(&idler{fmt.Sprint("client", i), &asked}, Asked)
+	}
+	if len(asked) != 0 {
+		t.Errorf("%v asked with room left", asked)
+	}
+	d.Park(&idler{"one more", &asked}, Asked)
+	if len(asked) != 1 || asked[0] != "client0 room" {
+		t.Errorf("%v asked, want the client that is idle for longest", asked)
+	}
+}
+
 // What does not fit the budget waits for what is held, until its time is up or it is given up.
 func TestGrowWaitsForMemory(t *testing.T) {
 	b := NewBuffers(3 * BufferSize)
