--- a/internal/program/client_test.go
+++ b/internal/program/client_test.go
@@ -638,3 +638,53 @@
 		t.Error("the stop waits")
 	}
 }
+
+// Nor does it wait for clients that go on connecting and say nothing.
+func TestStopDoesNotWaitForACrowd(t *testing.T) {
+	w := newWorld(t, nil)
+	w.asks(w.dial(), look("a"), "value of a", "")
+	stopped, crowd := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(crowd)
+		for {
+			nc, err := net.Dial("tcp", w.gateway.Addr())
+			if err != nil {
+				return
+			}
+			defer nc.Close()
+			select {
+			case <-stopped:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}()
+	w.stopped = true
+	since := time.Now()
+	w.gateway.Stop()
+	close(stopped)
+	<-crowd
+	if took := time.Since(since); took > 4*time.Second {
+		t.Errorf("the stop took %v", took)
+	}
+}
+
+// What no server has answered when the gateway has to leave is failed, not left without an answer.
+func TestStopFailsWhatIsLeft(t *testing.T) {
+	w := newWorld(t, nil)
+	arrived, gate := make(chan struct{}, 8), make(chan struct{})
+	release := sync.OnceFunc(func() { close(gate) })
+	defer release()
+	w.primary.SetHandle(func(q *standin.Query) {
+		arrived <- struct{}{}
+		<-gate
+	})
+	c := w.raw()
+	c.Write(query(strings.Replace(put("b"), "d=5000", "d=20000", 1)))
+	<-arrived
+	w.stopped = true
+	w.gateway.Stop()
+	if kinds, bodies := c.until('Z'); kinds != "EZ" || !strings.Contains(bodies[0], "C58000\x00") {
+		t.Errorf("the request under way got %s %q", kinds, bodies)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -46,13 +46,21 @@
 // (the library signals without holding the lock): the line then waited for the next one, seconds in a quiet gateway.
 const logPoll = 20 * time.Millisecond
 
-// drainAfter is how long after SIGTERM the gateway serves as before: the front goes on sending to it for up to
-// 0.4 s, and a connection closed sooner would only be opened again.
+// The platform kills a gateway no sooner after SIGTERM than the longest deadline, counted as mostPatience where it is
+// longer, plus killSlack. stopMargin of that is left for last answers and for ending.
+const (
+	mostPatience = 3 * time.Second
+	killSlack    = 700 * time.Millisecond
+	stopMargin   = 200 * time.Millisecond
+)
+
+// drainAfter is the least time after SIGTERM for which the gateway serves as before: the front goes on sending to it for
+// up to 0.4 s, and a connection closed sooner would only be opened again.
 const drainAfter = 450 * time.Millisecond
 
-// drainSlack is added to the longest deadline as the time after which the gateway leaves whatever still waits: the
-// front stops sending 0.4 s after SIGTERM, and it is killed 0.7 s after the longest deadline.
-const drainSlack = 600 * time.Millisecond
+// drainLast is how long before it leaves the gateway stops taking requests, so that nearly all are answered by then; the
+// few that are not are failed rather than left without an answer.
+const drainLast = 600 * time.Millisecond
 
 // drainCut is how much longer messages that have come in part only are waited for. A request is taken with its last byte;
 // until then its client may send it elsewhere, and whoever stops halfway must not hold up the restart.
@@ -206,21 +214,28 @@
 	for _, c := range g.cfg.Facts.Settings.Classes {
 		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
 	}
+	leave := min(longest, mostPatience) + killSlack - stopMargin
 	until := func(done func() bool) {
-		for !done() && time.Since(start) < longest+drainSlack {
+		for !done() && time.Since(start) < leave {
 			time.Sleep(drainPoll)
 		}
 	}
 	answered := func() { until(func() bool { return g.clients.Open() == 0 }) }
-	time.Sleep(drainAfter)
+	// Clients use the connections they have for as long as these are open, and may have no other gateway.
+	time.Sleep(max(leave-drainLast, drainAfter))
 	g.clients.Drain()
 	cut := time.Now().Add(drainCut)
 	until(func() bool { return g.clients.Open() == 0 || time.Now().After(cut) })
 	g.clients.CutOff()
-	answered()
+	until(func() bool { return g.clients.Busy() == 0 }) // whoever connects for nothing all the time is not waited for
 	g.listener.Close()
 	<-g.accepting
 	answered() // what was still in the listener's backlog
+	if g.clients.Open() > 0 {
+		g.owner.Ask((*routing.Core).FailAll)
+		leave += stopMargin / 2
+		answered()
+	}
 	g.listener.Release()
 	g.owner.Ask(g.printOwner)
 	g.owner.Stop() // first, so that nothing new is sent while the rest closes
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -205,6 +205,16 @@
 	}
 }
 
+// FailAll gives every request that still awaits its answer a final one: the gateway leaves, and what is out for it may
+// have run. None is left unanswered.
+func (c *Core) FailAll() {
+	for _, q := range c.byClient {
+		c.answer(q, Answer{Kind: Failed})
+		c.step(brain.Dropped{ID: q.id})
+		c.settle()
+	}
+}
+
 // perform carries out the module's actions, in order.
 func (c *Core) perform(actions []brain.Action) {
 	for _, a := range actions {
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -162,6 +162,18 @@
 	}
 }
 
+// Busy is the number of client connections with requests under way.
+func (s *Clients) Busy() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if c.waiting() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Open is the number of client connections.
 func (s *Clients) Open() int {
 	s.mu.Lock()
