--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -222,7 +222,10 @@
 	}
 	answered := func() { until(func() bool { return g.clients.Open() == 0 }) }
 	// Clients use the connections they have for as long as these are open, and may have no other gateway.
-	time.Sleep(max(leave-drainLast, drainAfter))
+	time.Sleep(drainAfter)
+	for g.clients.Open() > 0 && time.Since(start) < leave-drainLast {
+		time.Sleep(drainPoll)
+	}
 	g.clients.Drain()
 	cut := time.Now().Add(drainCut)
 	until(func() bool { return g.clients.Open() == 0 || time.Now().After(cut) })
