--- a/internal/program/client_test.go
+++ b/internal/program/client_test.go
@@ -182,9 +182,12 @@
 		}
 	}
 
-	gate = make(chan struct{})
-	later := sync.OnceFunc(func() { close(gate) })
-	defer later()
+	again := make(chan struct{})
+	defer close(again)
+	w.primary.SetHandle(func(q *standin.Query) {
+		arrived <- q.ID()
+		<-again
+	})
 	gone := w.raw()
 	var all []byte
 	for i := range 20 {
--- a/internal/program/gateway_test.go
+++ b/internal/program/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -176,7 +177,13 @@
 
 // counts reads the owner's counters.
 func (w *world) counts() (c routing.Counts) {
-	w.gateway.owner.Ask(func(core *routing.Core) { c = core.Counts })
+	w.gateway.owner.Ask(func(core *routing.Core) {
+		c = core.Counts
+		c.Requests, c.Sends, c.Gone = slices.Clone(c.Requests), slices.Clone(c.Sends), slices.Clone(c.Gone)
+		for k := range c.Answers {
+			c.Answers[k] = slices.Clone(c.Answers[k])
+		}
+	})
 	return c
 }
 
