--- a/internal/program/client_test.go
+++ b/internal/program/client_test.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// holding is a way to handle queries: each tells its id when it arrives, and is answered once they are released, at the
+// latest when the test ends.
+func holding(t *testing.T) (handle func(*standin.Query), arrived chan string, release func()) {
+	arrived, gate := make(chan string, 1024), make(chan struct{})
+	release = sync.OnceFunc(func() { close(gate) })
+	t.Cleanup(release)
+	return func(q *standin.Query) {
+		arrived <- q.ID()
+		<-gate
+		q.Serve([]byte("value of " + q.ID()))
+	}, arrived, release
+}
+
 func TestFirstQueryBehindStartup(t *testing.T) {
 	w := newWorld(t, nil)
 	c := w.open()
@@ -158,14 +171,8 @@
 // them gets has its place in that order too. A client that goes away leaves none of them behind.
 func TestQueriesSentAheadDoNotWait(t *testing.T) {
 	w := newWorld(t, nil)
-	arrived, gate := make(chan string, 256), make(chan struct{})
-	release := sync.OnceFunc(func() { close(gate) })
-	defer release()
-	w.primary.SetHandle(func(q *standin.Query) {
-		arrived <- q.ID()
-		<-gate
-		q.Serve([]byte("value of " + q.ID()))
-	})
+	hold, arrived, release := holding(t)
+	w.primary.SetHandle(hold)
 	c := w.raw()
 	c.Write(append(append(append(query(put("w1")), query(look("r1"))...), query("nonsense")...), query(put("w2"))...))
 	for _, id := range []string{"w1", "w2"} {
@@ -182,12 +189,8 @@
 		}
 	}
 
-	again := make(chan struct{})
-	defer close(again)
-	w.primary.SetHandle(func(q *standin.Query) {
-		arrived <- q.ID()
-		<-again
-	})
+	hold, arrived, _ = holding(t)
+	w.primary.SetHandle(hold)
 	gone := w.raw()
 	var all []byte
 	for i := range 20 {
@@ -303,14 +306,7 @@
 // Beyond the memory budget a request is refused before any attempt.
 func TestMemoryBudget(t *testing.T) {
 	w := newWorld(t, func(c *config.Config) { c.MemoryMB = 32 }) // 16 MB for messages
-	arrived, gate := make(chan struct{}, 1024), make(chan struct{})
-	release := sync.OnceFunc(func() { close(gate) })
-	defer release()
-	hold := func(q *standin.Query) {
-		arrived <- struct{}{}
-		<-gate
-		q.Serve([]byte("v"))
-	}
+	hold, _, release := holding(t)
 	w.primary.SetHandle(hold)
 	w.replica.SetHandle(hold)
 	value := strings.Repeat("00", 60<<10)
@@ -402,7 +398,7 @@
 		t.Fatalf("asked %q", first)
 	}
 	lists := func(form int) int64 { return w.counts().Lists[form] }
-	const delta, full, failed = 0, 1, 3
+	const delta, full, failed = formDelta, formFull, formFailed
 	eventually(t, func() bool { return lists(full) == 1 }, func() string { return "no list came" })
 
 	moved := w.targets()[1]
@@ -439,7 +435,7 @@
 	w := newWorld(t, nil, func(g *Gateway) {
 		g.discovery.Limits.Answer, g.discovery.Limits.Silence = 200*time.Millisecond, 200*time.Millisecond
 	})
-	const full, failed = 1, 3
+	const full, failed = formFull, formFailed
 	eventually(t, func() bool { n := w.counts(); return n.Lists[full] >= 2 && n.Lists[failed] >= 1 },
 		func() string { return fmt.Sprintf("lists by form %v", w.counts().Lists) })
 	w.disc.Answer("silent")
@@ -550,18 +546,14 @@
 // is over, the id may be used again.
 func TestIDInUse(t *testing.T) {
 	w := newWorld(t, nil)
-	arrived, release := make(chan struct{}, 8), make(chan struct{})
-	w.primary.SetHandle(func(q *standin.Query) {
-		arrived <- struct{}{}
-		<-release
-		q.Serve([]byte("value of " + q.ID()))
-	})
+	hold, arrived, release := holding(t)
+	w.primary.SetHandle(hold)
 	first, second := w.raw(), w.dial()
 	first.Write(query(put("same")))
 	<-arrived
 	w.asks(second, put("same"), "", "22023")
 	w.asks(second, look("same"), "", "22023")
-	close(release)
+	release()
 	if kinds, bodies := first.until('Z'); kinds != "TDCZ" || !strings.HasSuffix(bodies[1], "value of same") {
 		t.Errorf("%s %q", kinds, bodies)
 	}
@@ -574,14 +566,7 @@
 // A client that finds no room is told so before its start-up, in a way that invites it to come again.
 func TestNoRoomForAClient(t *testing.T) {
 	w := newWorld(t, func(c *config.Config) { c.Sockets = 64 })
-	arrived, gate := make(chan struct{}, 64), make(chan struct{})
-	release := sync.OnceFunc(func() { close(gate) })
-	defer release()
-	hold := func(q *standin.Query) {
-		arrived <- struct{}{}
-		<-gate
-		q.Serve([]byte("v"))
-	}
+	hold, _, _ := holding(t)
 	w.primary.SetHandle(hold)
 	w.replica.SetHandle(hold)
 	busy := 0
@@ -608,14 +593,8 @@
 // A stop waits for requests under way and for no message that has come in part only, whatever is sent behind it.
 func TestStopDoesNotWaitForHalfMessages(t *testing.T) {
 	w := newWorld(t, func(c *config.Config) {}, func(g *Gateway) { g.clients.Limits.Newcomer = patience })
-	arrived, gate := make(chan struct{}, 8), make(chan struct{})
-	release := sync.OnceFunc(func() { close(gate) })
-	defer release()
-	w.primary.SetHandle(func(q *standin.Query) {
-		arrived <- struct{}{}
-		<-gate
-		q.Serve([]byte("value of " + q.ID()))
-	})
+	hold, arrived, release := holding(t)
+	w.primary.SetHandle(hold)
 	silent, half, halfStart := w.open(), w.raw(), w.open()
 	half.Write(query(look("h"))[:30])
 	halfStart.Write(startup()[:10])
@@ -675,13 +654,8 @@
 // What no server has answered when the gateway has to leave is failed, not left without an answer.
 func TestStopFailsWhatIsLeft(t *testing.T) {
 	w := newWorld(t, nil)
-	arrived, gate := make(chan struct{}, 8), make(chan struct{})
-	release := sync.OnceFunc(func() { close(gate) })
-	defer release()
-	w.primary.SetHandle(func(q *standin.Query) {
-		arrived <- struct{}{}
-		<-gate
-	})
+	hold, arrived, _ := holding(t)
+	w.primary.SetHandle(hold)
 	c := w.raw()
 	c.Write(query(strings.Replace(put("b"), "d=5000", "d=20000", 1)))
 	<-arrived
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -206,7 +206,8 @@
 	return g.ready.Load()
 }
 
-// Stop serves on while the front still sends, then closes idle clients, answers all that was taken, and ends.
+// Stop serves on until shortly before the gateway must leave, then closes idle clients, answers all that was taken, and
+// ends. Where no client is left it ends sooner.
 func (g *Gateway) Stop() {
 	g.log.Info().Msg("stopping")
 	start := time.Now()
@@ -215,29 +216,24 @@
 		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
 	}
 	leave := min(longest, mostPatience) + killSlack - stopMargin
-	until := func(done func() bool) {
-		for !done() && time.Since(start) < leave {
+	wait := func(end time.Duration, open func() int) {
+		for open() > 0 && time.Since(start) < end {
 			time.Sleep(drainPoll)
 		}
 	}
-	answered := func() { until(func() bool { return g.clients.Open() == 0 }) }
 	// Clients use the connections they have for as long as these are open, and may have no other gateway.
 	time.Sleep(drainAfter)
-	for g.clients.Open() > 0 && time.Since(start) < leave-drainLast {
-		time.Sleep(drainPoll)
-	}
+	wait(leave-drainLast, g.clients.Open)
 	g.clients.Drain()
-	cut := time.Now().Add(drainCut)
-	until(func() bool { return g.clients.Open() == 0 || time.Now().After(cut) })
+	wait(min(time.Since(start)+drainCut, leave), g.clients.Open)
 	g.clients.CutOff()
-	until(func() bool { return g.clients.Busy() == 0 }) // whoever connects for nothing all the time is not waited for
+	wait(leave, g.clients.Busy) // whoever connects for nothing all the time is not waited for
 	g.listener.Close()
 	<-g.accepting
-	answered() // what was still in the listener's backlog
+	wait(leave, g.clients.Open) // what was still in the listener's backlog
 	if g.clients.Open() > 0 {
 		g.owner.Ask((*routing.Core).FailAll)
-		leave += stopMargin / 2
-		answered()
+		wait(leave+stopMargin/2, g.clients.Open)
 	}
 	g.listener.Release()
 	g.owner.Ask(g.printOwner)
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -116,12 +116,11 @@
 		out = postgres.AppendError(nil, false, postgres.CodeFailed, "the statement failed, and may have run", 0)
 	case routing.Rejected:
 		out = postgres.AppendError(nil, false, postgres.CodeBadValue, "the id is that of a request still under way", 0)
-		if reason, err := reasoned(c.write(postgres.AppendReady(out))); err != nil {
-			return reason, err
-		}
-		return c.strike()
 	}
-	return reasoned(c.write(postgres.AppendReady(out)))
+	if reason, err := reasoned(c.write(postgres.AppendReady(out))); err != nil || q.answer.Kind != routing.Rejected {
+		return reason, err
+	}
+	return c.strike()
 }
 
 func reasoned(err error) (transport.Reason, error) {
@@ -209,7 +208,7 @@
 		return transport.ReasonOf(err), err
 	}
 	arrival, st, fault, code := c.read(text, body)
-	if code != "" || fault == "" && st.ID == "" {
+	if code != "" || st.ID == "" {
 		text.Free()
 		c.all.Buffers.Release(reserve)
 		switch code {
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -32,7 +32,7 @@
 
 // DefaultTimeouts are the limits of a gateway in service. A connection may be closed after 2 s without a request, and one
 // that never sends a whole one is owed its end within 3 s; a request is small and comes at once, in however many pieces.
-// One that has been served may idle for long: it gives way when descriptors run short, not before.
+// One that has asked may idle for long: it gives way when descriptors run short, or when too many idle with it.
 var DefaultTimeouts = Timeouts{
 	Newcomer: 2500 * time.Millisecond, Message: 2500 * time.Millisecond, Idle: 5 * time.Minute, Answer: 5 * time.Second,
 	Linger: 200 * time.Millisecond, Pause: 10 * time.Millisecond,
@@ -137,24 +137,24 @@
 
 // Drain closes idle connections now and every other one after its answer.
 func (s *Clients) Drain() {
-	s.mu.Lock()
-	s.draining = true
-	all := slices.Collect(maps.Keys(s.open))
-	s.mu.Unlock()
-	for _, c := range all {
+	for _, c := range s.from(&s.draining) {
 		c.CloseIdle(transport.EndDrain)
 	}
 }
 
+// from marks that a part of the stop has begun, for clients still to come, and lists those that are open.
+func (s *Clients) from(mark *bool) []*client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*mark = true
+	return slices.Collect(maps.Keys(s.open))
+}
+
 // CutOff ends every connection that has brought a message in part only: its request has not been taken, and its client
 // sends it again elsewhere. Requests under way are still answered. It guards a stop against clients that send in drips or
 // stop halfway: each would hold the gateway up for as long as it may.
 func (s *Clients) CutOff() {
-	s.mu.Lock()
-	s.cut = true
-	all := slices.Collect(maps.Keys(s.open))
-	s.mu.Unlock()
-	for _, c := range all {
+	for _, c := range s.from(&s.cut) {
 		c.mu.Lock()
 		c.cut = true
 		c.conn.Wake()
--- a/internal/session/link.go
+++ b/internal/session/link.go
@@ -166,18 +166,17 @@
 	l.served++
 	if reason != carryOn {
 		l.end()
-		if e.result == brain.ResultReset && l.served > 1 {
-			l.place.doubted.Store(int64(l.all.Clock.Now()))
-		}
-		if t.probe && e.result == brain.ResultTimeout {
+		switch {
+		case t.probe && e.result == brain.ResultTimeout:
 			// The machine is cut off: when it is back its kernel knows none of the idle siblings, and a request on
 			// one of them would be lost like this probe. Harm: some new handshakes too many.
 			closeAll(l.place)
-		}
-		if t.probe && e.result == brain.ResultReset && l.served > 1 {
-			// Only the kept connection is known to be dead. A new one tells whether the server is.
-			l.all.dial(t, l.place)
-			return reason, err
+		case e.result == brain.ResultReset && l.served > 1:
+			l.place.doubted.Store(int64(l.all.Clock.Now()))
+			if t.probe { // only the kept connection is known to be dead; a new one tells whether the server is
+				l.all.dial(t, l.place)
+				return reason, err
+			}
 		}
 		l.all.finish(t, e)
 		return reason, err
@@ -255,8 +254,7 @@
 	if err != nil || h.Type != postgres.TypeParameterStatus && h.Type != postgres.TypeNotice {
 		return errUnasked
 	}
-	l.conn.ReadBy(time.Now().Add(DefaultTimeouts.Message))
-	if err := l.conn.Skip(postgres.HeaderSize + h.Body); err != nil {
+	if err := l.conn.SkipBy(postgres.HeaderSize+h.Body, time.Now().Add(DefaultTimeouts.Message), nil); err != nil {
 		return errors.Join(errUnasked, err)
 	}
 	return nil
@@ -374,12 +372,8 @@
 	for whole > 0 {
 		n := min(whole, transport.BufferSize)
 		due := l.stall(by)
-		l.conn.ReadBy(due)
-		if err := value.Fill(l.conn.Reader(), n); err != nil {
-			if t.cancelled() {
-				return transport.ErrWoken
-			}
-			return stalled(deadline(err), due, by)
+		if err := l.conn.Fill(value, n, due, t.cancelled); err != nil {
+			return stalled(err, due, by)
 		}
 		whole -= n
 	}
@@ -403,12 +397,4 @@
 	return err
 }
 
-// deadline tells a deadline that a plain read has reached like one that a wait has.
-func deadline(err error) error {
-	if transport.ReasonOf(err) == transport.EndTimeout {
-		return transport.ErrDeadline
-	}
-	return err
-}
-
 var _ routing.Attempt = (*task)(nil)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -84,38 +84,29 @@
 // Fill adds the next n bytes to a message. Unlike a plain read it goes on when the connection is woken meanwhile, unless
 // something is pending.
 func (c *Conn) Fill(m *Message, n int, by time.Time, pending func() bool) error {
-	for n > 0 {
-		k := min(n, BufferSize)
-		if err := c.Wait(k, by, pending); err != nil {
-			return err
-		}
-		if err := m.Fill(c.r, k); err != nil {
-			return err
-		}
-		n -= k
-	}
-	return nil
+	return c.inPieces(n, by, pending, func(k int) error { return m.Fill(c.r, k) })
 }
 
 // SkipBy passes over bytes, likewise.
 func (c *Conn) SkipBy(n int, by time.Time, pending func() bool) error {
+	return c.inPieces(n, by, pending, c.Skip)
+}
+
+// inPieces waits for n bytes, no more than a buffer at a time, and hands each piece on.
+func (c *Conn) inPieces(n int, by time.Time, pending func() bool, take func(int) error) error {
 	for n > 0 {
 		k := min(n, BufferSize)
 		if err := c.Wait(k, by, pending); err != nil {
 			return err
 		}
-		c.r.Discard(k)
+		if err := take(k); err != nil {
+			return err
+		}
 		n -= k
 	}
 	return nil
 }
 
-// Reader reads what the peer sent; it waits no longer than the deadline set last.
-func (c *Conn) Reader() io.Reader { return c.r }
-
-// ReadBy sets the deadline of the reads that follow outside a wait.
-func (c *Conn) ReadBy(deadline time.Time) { c.nc.SetReadDeadline(deadline) }
-
 // Write writes all bytes, or tells how many went out.
 func (c *Conn) Write(deadline time.Time, parts net.Buffers) (int64, error) {
 	c.nc.SetWriteDeadline(deadline)
