VRRP: the pure state machine, its codec, and an explorer of state machines

Counter terminals reach the gateways through one floating address. internal/vrrp is RFC 9568's machine with tracking, damping and a guard against standing still; internal/protocol/vrrp the message with a signed trailer in place of TTL 255; internal/explore looks breadth first through several machines, messages, losses, delays, crashes and pauses. Nothing uses them yet.

Seen with the explorer, and mended before this commit: of two that advertise the backups followed the last heard, so that the release of one that noticed late made a third go for what another held; a lost release left a backup to its old timer while the new active one was being heard; a backup that woke within the down interval took over with the active one's word unread.

--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -17,6 +17,9 @@
 	"internal/settings":           {"brain"},
 	"internal/protocol/postgres":  {},
 	"internal/protocol/discovery": {},
+	"internal/protocol/vrrp":      {},
+	"internal/vrrp":               {},
+	"internal/explore":            {},
 	"internal/transport":          {},
 	"internal/config":             {"internal/settings", "internal/protocol/discovery"},
 	"internal/simwire":            {"brain", "internal/settings"},
@@ -42,6 +45,7 @@
 	"brain":             {"time", "net", "os", "io", "sync", "math/rand"},
 	"internal/protocol": {"sync", "os", "time", "io", "bufio"},
 	"internal/routing":  {"net", "os", "bufio"},
+	"internal/vrrp":     {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
 }
 
 func TestImportsPointDown(t *testing.T) {
--- /dev/null
+++ b/internal/protocol/vrrp/message.go
@@ -0,0 +1,211 @@
+// Package vrrp is the codec of VRRP version 3 advertisements (RFC 9568, 5.2) as they travel between gateways: over unicast
+// UDP, each with a trailer that tells its sender and its place in order and proves both. It works on bytes only.
+//
+// RFC 9568 trusts a hop limit of 255 to keep strangers out, which UDP sockets cannot check. The trailer stands in for it.
+package vrrp
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+)
+
+// Sizes of the message's parts in bytes.
+const (
+	headSize    = 8
+	trailerSize = 28
+	macSize     = 32
+	// MostAddresses is how many addresses a group may have here; the RFC's field allows 255.
+	MostAddresses = 16
+	// MostSize is the size of the largest message.
+	MostSize = headSize + 16*MostAddresses + trailerSize + macSize
+)
+
+// The values of RFC 9568, 5.2.1 and 5.2.2, and of the trailer's layout.
+const (
+	version        = 3
+	typeAdvert     = 1
+	trailerVersion = 1
+)
+
+// centisecond is the unit of the interval's field, in microseconds; the field has 12 bits.
+const (
+	centisecond  = 10_000
+	mostInterval = 1<<12 - 1
+)
+
+// Message is one advertisement.
+type Message struct {
+	VRID      uint8
+	Priority  uint8
+	Interval  int64 // microseconds, rounded to hundredths of a second on the wire
+	Addresses []netip.Addr
+	Trailer
+}
+
+// Trailer is what the project adds behind the RFC's message.
+type Trailer struct {
+	Key      uint8  // which of the keys signs it
+	Sender   uint8  // the sender's number among the gateways
+	Receiver uint8  // whom it is for
+	Start    uint64 // when the sender started, microseconds of Unix time
+	Sequence uint64 // of the sender's messages since then
+	Known    uint64 // the receiver's start as its sender knows it; 0: never heard
+}
+
+// Fault is why a message is dropped.
+type Fault uint8
+
+// The faults. The later ones are found by whoever knows the settings.
+const (
+	Sound        Fault = iota
+	BadLength          // it does not end where its counts say, or not at all
+	BadVersion         // not VRRP version 3, or another trailer
+	BadType            // no advertisement
+	BadCount           // no address, or too many
+	BadReserved        // bits are set that must not be
+	BadInterval        // an interval of 0
+	BadChecksum        // damaged
+	UnknownKey         // signed with a key that is not valid here
+	BadMAC             // signed with another secret, or changed on the way
+	WrongSource        // from an address that is no peer's, or another peer's
+	WrongPeer          // from or for another number
+	Replayed           // it, or a later one, came before
+	UnknownVRID        // of a group that is not configured here
+	OtherAddress       // of another address list than this group's
+	Faults
+)
+
+// FaultNames are the faults as counters and logs name them.
+var FaultNames = [Faults]string{
+	"sound", "length", "version", "type", "count", "reserved", "interval", "checksum", "unknown_key", "mac",
+	"source", "peer", "replayed", "vrid", "address",
+}
+
+// Error makes a fault an error.
+func (f Fault) Error() string { return "message dropped: " + FaultNames[f] }
+
+// ErrAddresses tells that a message cannot be written because of its address list.
+var ErrAddresses = errors.New("between 1 and 16 addresses of one family")
+
+// ErrInterval tells that an interval does not fit its field.
+var ErrInterval = errors.New("an interval from 10 ms to 40.95 s")
+
+// Append writes and signs a message. from and to are the UDP addresses, part of the checksum for IPv6 groups.
+func Append(b []byte, m Message, from, to netip.Addr, key Key) ([]byte, error) {
+	n := len(m.Addresses)
+	if n == 0 || n > MostAddresses {
+		return b, ErrAddresses
+	}
+	interval := (m.Interval + centisecond/2) / centisecond
+	if interval < 1 || interval > mostInterval {
+		return b, ErrInterval
+	}
+	start := len(b)
+	b = append(b, version<<4|typeAdvert, m.VRID, m.Priority, uint8(n))
+	b = binary.BigEndian.AppendUint16(b, uint16(interval))
+	b = append(b, 0, 0)
+	for _, a := range m.Addresses {
+		if a.Is4() != m.Addresses[0].Is4() || !a.IsValid() {
+			return b[:start], ErrAddresses
+		}
+		b = append(b, a.AsSlice()...)
+	}
+	binary.BigEndian.PutUint16(b[start+6:], checksum(b[start:], m.Addresses[0].Is4(), from, to))
+	t := m.Trailer
+	b = append(b, trailerVersion, key.Number, t.Sender, t.Receiver)
+	b = binary.BigEndian.AppendUint64(b, t.Start)
+	b = binary.BigEndian.AppendUint64(b, t.Sequence)
+	b = binary.BigEndian.AppendUint64(b, t.Known)
+	return append(b, key.sum(b[start:])...), nil
+}
+
+// Parse reads a message of an IPv4 or IPv6 group and checks all that can be told without the settings, its signature among
+// it. Nothing of a message with a fault is to be believed.
+func Parse(b []byte, four bool, from, to netip.Addr, keys []Key) (Message, Fault) {
+	var m Message
+	size := 16
+	if four {
+		size = 4
+	}
+	if len(b) < headSize+size+trailerSize+macSize || len(b) > MostSize {
+		return m, BadLength
+	}
+	if b[0]>>4 != version {
+		return m, BadVersion
+	}
+	if b[0]&0xf != typeAdvert {
+		return m, BadType
+	}
+	n := int(b[3])
+	if n == 0 || n > MostAddresses {
+		return m, BadCount
+	}
+	body := headSize + n*size
+	if len(b) != body+trailerSize+macSize {
+		return m, BadLength
+	}
+	interval := binary.BigEndian.Uint16(b[4:])
+	if interval>>12 != 0 {
+		return m, BadReserved // the RFC has receivers ignore them; here no sender sets them
+	}
+	if interval == 0 {
+		return m, BadInterval
+	}
+	if checksum(b[:body], four, from, to) != 0 {
+		return m, BadChecksum
+	}
+	t := b[body : body+trailerSize]
+	if t[0] != trailerVersion {
+		return m, BadVersion
+	}
+	if fault := verify(b, t[1], keys); fault != Sound {
+		return m, fault
+	}
+	m = Message{
+		VRID: b[1], Priority: b[2], Interval: int64(interval) * centisecond,
+		Trailer: Trailer{
+			Key: t[1], Sender: t[2], Receiver: t[3], Start: binary.BigEndian.Uint64(t[4:]),
+			Sequence: binary.BigEndian.Uint64(t[12:]), Known: binary.BigEndian.Uint64(t[20:]),
+		},
+	}
+	for i := range n {
+		a, _ := netip.AddrFromSlice(b[headSize+i*size : headSize+(i+1)*size])
+		m.Addresses = append(m.Addresses, a)
+	}
+	return m, Sound
+}
+
+// VRID tells the group that a message claims to be of, before anything is checked: the group's family decides how to
+// read the rest.
+func VRID(b []byte) (uint8, bool) {
+	if len(b) < headSize {
+		return 0, false
+	}
+	return b[1], true
+}
+
+// checksum is the internet checksum of RFC 9568, 5.2.8: over the message alone for IPv4, with a pseudo-header before it
+// for IPv6. Over a message with its checksum in place it is 0.
+func checksum(b []byte, four bool, from, to netip.Addr) uint16 {
+	var sum uint32
+	add := func(b []byte) {
+		for ; len(b) > 1; b = b[2:] {
+			sum += uint32(binary.BigEndian.Uint16(b))
+		}
+	}
+	if !four {
+		f, t := from.As16(), to.As16()
+		add(f[:])
+		add(t[:])
+		sum += uint32(len(b)) + protocolNumber
+	}
+	add(b)
+	for sum > 0xffff {
+		sum = sum>>16 + sum&0xffff
+	}
+	return ^uint16(sum)
+}
+
+// protocolNumber is VRRP's among the IP protocols.
+const protocolNumber = 112
--- /dev/null
+++ b/internal/vrrp/explore_test.go
@@ -0,0 +1,388 @@
+package vrrp
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+
+	"marblespan/internal/explore"
+)
+
+// The clock of the model: an interval of 1024 units, so that one step of priority is 4 units of skew, and messages that
+// take at most 1. A look is due twice an interval.
+const (
+	span  = 1024
+	delay = 1
+)
+
+// mutant spoils one thing about the machine. It may change the machine before an event, the event, and what comes out.
+type mutant struct {
+	name   string
+	before func(m *Machine, now Micros, ev Event) Event
+	after  func(m *Machine, now Micros, out []Action) []Action
+	gate   func(m *Machine, now Micros) bool
+}
+
+// node is a machine in the explorer's world.
+type node struct {
+	id, nodes int
+	cfg       Config
+	m         Machine
+	mut       *mutant
+	heard     []Micros // ghost: when the last advertisement of each was read, 0 after a release
+}
+
+func addr(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}) }
+
+func (n node) handle(now int64, ev Event) (explore.Node, []explore.Message) {
+	if n.mut != nil && n.mut.before != nil {
+		ev = n.mut.before(&n.m, Micros(now), ev)
+	}
+	var out []Action
+	if ev != nil {
+		out = n.m.Handle(Micros(now), ev)
+	}
+	if n.mut != nil && n.mut.after != nil {
+		out = n.mut.after(&n.m, Micros(now), out)
+	}
+	var sent []explore.Message
+	for _, a := range out {
+		if ad, ok := a.(Advertise); ok {
+			for i := range n.nodes {
+				if i != n.id {
+					sent = append(sent, explore.Message{To: i, Text: strconv.Itoa(int(ad.Priority))})
+				}
+			}
+		}
+	}
+	return n, sent
+}
+
+func (n node) Boot(now int64) (explore.Node, []explore.Message) {
+	n.m = New(n.cfg)
+	n.m.health.Ready = true
+	n.heard = make([]Micros, n.nodes)
+	return n.handle(now, Startup{})
+}
+
+func (n node) Deliver(now int64, from int, text string) (explore.Node, []explore.Message) {
+	p, _ := strconv.Atoi(text)
+	n.heard = append([]Micros(nil), n.heard...)
+	n.heard[from] = Micros(now)
+	if p == 0 {
+		n.heard[from] = 0
+	}
+	return n.handle(now, Heard{From: addr(from), Priority: uint8(p), Interval: span})
+}
+
+func (n node) Wake(now int64) (explore.Node, []explore.Message) { return n.handle(now, Tick{}) }
+
+func (n node) Next() (int64, bool) {
+	at, ok := n.m.Next()
+	return int64(at), ok
+}
+
+func (n node) Key(now int64) string {
+	m := &n.m
+	rel := func(t Micros) Micros {
+		if t == 0 {
+			return 1 << 40
+		}
+		return max(t-Micros(now), -8*span)
+	}
+	var b strings.Builder
+	fmt.Fprint(&b, m.state, m.health.Ready, rel(m.seen), rel(m.timer), m.holder.from, m.holder.priority, max(rel(m.holder.heard), -3*span), m.rival.from, m.rival.priority, max(rel(m.rival.heard), -3*span), m.givenUp, rel(m.peaceBy), m.waiting)
+	if m.state == Active {
+		fmt.Fprint(&b, rel(m.sent))
+	}
+	if m.cfg.Damping.First > 0 {
+		fmt.Fprint(&b, max(rel(m.since), -m.cfg.Damping.Window-1), m.damp.strikes, rel(m.damp.until), rel(m.damp.last))
+	}
+	for _, h := range n.heard {
+		fmt.Fprint(&b, max(rel(h), -4*span), " ")
+	}
+	return b.String()
+}
+
+func (n node) Show(now int64) string {
+	word := n.m.state.String()
+	if !n.m.health.Ready {
+		word += "/not ready"
+	}
+	return word
+}
+
+func (n node) open(now int64) bool {
+	if n.mut != nil && n.mut.gate != nil {
+		return n.mut.gate(&n.m, Micros(now))
+	}
+	return Micros(now) <= n.m.Lease()
+}
+
+// needless remembers a take-over from an active router that was being heard.
+type needless struct{ what string }
+
+func (n needless) Key(int64) string { return n.what }
+
+// remember looks at a move: whoever just became active must not have heard a living one, of at least its own priority or
+// not to be preempted, in the last three intervals, nor have its word unread.
+func remember(before, after *explore.State) explore.Memory {
+	if before == nil {
+		return needless{}
+	}
+	if m := before.Memory.(needless); m.what != "" {
+		return m
+	}
+	for j := range after.Nodes {
+		was, is := before.Nodes[j].(node), after.Nodes[j].(node)
+		if after.Down[j] != 0 || is.m.state != Active || was.m.state != Backup {
+			continue
+		}
+		for i := range after.Nodes {
+			other := before.Nodes[i].(node)
+			if i == j || !before.Up(i) || other.m.state != Active || !other.m.health.Ready ||
+				is.cfg.Preempt && is.m.Priority() > other.m.Priority() {
+				continue
+			}
+			advert := func(text string) bool { return text != "0" }
+			if h := is.heard[i]; h > 0 && Micros(after.Now)-h < 3*span || before.Unread(i, j, advert) {
+				return needless{fmt.Sprintf("%d took over though it heard %d", j, i)}
+			}
+		}
+	}
+	return needless{}
+}
+
+// invariant is what must hold in every state. bound is the longest time without an active router once all is well.
+// Where strict, leases never overlap, not even while advertisements cross: nobody preempts, and nobody starts alike. A
+// paused router counts as if it woke just now, before its machine has noticed.
+func invariant(full explore.Faults, bound int64, strict bool) func(*explore.State) error {
+	return func(r *explore.State) error {
+		if m, ok := r.Memory.(needless); ok && m.what != "" {
+			return errors.New(m.what)
+		}
+		network := r.Left.Lose == full.Lose && r.Left.Late == full.Late
+		calm := r.Whole(delay) && r.Now-r.Calm > bound
+		active, ready := 0, 0
+		for i := range r.Nodes {
+			if r.Down[i] != 0 {
+				continue
+			}
+			a := r.Nodes[i].(node)
+			if a.m.health.Ready {
+				ready++
+			}
+			if a.m.state != Active {
+				continue
+			}
+			active++
+			if r.Up(i) && !a.m.health.Ready {
+				return fmt.Errorf("%d is active and not ready", i)
+			}
+			for j := range i {
+				b := r.Nodes[j].(node)
+				if strict && r.Down[j] == 0 && a.open(r.Now) && b.open(r.Now) {
+					return fmt.Errorf("%d and %d may both take work", j, i)
+				}
+				if r.Down[j] != 0 || b.m.state != Active || r.UnderWay(i, j, delay) {
+					continue
+				}
+				if network && r.Left.Pause == full.Pause {
+					return fmt.Errorf("%d and %d are both active, with nothing lost, late or standing still", j, i)
+				}
+				if network && r.Up(i) && r.Up(j) && a.open(r.Now) && b.open(r.Now) {
+					return fmt.Errorf("%d and %d both take work after a pause", j, i)
+				}
+				if calm {
+					return fmt.Errorf("%d and %d are still both active", j, i)
+				}
+			}
+		}
+		if calm && ready > 0 && active == 0 {
+			return errors.New("nobody is active, though the network is whole and somebody ready")
+		}
+		return nil
+	}
+}
+
+func shifts(i int, n explore.Node, now int64) []explore.Shift {
+	v := n.(node)
+	h := v.m.health
+	h.Ready = !h.Ready
+	to, out := v.handle(now, Noticed{h})
+	name := "not ready"
+	if h.Ready {
+		name = "ready"
+	}
+	return []explore.Shift{{Name: name, To: to, Out: out}}
+}
+
+// setting is one arrangement that is explored.
+type setting struct {
+	name       string
+	priorities []uint8
+	preempt    bool
+	peace      Micros
+	damping    Damping
+	faults     explore.Faults
+	until      int64
+	strict     bool
+}
+
+var settings = []setting{
+	{"two, not preempting: a pause and a doubled one", []uint8{200, 100}, false, 0, Damping{},
+		explore.Faults{Pause: 1, Duplicate: 1}, 0, true},
+	{"two: lost and late", []uint8{200, 100}, true, 0, Damping{}, explore.Faults{Lose: 1, Late: 1}, 0, false},
+	{"two: six lost", []uint8{200, 100}, true, 0, Damping{}, explore.Faults{Lose: 6}, 0, false},
+	{"two: doubled and late", []uint8{200, 100}, true, 0, Damping{}, explore.Faults{Duplicate: 1, Late: 1}, 0, false},
+	{"two: a pause and a change", []uint8{200, 100}, true, 0, Damping{}, explore.Faults{Pause: 1, Shift: 1}, 0, false},
+	{"two: a pause and a crash", []uint8{200, 100}, true, 0, Damping{}, explore.Faults{Pause: 1, Crash: 1}, 0, false},
+	{"two alike, not preempting: two pauses", []uint8{100, 100}, false, 0, Damping{}, explore.Faults{Pause: 2}, 0, false},
+	{"two alike: late and changes", []uint8{100, 100}, true, 0, Damping{}, explore.Faults{Late: 1, Shift: 2}, 0, false},
+	{"two, delayed and damped: two late", []uint8{200, 199}, true, 2 * span, Damping{4 * span, span, 4 * span},
+		explore.Faults{Late: 2}, 16 * span, false},
+	{"three: a crash and a change", []uint8{200, 150, 100}, true, 0, Damping{}, explore.Faults{Crash: 1, Shift: 1}, 0, false},
+	{"three alike: a pause", []uint8{100, 100, 100}, false, 0, Damping{}, explore.Faults{Pause: 1}, 0, false},
+	{"three: a loss and a change", []uint8{200, 150, 100}, true, 0, Damping{}, explore.Faults{Lose: 1, Shift: 1}, 0, false},
+	{"three: one late and a change", []uint8{200, 150, 100}, false, 0, Damping{}, explore.Faults{Late: 1, Shift: 1}, 0, false},
+}
+
+func (s setting) world(mut *mutant) *explore.World {
+	w := &explore.World{
+		Delay: delay, LateBy: 5 * span, PauseFor: []int64{span, 5 * span}, DownFor: 2 * span, Faults: s.faults,
+		InOrder: true, Horizon: s.until, Shifts: shifts, Memory: remember,
+	}
+	w.Calm = int64(6*span + s.damping.Most + s.peace)
+	w.Invariant = invariant(s.faults, w.Calm, s.strict)
+	for i, p := range s.priorities {
+		w.Nodes = append(w.Nodes, node{
+			id: i, nodes: len(s.priorities), mut: mut,
+			cfg: Config{
+				VRID: 1, Priority: p, Interval: span, Preempt: s.preempt, PreemptDelay: s.peace, Self: addr(i), Damping: s.damping,
+			},
+		})
+	}
+	return w
+}
+
+// mostStates bounds one exploration; only those of three instances reach it.
+const mostStates = 60_000
+
+func TestExplore(t *testing.T) {
+	for _, s := range settings {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			res := explore.Run(s.world(nil), explore.Limits{States: mostStates / fewerStates})
+			t.Logf("%d states, %d moves, depth %d, whole: %v", res.States, res.Moves, res.Depth, res.Whole)
+			if res.Broken != nil {
+				t.Error(res.Broken)
+			}
+		})
+	}
+}
+
+// Each of these machines is wrong in one point. The explorer must find a run that shows it, or its invariants are worth
+// nothing.
+var mutants = []mutant{
+	{name: "holds the address though it is not ready", before: func(m *Machine, now Micros, ev Event) Event {
+		if n, ok := ev.(Noticed); ok && !n.Health.Ready && m.state == Active {
+			m.health = n.Health
+			return nil
+		}
+		return ev
+	}},
+	{name: "does not give way to a higher priority", before: func(m *Machine, now Micros, ev Event) Event {
+		if h, ok := ev.(Heard); ok && m.state == Active && h.Priority > m.Priority() {
+			return nil
+		}
+		return ev
+	}},
+	{name: "does not settle a tie", before: func(m *Machine, now Micros, ev Event) Event {
+		if h, ok := ev.(Heard); ok && m.state == Active && h.Priority == m.Priority() {
+			return nil
+		}
+		return ev
+	}},
+	{name: "does not answer a lower one", before: func(m *Machine, now Micros, ev Event) Event {
+		if h, ok := ev.(Heard); ok && m.state == Active && h.Priority < m.Priority() {
+			return nil
+		}
+		return ev
+	}},
+	{name: "acts on its old state after a pause", before: func(m *Machine, now Micros, ev Event) Event {
+		if m.state == Active {
+			m.seen, m.sent = now, now
+		}
+		return ev
+	}},
+	{name: "takes over on waking, with its messages unread", before: func(m *Machine, now Micros, ev Event) Event {
+		if m.state == Backup && now >= m.due() {
+			m.seen, m.timer = now, now
+		}
+		return ev
+	}},
+	{name: "follows any release", before: func(m *Machine, now Micros, ev Event) Event {
+		if h, ok := ev.(Heard); ok && m.state == Backup && h.Priority == GivesUp {
+			m.holder.from, m.rival = h.From, holder{}
+		}
+		return ev
+	}},
+	{name: "follows whoever advertised last", before: func(m *Machine, now Micros, ev Event) Event {
+		if _, ok := ev.(Heard); ok && m.state == Backup {
+			m.holder.heard -= 4 * span
+		}
+		return ev
+	}},
+	{name: "forgets the rival", after: func(m *Machine, now Micros, out []Action) []Action {
+		m.rival = holder{}
+		return out
+	}},
+	{name: "never takes over", after: func(m *Machine, now Micros, out []Action) []Action {
+		if m.state == Backup {
+			m.timer = now + 9*span
+		}
+		return out
+	}},
+	{name: "waits two intervals only", after: func(m *Machine, now Micros, out []Action) []Action {
+		if m.state == Backup {
+			m.timer = min(m.timer, now+2*span)
+		}
+		return out
+	}},
+	{name: "does not wait anew when it hears the active one", before: func(m *Machine, now Micros, ev Event) Event {
+		if h, ok := ev.(Heard); ok && m.state == Backup && h.Priority != GivesUp && m.health.Ready {
+			return nil
+		}
+		return ev
+	}},
+	{name: "takes work for as long as it thinks it is active", gate: func(m *Machine, now Micros) bool {
+		return m.state == Active
+	}},
+	{name: "goes for the address although it is not ready", after: func(m *Machine, now Micros, out []Action) []Action {
+		if m.state == Backup && !m.health.Ready && now >= m.timer {
+			return m.win(now, CauseSilence, out)
+		}
+		return out
+	}},
+}
+
+func TestMutantsAreCaught(t *testing.T) {
+	if fewerStates > 1 {
+		t.Skip("the same runs as without the race detector, many times slower")
+	}
+	for _, mut := range mutants {
+		t.Run(mut.name, func(t *testing.T) {
+			t.Parallel()
+			for _, s := range settings {
+				if res := explore.Run(s.world(&mut), explore.Limits{States: mostStates}); res.Broken != nil {
+					t.Logf("caught by %q after %d states: %v", s.name, res.States, res.Broken.Err)
+					return
+				}
+			}
+			t.Error("not caught")
+		})
+	}
+}
--- /dev/null
+++ b/internal/vrrp/health.go
@@ -0,0 +1,48 @@
+package vrrp
+
+// effective is the priority that a gateway may advertise: the settings' one less the steps for all that is wrong with it.
+// It stays at least 1, for 0 would release the address, and the last gateway left must still be able to hold it.
+func effective(priority uint8, steps [Conditions]uint8, h Health) uint8 {
+	left := int(priority)
+	for c, wrong := range h.Wrong {
+		if wrong {
+			left -= int(steps[c])
+		}
+	}
+	return uint8(max(left, 1))
+}
+
+// damper holds back a gateway whose state flaps. Guards against: an address that goes to and fro because advertisements
+// come late, each time breaking the clients' connections. May harm: if the others die while it is held back, the address
+// is taken up to Damping.Most later.
+type damper struct {
+	strikes uint8
+	last    Micros // the last flap
+	until   Micros
+}
+
+// mostStrikes bounds the doubling; the settings' bound is reached long before.
+const mostStrikes = 20
+
+// forgetAfter is after how many times the longest hold without a flap all is forgotten.
+const forgetAfter = 4
+
+// lost notes the end of a tenure.
+func (d *damper) lost(now, lasted Micros, cfg Damping) {
+	if lasted < cfg.Window {
+		d.strike(now, cfg)
+	}
+}
+
+// strike holds the gateway back, twice as long as the last time unless that is long ago.
+func (d *damper) strike(now Micros, cfg Damping) {
+	if cfg.First <= 0 {
+		return
+	}
+	if d.strikes > 0 && now-d.last > forgetAfter*cfg.Most {
+		d.strikes = 0
+	}
+	d.until = now + min(cfg.First<<d.strikes, cfg.Most)
+	d.strikes = min(d.strikes+1, mostStrikes)
+	d.last = now
+}
--- /dev/null
+++ b/internal/vrrp/machine_test.go
@@ -0,0 +1,417 @@
+package vrrp
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const ms Micros = 1000
+
+var self, other, third = netip.MustParseAddr("127.0.0.2"), netip.MustParseAddr("127.0.0.3"), netip.MustParseAddr("127.0.0.4")
+
+func base() Config {
+	return Config{VRID: 1, Priority: 128, Interval: 100 * ms, Preempt: true, Self: self}
+}
+
+// bench drives a machine by hand, and looks at it as often as it asks for.
+type bench struct {
+	t   *testing.T
+	m   Machine
+	now Micros
+	out []Action
+}
+
+func newBench(t *testing.T, cfg Config, ready bool) *bench {
+	b := &bench{t: t, m: New(cfg), now: 1_000_000}
+	b.do(Noticed{Health{Ready: ready}})
+	b.do(Startup{})
+	return b
+}
+
+func (b *bench) do(ev Event) []Action {
+	b.out = b.m.Handle(b.now, ev)
+	return b.out
+}
+
+// pass lets time pass, look by look, and returns all that came of it.
+func (b *bench) pass(span Micros) (all []Action) {
+	end := b.now + span
+	for {
+		at, ok := b.m.Next()
+		if !ok || at > end {
+			b.now = end
+			return all
+		}
+		b.now = max(at, b.now)
+		all = append(all, b.do(Tick{})...)
+	}
+}
+
+func (b *bench) hears(from netip.Addr, priority uint8) []Action {
+	return b.do(Heard{from, priority, 100 * ms})
+}
+
+func (b *bench) is(s State) {
+	b.t.Helper()
+	if b.m.State() != s {
+		b.t.Fatalf("%v after %d ms, want %v; last %v", b.m.State(), (b.now-1_000_000)/ms, s, b.out)
+	}
+}
+
+func has[A Action](actions []Action) (a A, ok bool) {
+	for _, x := range actions {
+		if a, ok = x.(A); ok {
+			return a, true
+		}
+	}
+	return a, false
+}
+
+// The figures of RFC 9568, 6.1, for priority 128 and an interval of 100 ms: skew 50 ms, down interval 350 ms.
+func TestTimersOfTheStandard(t *testing.T) {
+	for _, c := range []struct {
+		priority       uint8
+		interval, skew Micros
+	}{{128, 100 * ms, 50 * ms}, {255, 256 * ms, 1 * ms}, {1, 256 * ms, 255 * ms}, {100, 1000 * ms, 609_375}} {
+		if s, d := SkewTime(c.priority, c.interval), DownInterval(c.priority, c.interval); s != c.skew || d != 3*c.interval+c.skew {
+			t.Errorf("%+v: skew %d, down %d", c, s, d)
+		}
+	}
+	b := newBench(t, base(), true)
+	b.is(Backup)
+	b.pass(349 * ms)
+	b.is(Backup)
+	all := b.pass(1 * ms)
+	b.is(Active)
+	want := []Action{
+		Changed{Backup, Active, CauseSilence}, Take{1}, Advertise{128, 100 * ms}, Announce{1},
+	}
+	if !slices.Equal(all, want) {
+		t.Errorf("%v, want %v", all, want)
+	}
+	if n := count[Advertise](b.pass(1000 * ms)); n != 10 {
+		t.Errorf("%d advertisements in a second", n)
+	}
+}
+
+func count[A Action](all []Action) (n int) {
+	for _, a := range all {
+		if _, ok := a.(A); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOwnerIsActiveAtOnce(t *testing.T) {
+	cfg := base()
+	cfg.Priority = Owner
+	newBench(t, cfg, true).is(Active)
+	b := newBench(t, cfg, false)
+	b.is(Backup)
+	b.pass(5000 * ms)
+	b.is(Backup)
+	b.do(Noticed{Health{Ready: true}})
+	b.pass(2 * ms)
+	b.is(Active)
+}
+
+// A backup follows the advertised interval of the active router, not its own.
+func TestFollowsTheAdvertisedInterval(t *testing.T) {
+	b := newBench(t, base(), true)
+	b.do(Heard{other, 200, 1000 * ms})
+	b.pass(3499 * ms)
+	b.is(Backup)
+	b.pass(1 * ms)
+	b.is(Active)
+	if a, ok := has[Advertise](b.out); !ok || a.Interval != 100*ms {
+		t.Errorf("advertises %v", b.out)
+	}
+}
+
+func TestRelease(t *testing.T) {
+	b := newBench(t, base(), true)
+	b.hears(other, 200)
+	b.pass(10 * ms)
+	b.hears(third, GivesUp) // not the active one
+	b.pass(60 * ms)
+	b.is(Backup)
+	b.hears(other, GivesUp)
+	b.pass(49 * ms)
+	b.is(Backup)
+	b.pass(1 * ms)
+	b.is(Active)
+	if c, _ := has[Changed](b.out); c.Cause != CauseGivenUp {
+		t.Errorf("%v", b.out)
+	}
+	out := b.do(Shutdown{})
+	want := []Action{
+		Advertise{GivesUp, 100 * ms}, Release{1, CauseShutdown}, Changed{Active, Backup, CauseShutdown},
+		Changed{Backup, Initialize, CauseShutdown},
+	}
+	if !slices.Equal(out, want) {
+		t.Errorf("%v", out)
+	}
+	if _, ok := b.m.Next(); ok || b.m.Lease() != 0 {
+		t.Error("a machine that was shut down goes on")
+	}
+}
+
+// Who stays active of two that meet: RFC 9568, 6.4.3.
+func TestTwoActive(t *testing.T) {
+	for _, c := range []struct {
+		from     netip.Addr
+		priority uint8
+		stays    bool
+	}{
+		{other, 127, true}, {other, 129, false}, {other, 128, false}, {netip.MustParseAddr("127.0.0.1"), 128, true},
+		{other, GivesUp, true}, {netip.MustParseAddr("127.0.0.1"), 255, false},
+	} {
+		b := newBench(t, base(), true)
+		b.pass(360 * ms)
+		b.is(Active)
+		out := b.hears(c.from, c.priority)
+		_, released := has[Release](out)
+		_, answered := has[Advertise](out)
+		if (b.m.State() == Active) != c.stays || released == c.stays || answered != c.stays {
+			t.Errorf("%+v: %v, %v", c, b.m.State(), out)
+		}
+	}
+}
+
+func TestPreemption(t *testing.T) {
+	for _, c := range []struct {
+		preempt bool
+		delay   Micros
+		after   Micros // 0: never
+	}{{true, 0, 350 * ms}, {true, 1000 * ms, 1350 * ms}, {false, 0, 0}} {
+		cfg := base()
+		cfg.Preempt, cfg.PreemptDelay = c.preempt, c.delay
+		b := newBench(t, cfg, true)
+		start := b.now
+		for b.now < start+4000*ms && b.m.State() == Backup {
+			b.hears(other, 50)
+			b.pass(50 * ms)
+		}
+		took := b.now - start
+		if c.after == 0 && b.m.State() == Active || c.after > 0 && (took < c.after-50*ms || took > c.after+100*ms) {
+			t.Errorf("%+v: %v after %d ms", c, b.m.State(), took/ms)
+		}
+	}
+}
+
+func TestTrackingLowersThePriority(t *testing.T) {
+	cfg := base()
+	cfg.Steps = [Conditions]uint8{NoPrimary: 30, ListSilent: 90, FewDescriptor: 90}
+	b := newBench(t, cfg, true)
+	b.pass(360 * ms)
+	h := Health{Ready: true}
+	for _, c := range []struct {
+		wrong Condition
+		want  uint8
+	}{{NoPrimary, 98}, {ListSilent, 8}, {FewDescriptor, 1}} {
+		h.Wrong[c.wrong] = true
+		b.do(Noticed{h})
+		if all := b.pass(101 * ms); b.m.Priority() != c.want || !slices.Contains(all, Action(Advertise{c.want, 100 * ms})) {
+			t.Errorf("%v: priority %d, %v", ConditionNames[c.wrong], b.m.Priority(), all)
+		}
+	}
+	b.is(Active) // the last one left holds the address, whatever is wrong
+	out := b.do(Noticed{Health{}})
+	if _, ok := has[Release](out); !ok || out[0] != (Advertise{GivesUp, 100 * ms}) {
+		t.Errorf("not ready any more: %v", out)
+	}
+	b.pass(5000 * ms)
+	b.is(Backup)
+	b.do(Noticed{Health{Ready: true}})
+	b.pass(50 * ms)
+	b.is(Active)
+}
+
+// A process that stood still finds itself a backup before anything else, and says nothing.
+func TestStandingStill(t *testing.T) {
+	b := newBench(t, base(), true)
+	b.pass(360 * ms)
+	lease := b.m.Lease()
+	b.now = lease + 1
+	out := b.do(Tick{})
+	want := []Action{Release{1, CauseStoodStill}, Changed{Active, Backup, CauseStoodStill}}
+	if !slices.Equal(out, want) {
+		t.Errorf("%v", out)
+	}
+	b.pass(349 * ms)
+	b.is(Backup)
+	b.now += 5000 * ms // again, as a backup: what it knows is old
+	b.do(Tick{})
+	b.pass(349 * ms)
+	b.is(Backup)
+	b.pass(10 * ms)
+	b.is(Active)
+	if b.m.Tenure() != 2 {
+		t.Errorf("tenure %d", b.m.Tenure())
+	}
+}
+
+func TestTakeFailed(t *testing.T) {
+	cfg := base()
+	cfg.Damping = Damping{Window: 500 * ms, First: 1000 * ms, Most: 3000 * ms}
+	b := newBench(t, cfg, true)
+	b.pass(360 * ms)
+	if out := b.do(TakeFailed{Tenure: 7}); len(out) > 0 {
+		t.Errorf("another tenure's failure: %v", out)
+	}
+	out := b.do(TakeFailed{Tenure: 1})
+	b.is(Backup)
+	if out[0] != (Advertise{GivesUp, 100 * ms}) {
+		t.Errorf("%v", out)
+	}
+	b.pass(990 * ms)
+	b.is(Backup)
+	b.pass(20 * ms)
+	b.is(Active)
+}
+
+// Each flap holds back for twice as long, up to the bound; a long tenure and a quiet time count as none.
+func TestDamping(t *testing.T) {
+	cfg := base()
+	cfg.Damping = Damping{Window: 500 * ms, First: 1000 * ms, Most: 3000 * ms}
+	b := newBench(t, cfg, true)
+	var held []Micros
+	for range 4 {
+		for b.m.State() != Active {
+			b.pass(ms)
+		}
+		b.pass(400 * ms)
+		b.hears(other, 200)
+		held = append(held, (b.m.HeldUntil()-b.now)/ms)
+		b.pass(b.m.HeldUntil() - b.now - ms)
+		b.is(Backup)
+	}
+	if fmt.Sprint(held) != "[1000 2000 3000 3000]" {
+		t.Errorf("held back for %v", held)
+	}
+	b.pass(20_000 * ms)
+	b.hears(other, 200)
+	if b.m.HeldUntil() > b.now {
+		t.Error("a loss after a long tenure counts as a flap")
+	}
+	b.pass(360 * ms)
+	b.hears(other, 200)
+	if got := b.m.HeldUntil() - b.now; got != 1000*ms {
+		t.Errorf("after a quiet time held back for %d ms", got/ms)
+	}
+}
+
+func TestReconfigured(t *testing.T) {
+	b := newBench(t, base(), true)
+	b.pass(360 * ms)
+	next := base()
+	next.Priority, next.Interval, next.VRID, next.Self = 90, 50*ms, 9, third
+	out := b.do(Reconfigured{next})
+	if a, ok := has[Advertise](out); !ok || a != (Advertise{90, 50 * ms}) || b.m.cfg.VRID != 1 || b.m.cfg.Self != self {
+		t.Errorf("%v", out)
+	}
+	b.hears(other, 100)
+	b.is(Backup)
+}
+
+func TestOrigins(t *testing.T) {
+	o := NewOrigins(100)
+	take := func(start, seq, known uint64, fresh, moved bool) {
+		t.Helper()
+		if f, m := o.Take(2, Origin{start, seq}, known); f != fresh || m != moved {
+			t.Errorf("%d/%d: %v %v", start, seq, f, m)
+		}
+	}
+	take(50, 1, 0, true, false)
+	take(50, 1, 0, false, false) // doubled
+	take(50, 3, 100, true, false)
+	take(50, 2, 100, false, false) // overtaken
+	take(40, 9, 100, false, false) // of an earlier life
+	take(51, 1, 100, true, false)  // started again
+	if o.Known(2) != 51 || o.Known(3) != 0 {
+		t.Errorf("known %d, %d", o.Known(2), o.Known(3))
+	}
+	// They know a later life of this gateway: its clock was set back. It moves past that, once.
+	take(51, 2, 900, true, true)
+	if n := o.Next(); n.Start != 901 || n.Sequence != 1 {
+		t.Errorf("%+v", n)
+	}
+	take(51, 3, 900, true, false)
+	o.Forget(func(s uint8) bool { return s != 2 })
+	take(1, 1, 0, true, false)
+}
+
+// Whatever comes in whatever order: take and release alternate, tenures grow, an advertisement is never sent by one that
+// does not hold the address but to release it, nobody holds it unready, and the lease covers active times only.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := base()
+		cfg.Priority = rapid.Uint8Range(1, 255).Draw(t, "priority")
+		cfg.Preempt = rapid.Bool().Draw(t, "preempt")
+		cfg.PreemptDelay = Micros(rapid.IntRange(0, 3).Draw(t, "delay")) * 100 * ms
+		cfg.Damping = Damping{Micros(rapid.IntRange(0, 5).Draw(t, "window")) * 100 * ms, 50 * ms, 800 * ms}
+		cfg.Steps = [Conditions]uint8{60, 40, 30, 20, 200}
+		m := New(cfg)
+		now, held := Micros(1), false
+		last := uint32(0)
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			if rapid.Bool().Draw(t, "next") {
+				if at, ok := m.Next(); ok {
+					now = max(now, at)
+				}
+			} else {
+				now += Micros(rapid.SampledFrom([]int{0, 1, 10, 60, 100, 400, 2000}).Draw(t, "gap")) * ms
+			}
+			var ev Event = Tick{}
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0, 1:
+				ev = Startup{}
+			case 2:
+				ev = Shutdown{}
+			case 3, 4, 5:
+				ev = Heard{rapid.SampledFrom([]netip.Addr{other, third}).Draw(t, "from"), rapid.Uint8().Draw(t, "p"),
+					Micros(rapid.IntRange(1, 30).Draw(t, "interval")) * 10 * ms}
+			case 6:
+				h := Health{Ready: rapid.IntRange(0, 3).Draw(t, "ready") > 0}
+				h.Wrong[rapid.IntRange(0, int(Conditions)-1).Draw(t, "wrong")] = true
+				ev = Noticed{h}
+			case 7:
+				ev = TakeFailed{m.Tenure()}
+			}
+			stale := held && now > m.Lease()
+			for _, a := range m.Handle(now, ev) {
+				switch a := a.(type) {
+				case Take:
+					if held || a.Tenure <= last || !m.Ready() {
+						t.Fatalf("takes tenure %d after %d, held %v, ready %v", a.Tenure, last, held, m.Ready())
+					}
+					held, last = true, a.Tenure
+				case Release:
+					if !held || a.Tenure != last {
+						t.Fatalf("releases tenure %d of %d, held %v", a.Tenure, last, held)
+					}
+					held = false
+				case Advertise:
+					if a.Priority != GivesUp && !held || stale {
+						t.Fatalf("advertises %d, held %v, stood still %v", a.Priority, held, stale)
+					}
+				case Announce:
+					if !held || a.Tenure != last {
+						t.Fatal("announces what it does not hold")
+					}
+				}
+			}
+			if held != (m.State() == Active) || held && !m.Ready() || (m.Lease() > 0) != held {
+				t.Fatalf("held %v in %v, ready %v, lease %d", held, m.State(), m.Ready(), m.Lease())
+			}
+			if at, ok := m.Next(); ok != (m.State() != Initialize) || ok && at <= now-1 {
+				t.Fatalf("next look at %d, now %d", at, now)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/vrrp/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package vrrp
+
+const fewerStates = 1
