--- a/brain/state.go
+++ b/brain/state.go
@@ -79,6 +79,28 @@
 	coldDrawnAt Micros
 }
 
+// Health is what a router knows of its servers, for those who judge whether its gateway is of use.
+type Health struct {
+	Usable         int // servers that work may be sent to
+	WithoutPrimary int // groups asked for lately that have no known primary
+}
+
+// Health counts; it decides nothing. Groups that nobody has asked for in the last span are left out: their primaries are
+// not looked for.
+func (r *Router) Health(lately Micros) (h Health) {
+	for _, g := range r.order {
+		for _, s := range g.members {
+			if r.usable(s) {
+				h.Usable++
+			}
+		}
+		if g.primary == nil && g.askedAt > 0 && r.now-g.askedAt <= lately && len(g.members) > 0 {
+			h.WithoutPrimary++
+		}
+	}
+	return h
+}
+
 // group is a primary and its replicas.
 type group struct {
 	id        int
--- a/cmd/marblespan/main_test.go
+++ b/cmd/marblespan/main_test.go
@@ -91,7 +91,7 @@
 		{"no such file", "/nowhere/at/all.json", "1", "PROXY_CONFIG: the file cannot be read"},
 		{"wrong key", sample(t, map[string]any{"seed": 5}), "1", "seed: "},
 		{"address in use", sample(t, map[string]any{"listen": taken.Addr().String()}), "1", "address already in use"},
-		{"argument", "", "argument", "takes no arguments"},
+		{"argument", "", "argument", "unknown command"},
 	} {
 		out, err := gateway(t, c.config, c.mode).CombinedOutput()
 		exit, ok := err.(*exec.ExitError)
--- /dev/null
+++ b/internal/config/lines/lines.go
@@ -0,0 +1,111 @@
+// Package lines reads settings in the manner of classic daemons: one directive a line, a name and its values; sections begin
+// with a keyword line and last until the next one; # begins a comment; a value with blanks or # stands in double quotes. It
+// knows no setting: what there is to set is told by the fields of a struct, see Decode.
+package lines
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// Directive is one line that sets something or begins a section.
+type Directive struct {
+	Line   int
+	Name   string
+	Values []string
+}
+
+// Fault is one thing that is wrong with a file.
+type Fault struct {
+	File      string
+	Line      int // 0: the file as a whole
+	Directive string
+	Text      string
+}
+
+func (f Fault) Error() string {
+	where := f.File
+	if f.Line > 0 {
+		where = fmt.Sprintf("%s:%d", f.File, f.Line)
+	}
+	if f.Directive != "" {
+		where += ": " + f.Directive
+	}
+	return where + ": " + f.Text
+}
+
+// Faults are all that is wrong with a file, in the order of its lines.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	all := make([]string, len(f))
+	for i := range f {
+		all[i] = f[i].Error()
+	}
+	return strings.Join(all, "\n")
+}
+
+// mostLine bounds a line's length, in bytes.
+const mostLine = 4096
+
+// row is one line as the grammar sees it.
+type row struct {
+	Name   string   `parser:"@Word"`
+	Values []string `parser:"@(Word | String)*"`
+}
+
+// grammar is built when a file is first read: a gateway without one has no need of it.
+var grammar = sync.OnceValue(func() *participle.Parser[row] {
+	return participle.MustBuild[row](
+		participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
+			{Name: "Space", Pattern: `[ \t\r]+`},
+			{Name: "Comment", Pattern: `#.*`},
+			{Name: "String", Pattern: `"(\\["\\nt]|[^"\\\x00-\x1f])*"`},
+			{Name: "Word", Pattern: `[^\s"#\x00-\x1f]+`},
+		})),
+		participle.Elide("Space", "Comment"), participle.Unquote("String"),
+	)
+})
+
+// Parse reads a text line by line. Faulty lines are told and left out.
+func Parse(file, text string) ([]Directive, Faults) {
+	var all []Directive
+	var faults Faults
+	for i, line := range strings.Split(text, "\n") {
+		if trimmed := strings.TrimSpace(line); trimmed == "" || trimmed[0] == '#' {
+			continue
+		}
+		if len(line) > mostLine {
+			faults = append(faults, Fault{file, i + 1, "", fmt.Sprintf("the line has over %d bytes", mostLine)})
+			continue
+		}
+		r, err := grammar().ParseString("", line)
+		if err != nil {
+			faults = append(faults, Fault{file, i + 1, "", wording(err)})
+			continue
+		}
+		all = append(all, Directive{i + 1, r.Name, r.Values})
+	}
+	return all, faults
+}
+
+func wording(err error) string {
+	var at participle.Error
+	if errors.As(err, &at) {
+		return fmt.Sprintf("column %d: %s", at.Position().Column, strings.TrimPrefix(at.Message(), "lexer: "))
+	}
+	return err.Error()
+}
+
+// Quote writes a value so that Parse reads it back.
+func Quote(s string) string {
+	if s != "" && !strings.ContainsAny(s, " \t\r\n\"#\\") {
+		return s
+	}
+	return `"` + strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`, "\t", `\t`).Replace(s) + `"`
+}
--- /dev/null
+++ b/internal/config/operators.go
@@ -0,0 +1,222 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"marblespan/internal/config/lines"
+)
+
+// EnvOperators names the operators' file where the command line does not.
+const EnvOperators = "MARBLESPAN_CONF"
+
+// Operators is the operators' own file. What it does not name is off; without the file everything in it is.
+type Operators struct {
+	lines.Where
+	Control string  `conf:"control" validate:"max=100"` // a local socket for questions
+	VRRP    *VRRP   `section:"vrrp" validate:"-"`
+	Groups  []Group `section:"group" validate:"-"`
+
+	file string
+}
+
+// VRRP is how gateways speak with each other about floating addresses.
+type VRRP struct {
+	lines.Where
+	Node     uint8            `conf:"node" validate:"required"`
+	Bind     netip.AddrPort   `conf:"bind" validate:"required"`
+	Peers    []Peer           `conf:"peer" validate:"max=16,unique=Node,unique=Address"`
+	Keys     []Key            `conf:"key,secret" validate:"min=1,max=4,unique=Number,dive"`
+	Announce []netip.AddrPort `conf:"announce" validate:"max=16"`
+}
+
+// Peer is another gateway.
+type Peer struct {
+	Node    uint8 `validate:"required"`
+	Address netip.AddrPort
+}
+
+// Key is a shared secret. The first one signs; all are accepted.
+type Key struct {
+	Number uint8
+	Secret string `validate:"min=16,max=256"`
+}
+
+// Group is one floating address, or several that move together.
+type Group struct {
+	lines.Where
+	Name         string         `title:"true" validate:"required,max=40"`
+	VRID         uint8          `conf:"vrid" validate:"required"`
+	Addresses    []netip.Addr   `conf:"address" validate:"min=1,max=16,unique"`
+	Listen       netip.AddrPort `conf:"listen" validate:"required"`
+	Priority     uint8          `conf:"priority" validate:"min=1"`
+	Interval     time.Duration  `conf:"interval"`
+	Preempt      bool           `conf:"preempt"`
+	PreemptDelay time.Duration  `conf:"preempt-delay" validate:"max=3600000000000"`
+	Track        []Track        `conf:"track" validate:"unique=Condition,dive"`
+	Damp         Damp           `conf:"damp"`
+}
+
+// Track lowers the priority by a step while a condition holds.
+type Track struct {
+	Condition string `validate:"oneof=no-server no-primary discovery-silent descriptors draining"`
+	Step      uint8
+}
+
+// Damp holds back a gateway that loses the address within Window of winning it: for First, twice as long each time, at
+// most for Most.
+type Damp struct{ Window, First, Most time.Duration }
+
+// The standard's default priority of a backup, and an interval that suits one room.
+const (
+	defaultPriority = 100
+	defaultInterval = 100 * time.Millisecond
+)
+
+// The bounds of an advertisement's interval on the wire, and its unit.
+const (
+	leastInterval = 10 * time.Millisecond
+	mostInterval  = 40950 * time.Millisecond
+)
+
+// Defaults are what a group has that its section does not name.
+func (g *Group) Defaults() {
+	g.Priority, g.Interval, g.Preempt = defaultPriority, defaultInterval, true
+	g.Damp = Damp{Window: 2 * time.Second, First: 500 * time.Millisecond, Most: 5 * time.Second}
+}
+
+// LoadOperators reads the operators' file. Without a path there is none, and all of it is off. Its errors are
+// lines.Faults, all that is wrong at once.
+func LoadOperators(path string) (*Operators, error) {
+	if path == "" {
+		return &Operators{}, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		var cause *os.PathError
+		if errors.As(err, &cause) {
+			err = cause.Err
+		}
+		return nil, lines.Faults{{File: path, Text: fmt.Sprintf("cannot be read: %v", err)}}
+	}
+	return ParseOperators(path, string(raw))
+}
+
+// ParseOperators reads the file's content.
+func ParseOperators(file, text string) (*Operators, error) {
+	o := &Operators{file: file}
+	all, faults := lines.Parse(file, text)
+	faults = append(faults, lines.Decode(file, all, o)...)
+	if len(faults) == 0 { // what could not be read would only be found missing
+		faults = lines.Check(file, o)
+		faults = append(faults, o.agree()...)
+	}
+	if len(faults) > 0 {
+		slices.SortStableFunc(faults, func(a, b lines.Fault) int { return a.Line - b.Line })
+		return nil, faults
+	}
+	return o, nil
+}
+
+// Print writes what is in force, secrets hidden.
+func (o *Operators) Print(w io.Writer) error { return lines.Print(w, o) }
+
+// agree checks what several directives say together.
+func (o *Operators) agree() (faults lines.Faults) {
+	at := func(w lines.Where, directive string, i int, format string, a ...any) {
+		faults = append(faults, lines.Fault{
+			File: o.file, Line: w.At(directive, i), Directive: directive, Text: fmt.Sprintf(format, a...),
+		})
+	}
+	if v := o.VRRP; v != nil {
+		for i, p := range v.Peers {
+			if p.Node == v.Node {
+				at(v.Where, "peer", i, "%d is this gateway's own number", p.Node)
+			}
+			if p.Address == v.Bind {
+				at(v.Where, "peer", i, "%v is this gateway's own address", p.Address)
+			}
+			if p.Address.Addr().Is4() != v.Bind.Addr().Is4() {
+				at(v.Where, "peer", i, "%v is of another family than bind", p.Address)
+			}
+		}
+		if v.Bind.Addr().IsUnspecified() {
+			at(v.Where, "bind", 0, "%v is no address that peers could know this gateway by", v.Bind)
+		}
+		if len(o.Groups) == 0 {
+			at(v.Where, "vrrp", 0, "there is no group to hold an address for")
+		}
+	}
+	vrids, names, listens := map[uint8]string{}, map[string]bool{}, map[netip.AddrPort]string{}
+	for _, g := range o.Groups {
+		if o.VRRP == nil {
+			at(g.Where, "group", 0, "there is no vrrp section")
+		}
+		if other, ok := vrids[g.VRID]; ok {
+			at(g.Where, "vrid", 0, "%d is that of group %s too", g.VRID, other)
+		}
+		if other, ok := listens[g.Listen]; ok {
+			at(g.Where, "listen", 0, "%v is that of group %s too", g.Listen, other)
+		}
+		if names[g.Name] {
+			at(g.Where, "group", 0, "%s is there twice", g.Name)
+		}
+		vrids[g.VRID], names[g.Name], listens[g.Listen] = g.Name, true, g.Name
+		for i, a := range g.Addresses {
+			if a.Is4() != g.Addresses[0].Is4() {
+				at(g.Where, "address", i, "%v is of another family than the first", a)
+			}
+		}
+		if g.Interval < leastInterval || g.Interval > mostInterval || g.Interval%leastInterval != 0 {
+			at(g.Where, "interval", 0, "%v is no multiple of 10ms from 10ms to 40.95s", g.Interval)
+		}
+		if g.Damp.First > g.Damp.Most {
+			at(g.Where, "damp", 0, "the first hold, %v, is longer than the longest, %v", g.Damp.First, g.Damp.Most)
+		}
+	}
+	return faults
+}
+
+// Fixed lists the directives whose values in next cannot be taken over by a running gateway.
+func (o *Operators) Fixed(next *Operators) []string {
+	var fixed []string
+	differ := func(name string, same bool) {
+		if !same {
+			fixed = append(fixed, name)
+		}
+	}
+	differ("control", o.Control == next.Control)
+	differ("vrrp", (o.VRRP == nil) == (next.VRRP == nil))
+	if o.VRRP != nil && next.VRRP != nil {
+		differ("vrrp node", o.VRRP.Node == next.VRRP.Node)
+		differ("vrrp bind", o.VRRP.Bind == next.VRRP.Bind)
+	}
+	identity := func(o *Operators) (all []string) {
+		for _, g := range o.Groups {
+			all = append(all, fmt.Sprint(g.Name, g.VRID, g.Addresses, g.Listen))
+		}
+		slices.Sort(all)
+		return all
+	}
+	differ("group", reflect.DeepEqual(identity(o), identity(next)))
+	return fixed
+}
+
+// Summary names the sections that are on, for the log.
+func (o *Operators) Summary() string {
+	var on []string
+	if o.VRRP != nil {
+		on = append(on, "vrrp")
+	}
+	for _, g := range o.Groups {
+		on = append(on, "group "+g.Name)
+	}
+	return strings.Join(on, ", ")
+}
--- /dev/null
+++ b/internal/config/operators_test.go
@@ -0,0 +1,194 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"marblespan/internal/config/lines"
+)
+
+const sampleConf = `# the counters' address
+control "/tmp/with blank.sock"
+
+vrrp
+    node 1
+    bind 127.0.0.2:1112
+    peer 2 127.0.0.3:1112
+    peer 3 127.0.0.4:1112   # the third
+    key 2 "a secret with \"quotes\" in it"
+    key 1 sixteen-characters-or-more
+    announce 127.0.0.9:1113 127.0.0.9:1114
+
+group counters
+    vrid 51
+    address 192.0.2.10
+    listen 127.0.0.2:6434
+    priority 200
+    interval 1s
+    preempt off
+    track no-primary 40
+    track draining 255
+    damp 2s 100ms 1s
+group boards
+    vrid 52
+    address 2001:db8::1 2001:db8::2
+    listen 127.0.0.2:6435
+`
+
+func TestOperatorsFile(t *testing.T) {
+	o, err := ParseOperators("a.conf", sampleConf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Control != "/tmp/with blank.sock" || o.VRRP.Node != 1 || len(o.VRRP.Peers) != 2 || len(o.VRRP.Announce) != 2 ||
+		o.VRRP.Peers[1].Address.String() != "127.0.0.4:1112" || o.VRRP.Keys[0].Secret != `a secret with "quotes" in it` {
+		t.Errorf("%+v %+v", o, o.VRRP)
+	}
+	g := o.Groups[0]
+	if g.Name != "counters" || g.VRID != 51 || g.Preempt || g.Interval != time.Second || g.Track[1].Step != 255 ||
+		g.Damp != (Damp{2 * time.Second, 100 * time.Millisecond, time.Second}) {
+		t.Errorf("%+v", g)
+	}
+	if g := o.Groups[1]; g.Priority != 100 || !g.Preempt || g.Interval != 100*time.Millisecond || len(g.Addresses) != 2 {
+		t.Errorf("%+v", g)
+	}
+	// What is printed is read back to the same, but for the secrets.
+	var b strings.Builder
+	if err := o.Print(&b); err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(b.String(), "quotes") || strings.Contains(b.String(), "sixteen") {
+		t.Errorf("a secret is printed:\n%s", &b)
+	}
+	text := strings.Replace(b.String(), "key 2 ********", "key 2 0123456789abcdef", 1)
+	again, err := ParseOperators("b.conf", strings.Replace(text, "key 1 ********", "key 1 0123456789abcdef", 1))
+	if err != nil {
+		t.Fatalf("%v in\n%s", err, text)
+	}
+	var c strings.Builder
+	again.Print(&c)
+	if c.String() != b.String() {
+		t.Errorf("%s\n---\n%s", &b, &c)
+	}
+	if o, err := LoadOperators(""); err != nil || o.VRRP != nil || o.Summary() != "" {
+		t.Errorf("%v %v", o, err)
+	}
+}
+
+// Every fault is told with its line and directive, all in one go.
+func TestOperatorsFaults(t *testing.T) {
+	edit := func(old, new string) string {
+		if !strings.Contains(sampleConf, old) {
+			t.Fatalf("%q is not in the sample", old)
+		}
+		return strings.Replace(sampleConf, old, new, 1)
+	}
+	for _, c := range []struct{ name, text, want string }{
+		{"unknown directive", edit("control", "contrl"), `x:2: contrl: is not known here; there is control`},
+		{"unknown in a section", edit("node 1", "nod 1"), `x:5: nod: is not known here; there is announce, bind, key, node, peer`},
+		{"twice", edit("node 1", "node 1\n    node 2"), `x:6: node: given twice, first in line 5`},
+		{"section twice", edit("group boards", "vrrp\ngroup boards"), `x:23: vrrp: given twice`},
+		{"no value", edit("vrid 51", "vrid"), `x:14: vrid: takes 1 value, and has 0`},
+		{"too many", edit("vrid 51", "vrid 51 52"), `x:14: vrid: takes 1 value, and has 2`},
+		{"pair", edit("peer 2 127", "peer 127"), `x:7: peer: takes 2 values, and has 1`},
+		{"number", edit("vrid 51", "vrid 256"), `x:14: vrid: "256" is no whole number from 0 to 255`},
+		{"address", edit("127.0.0.2:1112", "127.0.0.2"), `x:6: bind: "127.0.0.2" is no address with a port, such as 127.0.0.1:6433`},
+		{"no unit", edit("interval 1s", "interval 100"), `x:18: interval: "100" is no span of time with a unit, such as 100ms, 2s or 5m`},
+		{"switch", edit("preempt off", "preempt maybe"), `x:19: preempt: "maybe" is neither on nor off`},
+		{"missing", edit("    vrid 51\n", ""), `x:13: vrid: is missing`},
+		{"condition", edit("no-primary", "no-luck"),
+			`x:20: track: must be one of no-server, no-primary, discovery-silent, descriptors, draining`},
+		{"short secret", edit("sixteen-characters-or-more", "short"), `x:10: key: must be 16 characters or more`},
+		{"priority", edit("priority 200", "priority 0"), `x:17: priority: must be 1 or more`},
+		{"same peers", edit("peer 3", "peer 2"), `x:7: peer: has the same node twice`},
+		{"own number", edit("peer 3", "peer 1"), `x:8: peer: 1 is this gateway's own number`},
+		{"own address", edit("127.0.0.4", "127.0.0.2"), `x:8: peer: 127.0.0.2:1112 is this gateway's own address`},
+		{"same vrid", edit("vrid 52", "vrid 51"), `x:24: vrid: 51 is that of group counters too`},
+		{"same listener", edit(":6435", ":6434"), `x:26: listen: 127.0.0.2:6434 is that of group counters too`},
+		{"families", edit("2001:db8::2", "192.0.2.7"), `x:25: address: 192.0.2.7 is of another family than the first`},
+		{"interval's grain", edit("interval 1s", "interval 15ms"), `x:18: interval: 15ms is no multiple of 10ms from 10ms to 40.95s`},
+		{"damping", edit("100ms 1s", "2s 1s"), `x:22: damp: the first hold, 2s, is longer than the longest, 1s`},
+		{"open quote", edit(`blank.sock"`, "blank.sock"), `x:2: column 9: invalid input text "\"/tmp/with blank..."`},
+		{"no vrrp", "group a\nvrid 1\naddress 1.2.3.4\nlisten 127.0.0.1:1\n", `x:1: group: there is no vrrp section`},
+		{"no group", "vrrp\nnode 1\nbind 127.0.0.1:1\nkey 1 0123456789abcdef\n", `x:1: vrrp: there is no group to hold an address for`},
+		{"bytes", "control \x01\n", `x:1: column 9: invalid input text "\x01"`},
+	} {
+		_, err := ParseOperators("x", c.text)
+		if err == nil || !strings.Contains("\n"+err.Error()+"\n", "\n"+c.want+"\n") {
+			t.Errorf("%s:\n%v\nwant\n%s", c.name, err, c.want)
+		}
+	}
+	_, err := ParseOperators("x", "a 1\nb 2\nvrrp 3\n")
+	var faults lines.Faults
+	if !errors.As(err, &faults) || len(faults) != 3 || faults[2].Line != 3 {
+		t.Errorf("%v", err)
+	}
+	if _, err := LoadOperators(filepath.Join(t.TempDir(), "none")); err == nil ||
+		!strings.HasSuffix(err.Error(), "cannot be read: no such file or directory") {
+		t.Error(err)
+	}
+}
+
+// The file that comes with the project is read as it stands.
+func TestShippedOperatorsFile(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("..", "..", "deploy", "marblespan.conf"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o, err := ParseOperators("marblespan.conf", string(raw)); err != nil || o.Summary() != "" {
+		t.Errorf("it switches on %q: %v", o.Summary(), err)
+	}
+	// With its example uncommented it is read too.
+	var on strings.Builder
+	for _, line := range strings.Split(string(raw), "\n") {
+		on.WriteString(strings.TrimPrefix(line, "#:") + "\n")
+	}
+	if o, err := ParseOperators("marblespan.conf", on.String()); err != nil || o.Summary() == "" {
+		t.Error(err)
+	}
+}
+
+func TestOperatorsFixed(t *testing.T) {
+	a, _ := ParseOperators("x", sampleConf)
+	may, _ := ParseOperators("x", strings.NewReplacer("priority 200", "priority 9", "peer 3", "peer 4", "key 2", "key 3").Replace(sampleConf))
+	if fixed := a.Fixed(may); len(fixed) != 0 {
+		t.Errorf("%v", fixed)
+	}
+	other, _ := ParseOperators("x", strings.NewReplacer("node 1", "node 9", "vrid 51", "vrid 9", "control", "# ").Replace(sampleConf))
+	if fixed := strings.Join(a.Fixed(other), ","); fixed != "control,vrrp node,group" {
+		t.Errorf("%v", fixed)
+	}
+}
+
+// Whatever is read is printed so that it is read back to the same.
+func FuzzOperators(f *testing.F) {
+	f.Add(sampleConf)
+	f.Add("vrrp\nnode 300\n")
+	f.Add("control \"\\\\ \\\" \\n\"")
+	f.Fuzz(func(t *testing.T, text string) {
+		o, err := ParseOperators("x", text)
+		if err != nil {
+			var faults lines.Faults
+			if !errors.As(err, &faults) || len(faults) == 0 {
+				t.Fatalf("%T %v", err, err)
+			}
+			return
+		}
+		var b, c strings.Builder
+		o.Print(&b)
+		if o.VRRP != nil {
+			return // its secrets are hidden
+		}
+		again, err := ParseOperators("y", b.String())
+		if err != nil {
+			t.Fatalf("%v in %q of %q", err, b.String(), text)
+		}
+		if again.Print(&c); b.String() != c.String() {
+			t.Errorf("%q, then %q", b.String(), c.String())
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,131 @@
+// Package control is the local socket over which a running gateway is asked how it is. A question is one line; the answer is
+// one JSON object, {"answer": ...} or {"error": "..."}, and the end of the connection.
+package control
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// mostAsking is how many questions are answered at a time; the rest wait in the kernel.
+const mostAsking = 2
+
+// Descriptors is how many the socket may hold at a time.
+const Descriptors = 1 + mostAsking
+
+// patience bounds a question and its answer.
+const patience = 2 * time.Second
+
+// mostQuestion is the size of the longest question, in bytes; mostAnswer that of the longest answer.
+const (
+	mostQuestion = 256
+	mostAnswer   = 1 << 20
+)
+
+type reply struct {
+	Answer json.RawMessage `json:"answer,omitempty"`
+	Error  string          `json:"error,omitempty"`
+}
+
+// Server answers on a socket of the file system.
+type Server struct {
+	listener *net.UnixListener
+	done     sync.WaitGroup
+}
+
+// Listen starts to answer. A socket that a dead process has left is replaced; one that still answers, or any other file,
+// is an error.
+func Listen(path string, answer func(question string) (any, error)) (*Server, error) {
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode()&os.ModeSocket == 0 {
+			return nil, fmt.Errorf("%s is there and no socket", path)
+		}
+		if c, err := net.DialTimeout("unix", path, patience); err == nil {
+			c.Close()
+			return nil, fmt.Errorf("%s is in use", path)
+		}
+		os.Remove(path)
+	}
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(path, 0o600); err != nil { // it is for whoever runs the gateway
+		l.Close()
+		return nil, err
+	}
+	s := &Server{listener: l}
+	s.done.Add(mostAsking)
+	for range mostAsking {
+		go s.serve(answer)
+	}
+	return s, nil
+}
+
+func (s *Server) serve(answer func(string) (any, error)) {
+	defer s.done.Done()
+	for {
+		c, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(patience / 100) // no descriptor: one that ends frees one
+			continue
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		line, err := bufio.NewReader(io.LimitReader(c, mostQuestion)).ReadString('\n')
+		if err == nil {
+			json.NewEncoder(c).Encode(answered(answer, strings.TrimSpace(line)))
+		}
+		c.Close()
+	}
+}
+
+func answered(answer func(string) (any, error), question string) reply {
+	v, err := answer(question)
+	if err == nil {
+		var raw []byte
+		if raw, err = json.Marshal(v); err == nil {
+			return reply{Answer: raw}
+		}
+	}
+	return reply{Error: err.Error()}
+}
+
+// Close stops answering and removes the socket. A server that never was is closed already.
+func (s *Server) Close() {
+	if s != nil {
+		s.listener.Close()
+		s.done.Wait()
+	}
+}
+
+// Ask asks the gateway behind a socket and reads its answer.
+func Ask(path, question string, into any) error {
+	c, err := net.DialTimeout("unix", path, patience)
+	if err != nil {
+		return fmt.Errorf("no gateway answers at %s: %w", path, err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(c, question+"\n"); err != nil {
+		return err
+	}
+	var r reply
+	if err := json.NewDecoder(io.LimitReader(c, mostAnswer)).Decode(&r); err != nil {
+		return fmt.Errorf("the answer cannot be read: %w", err)
+	}
+	if r.Error != "" {
+		return errors.New(r.Error)
+	}
+	return json.Unmarshal(r.Answer, into)
+}
--- /dev/null
+++ b/internal/floating/floating.go
@@ -0,0 +1,436 @@
+// Package floating joins the VRRP machines to the network: one goroutine that reads and writes one UDP socket and owns every
+// group's machine. It decides nothing; what a machine asks for is carried out here or by the program's Address.
+package floating
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	codec "marblespan/internal/protocol/vrrp"
+	"marblespan/internal/vrrp"
+)
+
+// Address is what the program does when an address is won or lost. Neither may wait for clients.
+type Address interface {
+	// Take opens the listener of a group. gate tells, at any moment and from any goroutine, whether the tenure may still
+	// take new work.
+	Take(group string, listen netip.AddrPort, gate func() bool) error
+	// Release stops listening and lets go of the clients once they have their answers.
+	Release(group string)
+}
+
+// Peer is another gateway.
+type Peer struct {
+	Node    uint8
+	Address netip.AddrPort
+}
+
+// Group is one floating address.
+type Group struct {
+	Name      string
+	Addresses []netip.Addr
+	Listen    netip.AddrPort
+	Machine   vrrp.Config
+	// Lingers: a gateway that is to end keeps the address, with its lowered priority, until somebody takes it.
+	Lingers bool
+}
+
+// Settings are what a reload may change, but for each group's name, addresses and listener.
+type Settings struct {
+	Node     uint8
+	Bind     netip.AddrPort
+	Peers    []Peer
+	Keys     []codec.Key // the first one signs
+	Announce []netip.AddrPort
+	Groups   []Group
+}
+
+// Clock is a clock that never steps back.
+type Clock struct {
+	Now  func() vrrp.Micros
+	Time func(vrrp.Micros) time.Time
+}
+
+// dropsLogged and dropsBurst bound the log lines about messages that are dropped: a flood of garbage must not become a
+// flood of lines. What is not logged is still counted.
+const (
+	dropsLogged = 1 // a second
+	dropsBurst  = 5
+)
+
+// taskQueue is how many requests to the goroutine may wait.
+const taskQueue = 16
+
+// past is a deadline that has been; setting it wakes the reader.
+var past = time.Unix(1, 0)
+
+// Speaker takes part in VRRP for all groups of a gateway.
+type Speaker struct {
+	settings Settings
+	clock    Clock
+	address  Address
+	health   func() vrrp.Health
+	log      zerolog.Logger
+
+	conn    *net.UDPConn
+	origins *vrrp.Origins
+	groups  []*group
+	last    vrrp.Health
+	limit   *rate.Limiter
+	silent  int64 // drops since the last line about one
+	tasks   chan func()
+	done    chan struct{}
+	ending  bool
+	buffer  []byte
+
+	Counts Counts
+}
+
+// Counts are the speaker's counters since its start.
+type Counts struct {
+	Sent, SendFailed, Received, Announced, Tenures, Moved atomic.Int64
+	Dropped                                               [codec.Faults]atomic.Int64
+	Lost                                                  [vrrp.Causes]atomic.Int64 // by cause
+}
+
+type group struct {
+	Group
+	machine vrrp.Machine
+	lease   atomic.Int64 // until when new work may be taken
+}
+
+// Start binds the socket and starts every group. start is the system clock's time, microseconds of Unix time: it only
+// tells one life of this gateway from the next.
+func Start(s Settings, clock Clock, start uint64, address Address, health func() vrrp.Health, log zerolog.Logger) (
+	*Speaker, error,
+) {
+	network := "udp6"
+	if s.Bind.Addr().Is4() {
+		network = "udp4"
+	}
+	conn, err := net.ListenUDP(network, net.UDPAddrFromAddrPort(s.Bind))
+	if err != nil {
+		return nil, err
+	}
+	sp := &Speaker{
+		settings: s, clock: clock, address: address, health: health, log: log, conn: conn,
+		origins: vrrp.NewOrigins(start), limit: rate.NewLimiter(dropsLogged, dropsBurst), tasks: make(chan func(), taskQueue),
+		done: make(chan struct{}), buffer: make([]byte, codec.MostSize+1),
+	}
+	for _, g := range s.Groups {
+		sp.groups = append(sp.groups, &group{Group: g, machine: vrrp.New(g.Machine)})
+	}
+	go sp.run()
+	return sp, nil
+}
+
+// Addr is where the speaker is heard.
+func (s *Speaker) Addr() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// ask runs a function on the speaker's goroutine and waits for it. It tells whether it ran.
+func (s *Speaker) ask(do func()) bool {
+	ran := make(chan struct{})
+	select {
+	case s.tasks <- func() { do(); close(ran) }:
+	case <-s.done:
+		return false
+	}
+	s.conn.SetReadDeadline(past)
+	select {
+	case <-ran:
+		return true
+	case <-s.done:
+		return false
+	}
+}
+
+// run reads until Close. The deadline of a read is the next time that a machine wants to look at the clock. It is set
+// before the tasks are looked for, so that a task left later wakes the read.
+func (s *Speaker) run() {
+	defer close(s.done)
+	s.look()
+	for _, g := range s.groups {
+		s.tell(g, vrrp.Startup{})
+	}
+	for !s.ending {
+		deadline := time.Time{}
+		for _, g := range s.groups {
+			if at, ok := g.machine.Next(); ok {
+				if t := s.clock.Time(at); deadline.IsZero() || t.Before(deadline) {
+					deadline = t
+				}
+			}
+		}
+		s.conn.SetReadDeadline(deadline)
+		select {
+		case do := <-s.tasks:
+			do()
+			continue
+		default:
+		}
+		n, from, err := s.conn.ReadFromUDPAddrPort(s.buffer)
+		switch {
+		case err == nil:
+			s.receive(s.buffer[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		case errors.Is(err, net.ErrClosed):
+			return
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			s.Counts.Dropped[codec.BadLength].Add(1) // an error of the socket that came instead of a message
+		}
+		s.look()
+		now := s.clock.Now()
+		for _, g := range s.groups {
+			if at, ok := g.machine.Next(); ok && now >= at {
+				s.tell(g, vrrp.Tick{})
+			}
+		}
+	}
+}
+
+// look tells the machines how the gateway is, if that has changed.
+func (s *Speaker) look() {
+	if h := s.health(); h != s.last {
+		s.last = h
+		for _, g := range s.groups {
+			s.tell(g, vrrp.Noticed{Health: h})
+		}
+	}
+}
+
+// tell hands an event to a machine and carries out what comes of it.
+func (s *Speaker) tell(g *group, ev vrrp.Event) {
+	held := g.machine.State() == vrrp.Active
+	actions := g.machine.Handle(s.clock.Now(), ev)
+	if held && g.machine.State() != vrrp.Active {
+		g.lease.Store(0)
+	}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case vrrp.Take:
+			s.Counts.Tenures.Add(1)
+			if err := s.address.Take(g.Name, g.Listen, s.gate(g)); err != nil {
+				s.log.Error().Err(err).Str("group", g.Name).Msg("floating listener")
+				s.tell(g, vrrp.TakeFailed{Tenure: a.Tenure})
+				return
+			}
+		case vrrp.Release:
+			s.Counts.Lost[a.Cause].Add(1)
+			s.address.Release(g.Name)
+		case vrrp.Advertise:
+			s.advertise(g, a)
+			// Only now: had the process stopped before, its peers would have heard nothing.
+			g.lease.Store(int64(g.machine.Lease()))
+		case vrrp.Announce:
+			s.announce(g)
+		case vrrp.Changed:
+			s.log.Info().Str("group", g.Name).Stringer("from", a.From).Stringer("to", a.To).Stringer("cause", a.Cause).
+				Uint8("priority", g.machine.Priority()).Uint32("tenure", g.machine.Tenure()).Msg("vrrp")
+		}
+	}
+}
+
+// gate is the tenure's leave to take new work. It reads the clock itself: a goroutine that wakes from a stop before the
+// speaker does is held back too.
+func (s *Speaker) gate(g *group) func() bool {
+	return func() bool { return int64(s.clock.Now()) <= g.lease.Load() }
+}
+
+func (s *Speaker) advertise(g *group, a vrrp.Advertise) {
+	for _, p := range s.settings.Peers {
+		o := s.origins.Next()
+		b, err := codec.Append(nil, codec.Message{
+			VRID: g.Machine.VRID, Priority: a.Priority, Interval: int64(a.Interval), Addresses: g.Addresses,
+			Trailer: codec.Trailer{
+				Sender: s.settings.Node, Receiver: p.Node, Start: o.Start, Sequence: o.Sequence, Known: s.origins.Known(p.Node),
+			},
+		}, s.settings.Bind.Addr(), p.Address.Addr(), s.settings.Keys[0])
+		if err == nil {
+			_, err = s.conn.WriteToUDPAddrPort(b, p.Address)
+		}
+		if err != nil {
+			s.Counts.SendFailed.Add(1)
+			continue
+		}
+		s.Counts.Sent.Add(1)
+	}
+}
+
+func (s *Speaker) announce(g *group) {
+	for _, to := range s.settings.Announce {
+		o := s.origins.Next()
+		b, err := codec.AppendAnnouncement(nil, codec.Announcement{
+			VRID: g.Machine.VRID, Sender: s.settings.Node, Start: o.Start, Sequence: o.Sequence, Listen: g.Listen,
+			Addresses: g.Addresses,
+		}, s.settings.Keys[0])
+		if err == nil {
+			_, err = s.conn.WriteToUDPAddrPort(b, to)
+		}
+		if err != nil {
+			s.Counts.SendFailed.Add(1)
+			continue
+		}
+		s.Counts.Announced.Add(1)
+	}
+}
+
+// receive checks one datagram and hands it to its group's machine.
+func (s *Speaker) receive(b []byte, from netip.AddrPort) {
+	s.Counts.Received.Add(1)
+	g, m, fault := s.check(b, from)
+	if fault != codec.Sound {
+		s.drop(fault, from)
+		return
+	}
+	s.tell(g, vrrp.Heard{From: from.Addr(), Priority: m.Priority, Interval: vrrp.Micros(m.Interval)})
+}
+
+// check does the cheap checks first: strangers cost no signature.
+func (s *Speaker) check(b []byte, from netip.AddrPort) (*group, codec.Message, codec.Fault) {
+	var none codec.Message
+	var peer *Peer
+	for i := range s.settings.Peers {
+		if s.settings.Peers[i].Address == from {
+			peer = &s.settings.Peers[i]
+		}
+	}
+	if peer == nil {
+		return nil, none, codec.WrongSource
+	}
+	vrid, ok := codec.VRID(b)
+	if !ok {
+		return nil, none, codec.BadLength
+	}
+	var g *group
+	for _, x := range s.groups {
+		if x.Machine.VRID == vrid {
+			g = x
+		}
+	}
+	if g == nil {
+		return nil, none, codec.UnknownVRID
+	}
+	m, fault := codec.Parse(b, g.Addresses[0].Is4(), from.Addr(), s.settings.Bind.Addr(), s.settings.Keys)
+	if fault != codec.Sound {
+		return nil, none, fault
+	}
+	if m.Sender != peer.Node || m.Receiver != s.settings.Node {
+		return nil, none, codec.WrongPeer
+	}
+	fresh, moved := s.origins.Take(m.Sender, vrrp.Origin{Start: m.Start, Sequence: m.Sequence}, m.Known)
+	if moved {
+		s.Counts.Moved.Add(1)
+		s.log.Warn().Uint8("peer", m.Sender).Msg("peers know a later start of this gateway: its clock was set back; moved past it")
+	}
+	if !fresh {
+		return nil, none, codec.Replayed
+	}
+	if !slices.Equal(m.Addresses, g.Addresses) {
+		return nil, none, codec.OtherAddress
+	}
+	return g, m, codec.Sound
+}
+
+func (s *Speaker) drop(fault codec.Fault, from netip.AddrPort) {
+	s.Counts.Dropped[fault].Add(1)
+	if !s.limit.Allow() {
+		s.silent++
+		return
+	}
+	s.log.Warn().Str("peer", from.String()).Str("fault", codec.FaultNames[fault]).Int64("not_logged", s.silent).
+		Msg("vrrp message dropped")
+	s.silent = 0
+}
+
+// Reload takes over new peers, keys, announcements and the machines' settings. A group's name, addresses and listener
+// stay; groups are matched by name.
+func (s *Speaker) Reload(next Settings) {
+	s.ask(func() {
+		next.Node, next.Bind = s.settings.Node, s.settings.Bind
+		byName := map[string]Group{}
+		for _, g := range next.Groups {
+			byName[g.Name] = g
+		}
+		s.settings = next
+		s.origins.Forget(func(node uint8) bool {
+			return slices.ContainsFunc(next.Peers, func(p Peer) bool { return p.Node == node })
+		})
+		for _, g := range s.groups {
+			if n, ok := byName[g.Name]; ok {
+				g.Lingers = n.Lingers
+				g.Machine.Priority, g.Machine.Interval = n.Machine.Priority, n.Machine.Interval
+				s.tell(g, vrrp.Reconfigured{Config: n.Machine})
+			}
+		}
+	})
+}
+
+// GiveUp releases every address, at once. Groups that linger do so only when last is set.
+func (s *Speaker) GiveUp(last bool) {
+	s.ask(func() {
+		for _, g := range s.groups {
+			if last || !g.Lingers {
+				s.tell(g, vrrp.Shutdown{})
+			}
+		}
+	})
+}
+
+// Close releases what is still held and ends the goroutine.
+func (s *Speaker) Close() {
+	s.GiveUp(true)
+	s.ask(func() { s.ending = true })
+	<-s.done
+	s.conn.Close()
+}
+
+// Status is how one group stands.
+type Status struct {
+	Group     string   `json:"group"`
+	VRID      uint8    `json:"vrid"`
+	Addresses []string `json:"addresses"`
+	State     string   `json:"state"`
+	ForMS     int64    `json:"for_ms"`
+	Priority  uint8    `json:"priority"`
+	Settings  uint8    `json:"priority_of_settings"`
+	Ready     bool     `json:"ready"`
+	Wrong     []string `json:"wrong"`
+	Holder    string   `json:"holder,omitempty"`
+	Tenure    uint32   `json:"tenure"`
+	HeldMS    int64    `json:"held_back_ms"`
+}
+
+// Status tells how every group stands.
+func (s *Speaker) Status() (all []Status) {
+	s.ask(func() {
+		now := s.clock.Now()
+		for _, g := range s.groups {
+			m := &g.machine
+			st := Status{
+				Group: g.Name, VRID: g.Machine.VRID, State: m.State().String(), ForMS: int64(now-m.Since()) / 1000,
+				Priority: m.Priority(), Settings: g.Machine.Priority, Ready: m.Ready(), Tenure: m.Tenure(), Wrong: []string{},
+				HeldMS: int64(max(m.HeldUntil()-now, 0)) / 1000,
+			}
+			for _, a := range g.Addresses {
+				st.Addresses = append(st.Addresses, a.String())
+			}
+			for c, wrong := range s.last.Wrong {
+				if wrong {
+					st.Wrong = append(st.Wrong, vrrp.ConditionNames[c])
+				}
+			}
+			if m.State() == vrrp.Backup && m.Holder().IsValid() {
+				st.Holder = m.Holder().String()
+			}
+			all = append(all, st)
+		}
+	})
+	return all
+}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -21,7 +21,8 @@
 	"internal/vrrp":               {},
 	"internal/explore":            {},
 	"internal/transport":          {},
-	"internal/config":             {"internal/settings", "internal/protocol/discovery"},
+	"internal/config":             {"internal/config/lines", "internal/settings", "internal/protocol/discovery"},
+	"internal/config/lines":       {},
 	"internal/simwire":            {"brain", "internal/settings"},
 	"internal/simhost":            {"brain", "internal/settings", "internal/simwire"},
 	"internal/routing": {
@@ -31,11 +32,17 @@
 		"brain", "internal/settings", "internal/protocol/postgres", "internal/protocol/discovery",
 		"internal/routing", "internal/transport",
 	},
+	"internal/control":  {},
+	"internal/floating": {"internal/protocol/vrrp", "internal/vrrp"},
 	"internal/program": {
-		"brain", "internal/config", "internal/routing", "internal/session", "internal/transport",
+		"brain", "internal/config", "internal/control", "internal/floating", "internal/protocol/vrrp", "internal/routing",
+		"internal/session", "internal/transport", "internal/vrrp",
+	},
+	"internal/cli": {
+		"internal/config", "internal/config/lines", "internal/control", "internal/floating", "internal/program",
 	},
 	"internal/standin": {},
-	"cmd/marblespan":   {"internal/config", "internal/program"},
+	"cmd/marblespan":   {"internal/cli"},
 	"cmd/simhost":      {"internal/simhost"},
 }
 
--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -18,11 +18,12 @@
 	g.ends.Each(func(party string, reason transport.Reason, n int64) {
 		g.log.Info().Str("party", party).Stringer("reason", reason).Int64("ended", n).Msg("counter")
 	})
-	c := &g.clients.Counts
+	c := g.clients.Counts
 	g.log.Info().Int64("empty", c.Empty.Load()).Int64("not_ready", c.NotReady.Load()).
 		Int64("malformed", c.Malformed.Load()).Int64("unsupported", c.Unsupported.Load()).
 		Int64("over_memory", c.OverMemory.Load()).Int("clients", g.clients.Open()).
 		Int("descriptors", g.fds.Used()).Int64("message_bytes", g.buffers.Held()).Msg("counters")
+	g.floats.print()
 }
 
 func (g *Gateway) printOwner(c *routing.Core) {
--- /dev/null
+++ b/internal/program/floating.go
@@ -0,0 +1,284 @@
+package program
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"marblespan/brain"
+	"marblespan/internal/config"
+	"marblespan/internal/floating"
+	codec "marblespan/internal/protocol/vrrp"
+	"marblespan/internal/routing"
+	"marblespan/internal/session"
+	"marblespan/internal/transport"
+	"marblespan/internal/vrrp"
+)
+
+// healthPoll is how often the owner is asked how the gateway is, and healthOld after how long without its answer the
+// gateway counts as not ready: an owner that hangs serves nobody.
+const (
+	healthPoll = 50 * time.Millisecond
+	healthOld  = time.Second
+)
+
+// groupLately is for how long a group that was asked for counts as in use.
+const groupLately = brain.Micros(30 * time.Second / time.Microsecond)
+
+// readyRoom is what must fit the messages' budget before the gateway is ready: a request and its answer.
+const readyRoom = 4 * transport.BufferSize
+
+// floats holds the gateway's part in floating addresses: the speaker, and what is served under each tenure. A nil one is
+// a gateway without.
+type floats struct {
+	g        *Gateway
+	speaker  *floating.Speaker
+	counts   session.ClientCounts
+	limits   session.Timeouts
+	health   atomic.Pointer[healthSeen]
+	stopping atomic.Bool
+	quit     chan struct{}
+	polling  sync.WaitGroup
+
+	mu      sync.Mutex
+	tenures map[*tenure]struct{}
+	holding map[string]*tenure // by group
+}
+
+type healthSeen struct {
+	vrrp.Health
+	at time.Time
+}
+
+// tenure is what came over a floating address between one winning and losing of it. Each has its own listener and its own
+// clients, so that winning the address back while the last tenure still answers is no special case.
+type tenure struct {
+	clients  *session.Clients
+	listener *transport.Listener
+	freed    chan struct{} // its listener is closed
+}
+
+// startFloats binds the speaker's socket and begins to take part.
+func startFloats(g *Gateway) (*floats, error) {
+	f := &floats{
+		g: g, limits: g.clients.Limits, quit: make(chan struct{}), tenures: map[*tenure]struct{}{}, holding: map[string]*tenure{},
+	}
+	f.health.Store(&healthSeen{at: time.Now()})
+	clock := floating.Clock{
+		Now:  func() vrrp.Micros { return vrrp.Micros(g.clock.Now()) },
+		Time: func(m vrrp.Micros) time.Time { return g.clock.Time(brain.Micros(m)) },
+	}
+	var err error
+	if f.speaker, err = floating.Start(speakerSettings(g.ops), clock, uint64(time.Now().UnixMicro()), f, f.now, g.log); err != nil {
+		return nil, err
+	}
+	g.fds.Hold(1 + len(g.ops.Groups)) // the socket and the listeners
+	f.polling.Add(1)
+	go f.poll()
+	return f, nil
+}
+
+// speakerSettings says the operators' settings in the speaker's terms.
+func speakerSettings(ops *config.Operators) floating.Settings {
+	v := ops.VRRP
+	s := floating.Settings{Node: v.Node, Bind: v.Bind, Announce: v.Announce}
+	for _, p := range v.Peers {
+		s.Peers = append(s.Peers, floating.Peer(p))
+	}
+	for _, k := range v.Keys {
+		s.Keys = append(s.Keys, codec.Key{Number: k.Number, Secret: []byte(k.Secret)})
+	}
+	for _, g := range ops.Groups {
+		m := vrrp.Config{
+			VRID: g.VRID, Priority: g.Priority, Interval: micros(g.Interval), Preempt: g.Preempt,
+			PreemptDelay: micros(g.PreemptDelay), Self: v.Bind.Addr(),
+			Damping: vrrp.Damping{Window: micros(g.Damp.Window), First: micros(g.Damp.First), Most: micros(g.Damp.Most)},
+		}
+		lingers := false
+		for _, t := range g.Track {
+			for c, name := range vrrp.ConditionNames {
+				if name == t.Condition {
+					m.Steps[c] = t.Step
+					lingers = lingers || vrrp.Condition(c) == vrrp.Draining
+				}
+			}
+		}
+		s.Groups = append(s.Groups, floating.Group{
+			Name: g.Name, Addresses: g.Addresses, Listen: g.Listen, Machine: m, Lingers: lingers,
+		})
+	}
+	return s
+}
+
+func micros(d time.Duration) vrrp.Micros { return vrrp.Micros(d / time.Microsecond) }
+
+// poll asks the owner how the gateway is. The speaker must not wait for the owner, so it reads what was last heard.
+func (f *floats) poll() {
+	defer f.polling.Done()
+	tick := time.NewTicker(healthPoll)
+	defer tick.Stop()
+	for {
+		f.look()
+		select {
+		case <-tick.C:
+		case <-f.quit:
+			return
+		}
+	}
+}
+
+func (f *floats) look() {
+	seen := &healthSeen{}
+	if !f.g.owner.Ask(func(c *routing.Core) {
+		h := c.Health(groupLately)
+		seen.Ready = c.Ready() && h.Usable > 0
+		seen.Wrong[vrrp.NoServer] = h.Usable == 0
+		seen.Wrong[vrrp.NoPrimary] = h.WithoutPrimary > 0
+		seen.Wrong[vrrp.ListSilent] = h.ListFailing
+	}) {
+		return
+	}
+	if f.g.buffers.Reserve(readyRoom) {
+		f.g.buffers.Release(readyRoom)
+	} else if f.holds() == 0 {
+		seen.Ready = false // one that holds the address keeps it: full of work is not broken
+	}
+	seen.Wrong[vrrp.FewDescriptor] = f.g.fds.Short()
+	seen.at = time.Now()
+	f.health.Store(seen)
+}
+
+func (f *floats) holds() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.holding)
+}
+
+// now is how the gateway is, for the speaker.
+func (f *floats) now() vrrp.Health {
+	seen := f.health.Load()
+	h := seen.Health
+	h.Ready = h.Ready && time.Since(seen.at) < healthOld
+	h.Wrong[vrrp.Draining] = f.stopping.Load()
+	return h
+}
+
+// Take opens the floating listener for a new tenure. Should the last tenure's not be closed yet, it is waited for, a few
+// milliseconds at the most.
+func (f *floats) Take(group string, listen netip.AddrPort, gate func() bool) error {
+	f.mu.Lock()
+	var before []*tenure
+	for t := range f.tenures {
+		before = append(before, t)
+	}
+	f.mu.Unlock()
+	for _, t := range before {
+		if t.listener.Addr() == listen.String() {
+			<-t.freed
+		}
+	}
+	l, err := transport.Listen(listen.String(), f.g.buffers, f.g.fds)
+	if err != nil {
+		return err
+	}
+	t := &tenure{listener: l, clients: f.g.newClients(&f.counts, f.limits), freed: make(chan struct{})}
+	t.clients.Gate = gate
+	f.mu.Lock()
+	f.tenures[t], f.holding[group] = struct{}{}, t
+	f.mu.Unlock()
+	go func() {
+		l.Serve(t.clients.Serve)
+		l.Release()
+		close(t.freed)
+	}()
+	return nil
+}
+
+// Release closes the floating listener. What was taken is answered as in a stop: idle clients are closed so that they come
+// again where the address is now, the others after their answers, and whoever has sent half a message is not waited for.
+func (f *floats) Release(group string) {
+	f.mu.Lock()
+	t := f.holding[group]
+	delete(f.holding, group)
+	f.mu.Unlock()
+	if t == nil { // it was never taken
+		return
+	}
+	t.listener.Close()
+	t.clients.Drain(transport.EndMoved)
+	go func() {
+		<-t.freed
+		time.Sleep(drainCut)
+		t.clients.CutOff()
+		t.listener.Wait() // every request has its end, by its deadline at the latest
+		f.mu.Lock()
+		delete(f.tenures, t)
+		f.mu.Unlock()
+	}()
+}
+
+// reload takes over what may change.
+func (f *floats) reload(ops *config.Operators) {
+	if f != nil && ops.VRRP != nil {
+		f.speaker.Reload(speakerSettings(ops))
+	}
+}
+
+// giveUp releases every address; those that linger for a better holder only the last time.
+func (f *floats) giveUp(last bool) {
+	if f != nil {
+		f.stopping.Store(true)
+		f.speaker.GiveUp(last)
+	}
+}
+
+// open is the number of clients that are left.
+func (f *floats) open() (n int) {
+	if f == nil {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for t := range f.tenures {
+		n += t.clients.Open()
+	}
+	return n
+}
+
+func (f *floats) close() {
+	if f != nil {
+		f.speaker.Close()
+		close(f.quit)
+		f.polling.Wait()
+	}
+}
+
+func (f *floats) status() []floating.Status {
+	if f == nil {
+		return []floating.Status{}
+	}
+	return f.speaker.Status()
+}
+
+// print writes the counters of floating addresses.
+func (f *floats) print() {
+	if f == nil {
+		return
+	}
+	c := &f.speaker.Counts
+	line := f.g.log.Info().Int64("sent", c.Sent.Load()).Int64("send_failed", c.SendFailed.Load()).
+		Int64("received", c.Received.Load()).Int64("announced", c.Announced.Load()).Int64("tenures", c.Tenures.Load()).
+		Int64("start_moved", c.Moved.Load()).Int64("moved_requests", f.counts.Moved.Load()).Int("clients", f.open())
+	for fault := codec.Sound + 1; fault < codec.Faults; fault++ {
+		if n := c.Dropped[fault].Load(); n > 0 {
+			line = line.Int64("dropped_"+codec.FaultNames[fault], n)
+		}
+	}
+	for cause := range vrrp.Causes {
+		if n := c.Lost[cause].Load(); n > 0 {
+			line = line.Int64("lost_"+cause.String(), n)
+		}
+	}
+	line.Msg("vrrp counters")
+}
--- a/internal/program/gateway_test.go
+++ b/internal/program/gateway_test.go
@@ -85,7 +85,7 @@
 	if change != nil {
 		change(w.cfg)
 	}
-	w.gateway = must2(start(w.cfg, w.log, func(g *Gateway) {
+	w.gateway = must2(start(w.cfg, &config.Operators{}, w.log, func(g *Gateway) {
 		for _, f := range tune {
 			f(g)
 		}
@@ -384,11 +384,11 @@
 	w := newWorld(t, nil)
 	w.asks(w.dial(), look("a"), "value of a", "")
 	w.cfg.Listen = w.gateway.Addr()
-	if _, err := Start(w.cfg, w.log); err == nil {
+	if _, err := Start(w.cfg, w.gateway.ops, w.log); err == nil {
 		t.Fatal("two gateways under one address")
 	}
 	w.gateway.Stop()
-	w.gateway = must2(Start(w.cfg, w.log))
+	w.gateway = must2(Start(w.cfg, w.gateway.ops, w.log))
 	w.asks(w.dial(), look("b"), "value of b", "")
 }
 
@@ -464,7 +464,7 @@
 	out := &blockedWriter{held: make(chan struct{}), blocked: make(chan struct{})}
 	first := w.gateway
 	first.Stop()
-	w.gateway = must2(Start(w.cfg, out))
+	w.gateway = must2(Start(w.cfg, &config.Operators{}, out))
 	<-out.blocked
 	for i := range 50 {
 		c := w.dial()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -18,6 +18,7 @@
 
 	"marblespan/brain"
 	"marblespan/internal/config"
+	"marblespan/internal/control"
 	"marblespan/internal/routing"
 	"marblespan/internal/session"
 	"marblespan/internal/transport"
@@ -72,6 +73,7 @@
 // Gateway is one running gateway.
 type Gateway struct {
 	cfg       *config.Config
+	ops       *config.Operators
 	log       zerolog.Logger
 	closeLog  func()
 	clock     routing.Clock
@@ -83,26 +85,32 @@
 	clients   *session.Clients
 	servers   *session.Servers
 	discovery *session.Discovery
+	floats    *floats // nil without a floating address
+	control   *control.Server
 	ready     atomic.Bool
 	accepting chan struct{}
 }
 
+// Load reads both configurations, the platform's and the operators'.
+type Load func() (*config.Config, *config.Operators, error)
+
 // Run runs a gateway until SIGTERM or SIGINT. It prints its counters on SIGUSR1 and at the end, and on SIGHUP takes over
 // what load reads; also while it stops, for drains are still told then.
-func Run(load func() (*config.Config, error), out io.Writer) error {
+func Run(load Load, out io.Writer) error {
 	signals := make(chan os.Signal, signalQueue)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	cfg, err := load()
+	cfg, ops, err := load()
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * heapShare / 100)
-	g, err := Start(cfg, out)
+	g, err := Start(cfg, ops, out)
 	if err != nil {
 		return err
 	}
+	letGo()
 	var stopped chan struct{}
 	for {
 		select {
@@ -127,33 +135,34 @@
 	}
 }
 
-// Reload takes over what may change while the gateway runs, the address of discovery. A configuration that is at fault
-// leaves everything as it is.
-func (g *Gateway) Reload(next *config.Config, err error) {
+// Reload takes over what may change while the gateway runs: the address of discovery, and of the operators' file all but
+// what Fixed names. A fault in either leaves everything as it is.
+func (g *Gateway) Reload(next *config.Config, ops *config.Operators, err error) {
 	if err != nil {
 		g.log.Error().Err(err).Msg("reload failed, the old configuration stays")
 		return
 	}
-	if fixed := g.cfg.Fixed(next); len(fixed) > 0 {
+	if fixed := append(g.cfg.Fixed(next), g.ops.Fixed(ops)...); len(fixed) > 0 {
 		g.log.Warn().Strs("keys", fixed).Msg("changed keys that take a restart")
 	}
 	g.discovery.Move(next.Discovery)
+	g.floats.reload(ops)
 	g.log.Info().Str("discovery", next.Discovery).Msg("reloaded")
 }
 
 // Start makes a gateway that serves from now on.
-func Start(cfg *config.Config, out io.Writer) (*Gateway, error) {
-	return start(cfg, out, func(*Gateway) {})
+func Start(cfg *config.Config, ops *config.Operators, out io.Writer) (*Gateway, error) {
+	return start(cfg, ops, out, func(*Gateway) {})
 }
 
 // start lets tests tune time limits before anything runs.
-func start(cfg *config.Config, out io.Writer, tune func(*Gateway)) (*Gateway, error) {
+func start(cfg *config.Config, ops *config.Operators, out io.Writer, tune func(*Gateway)) (*Gateway, error) {
 	dropped := &atomic.Int64{}
 	// The log's writer would close what it writes to, and with it standard error, where the last word may be due.
 	w := diode.NewWriter(struct{ io.Writer }{out}, logLines, logPoll, func(missed int) { dropped.Add(int64(missed)) })
 	log := zerolog.New(w).With().Timestamp().Str("gateway", cfg.Name).Logger()
 	g := &Gateway{
-		cfg: cfg, log: log, clock: routing.NewClock(), accepting: make(chan struct{}),
+		cfg: cfg, ops: ops, log: log, clock: routing.NewClock(), accepting: make(chan struct{}),
 		buffers: transport.NewBuffers(int64(cfg.MemoryMB) << 20 * messageShare / 100),
 		fds:     transport.NewDescriptors(cfg.Sockets),
 		ends:    transport.NewEnds(log),
@@ -165,10 +174,7 @@
 		w.Close()
 	}
 	g.owner = routing.NewOwner(g.clock)
-	g.clients = &session.Clients{
-		Owner: g.owner, Facts: cfg.Facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
-		Ready: g.isReady, Limits: session.DefaultTimeouts,
-	}
+	g.clients = g.newClients(&session.ClientCounts{}, session.DefaultTimeouts)
 	g.servers = &session.Servers{
 		Owner: g.owner, Facts: cfg.Facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
 		User: serverUser, DB: serverDatabase,
@@ -191,10 +197,57 @@
 		defer close(g.accepting)
 		g.listener.Serve(g.clients.Serve)
 	}()
-	log.Info().Str("listen", g.listener.Addr()).Str("discovery", cfg.Discovery).Msg("started")
+	log.Info().Str("listen", g.listener.Addr()).Str("discovery", cfg.Discovery).Str("operators", ops.Summary()).Msg("started")
+	if err := g.startOperators(); err != nil {
+		g.abort()
+		return nil, err
+	}
 	return g, nil
 }
 
+// newClients makes a set of clients beside the ones there are; they share everything but their listener.
+func (g *Gateway) newClients(counts *session.ClientCounts, limits session.Timeouts) *session.Clients {
+	return &session.Clients{
+		Owner: g.owner, Facts: g.cfg.Facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
+		Ready: g.isReady, Limits: limits, Counts: counts,
+	}
+}
+
+// startOperators starts what the operators' file switches on.
+func (g *Gateway) startOperators() (err error) {
+	if g.ops.VRRP != nil {
+		if g.floats, err = startFloats(g); err != nil {
+			return fmt.Errorf("vrrp: %w", err)
+		}
+	}
+	if g.ops.Control != "" {
+		if g.control, err = control.Listen(g.ops.Control, g.answer); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+		g.fds.Hold(control.Descriptors)
+	}
+	return nil
+}
+
+// answer answers questions on the control socket.
+func (g *Gateway) answer(question string) (any, error) {
+	if question == "vrrp status" {
+		return g.floats.status(), nil
+	}
+	return nil, fmt.Errorf("unknown question %.40q", question)
+}
+
+// abort ends a gateway that could not start whole and has served nobody.
+func (g *Gateway) abort() {
+	g.floats.giveUp(true)
+	g.listener.Close()
+	<-g.accepting
+	g.listener.Release()
+	g.clients.Drain(transport.EndDrain)
+	g.clients.CutOff()
+	g.end()
+}
+
 // Addr is the address that clients connect to.
 func (g *Gateway) Addr() string { return g.listener.Addr() }
 
@@ -211,6 +264,7 @@
 func (g *Gateway) Stop() {
 	g.log.Info().Msg("stopping")
 	start := time.Now()
+	g.floats.giveUp(false)
 	longest := time.Duration(0)
 	for _, c := range g.cfg.Facts.Settings.Classes {
 		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
@@ -224,23 +278,32 @@
 	// Clients use the connections they have for as long as these are open, and may have no other gateway.
 	time.Sleep(drainAfter)
 	wait(leave-drainLast, g.clients.Open)
-	g.clients.Drain()
+	g.floats.giveUp(true)
+	g.clients.Drain(transport.EndDrain)
 	wait(min(time.Since(start)+drainCut, leave), g.clients.Open)
 	g.clients.CutOff()
 	wait(leave, g.clients.Busy) // whoever connects for nothing all the time is not waited for
 	g.listener.Close()
 	<-g.accepting
 	wait(leave, g.clients.Open) // what was still in the listener's backlog
-	if g.clients.Open() > 0 {
+	wait(leave, g.floats.open)
+	if g.clients.Open()+g.floats.open() > 0 {
 		g.owner.Ask((*routing.Core).FailAll)
-		wait(leave+stopMargin/2, g.clients.Open)
+		wait(leave+stopMargin/2, func() int { return g.clients.Open() + g.floats.open() })
 	}
 	g.listener.Release()
 	g.owner.Ask(g.printOwner)
-	g.owner.Stop() // first, so that nothing new is sent while the rest closes
-	g.discovery.Close()
-	g.servers.Close()
+	g.end()
 	g.printSockets()
 	g.log.Info().Dur("took_ms", time.Since(start)).Msg("stopped")
 	g.closeLog()
 }
+
+// end ends everything that serves no client.
+func (g *Gateway) end() {
+	g.control.Close()
+	g.floats.close()
+	g.owner.Stop() // before the servers, so that nothing new is sent while they close
+	g.discovery.Close()
+	g.servers.Close()
+}
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -31,7 +31,7 @@
 func (w *world) reload(addr string) {
 	next := *w.cfg
 	next.Discovery = addr
-	w.gateway.Reload(&next, nil)
+	w.gateway.Reload(&next, w.gateway.ops, nil)
 }
 
 // asked waits for a call and returns its path.
@@ -118,13 +118,13 @@
 func TestReloadFaults(t *testing.T) {
 	w := newWorld(t, nil)
 	w.lists(formFull, 1)
-	w.gateway.Reload(nil, &config.KeyError{Key: "settings.classes", Text: "names no class"})
+	w.gateway.Reload(nil, nil, &config.KeyError{Key: "settings.classes", Text: "names no class"})
 	w.logged("reload failed", "settings.classes")
-	w.gateway.Reload(nil, errors.New("gone"))
+	w.gateway.Reload(nil, nil, errors.New("gone"))
 	next := *w.cfg
 	next.Name, next.Sockets = "n9", 77
 	for range 3 {
-		w.gateway.Reload(&next, nil)
+		w.gateway.Reload(&next, w.gateway.ops, nil)
 	}
 	w.logged("take a restart", `"name","limits.sockets"`)
 	w.asks(w.dial(), look("d"), "value of d", "")
--- /dev/null
+++ b/internal/program/rest_other.go
@@ -0,0 +1,6 @@
+//go:build !linux
+
+package program
+
+// letGo does nothing here.
+func letGo() {}
--- a/internal/protocol/vrrp/message_test.go
+++ b/internal/protocol/vrrp/message_test.go
@@ -171,3 +171,33 @@
 		}
 	})
 }
+
+func TestAnnouncement(t *testing.T) {
+	a := Announcement{
+		VRID: 51, Key: 1, Sender: 3, Start: 1 << 50, Sequence: 4, Listen: netip.MustParseAddrPort("127.0.0.2:6434"),
+		Addresses: []netip.Addr{netip.MustParseAddr("192.0.2.10"), netip.MustParseAddr("2001:db8::1")},
+	}
+	b, err := AppendAnnouncement(nil, a, key1)
+	if err != nil || len(b) != announceHead+2*16+macSize {
+		t.Fatal(len(b), err)
+	}
+	got, fault := ParseAnnouncement(b, []Key{key1})
+	if fault != Sound || got.Listen != a.Listen || !slices.Equal(got.Addresses, a.Addresses) || got.Sequence != 4 || got.Sender != 3 {
+		t.Errorf("%v %+v", fault, got)
+	}
+	for i := range b {
+		x := bytes.Clone(b)
+		x[i] ^= 1
+		if _, fault := ParseAnnouncement(x, []Key{key1}); fault == Sound {
+			t.Errorf("byte %d changed unnoticed", i)
+		}
+	}
+	for n := range b {
+		if _, fault := ParseAnnouncement(b[:n], []Key{key1}); fault == Sound {
+			t.Errorf("cut to %d unnoticed", n)
+		}
+	}
+	if _, err := AppendAnnouncement(nil, Announcement{Addresses: a.Addresses}, key1); err == nil {
+		t.Error("nowhere to lead to")
+	}
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -26,6 +26,8 @@
 	pending  []brain.Event // events that actions have called for, to be told after them
 	members  members
 	Counts   Counts
+
+	listFailing bool
 }
 
 // request is one request the module knows of.
@@ -64,6 +66,17 @@
 // Ready tells whether a request could be routed: some server is known.
 func (c *Core) Ready() bool { return c.members.known() }
 
+// Health is what the owner knows of its gateway's worth.
+type Health struct {
+	brain.Health
+	ListFailing bool // the last word of discovery was a failure
+}
+
+// Health tells how the gateway is; groups count that were asked for in the last span.
+func (c *Core) Health(lately brain.Micros) Health {
+	return Health{c.router.Health(lately), c.listFailing}
+}
+
 // Open is the number of requests that still await their answer.
 func (c *Core) Open() int { return len(c.byClient) }
 
--- a/internal/routing/members.go
+++ b/internal/routing/members.go
@@ -36,6 +36,7 @@
 // list tells the module of the member list, and the servers' side where its servers are.
 func (c *Core) list(news ListNews, form brain.ListForm) {
 	c.Counts.Lists[form]++
+	c.listFailing = form == brain.ListFailed
 	out := brain.MemberNews{Form: form}
 	if form != brain.ListFailed {
 		c.members.rev = news.List.Rev
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -223,6 +223,16 @@
 		}
 		return 0, nil
 	}
+	if c.all.Gate != nil && !c.all.Gate() {
+		// The process stood still, and another gateway may have the address by now. Nothing was sent for this request, so
+		// its client may ask there.
+		text.Free()
+		c.all.Buffers.Release(reserve)
+		c.all.Counts.Moved.Add(1)
+		c.complain(postgres.CodeRefused, "the address has moved to another gateway")
+		c.CloseIdle(transport.EndMoved)
+		return 0, nil
+	}
 	c.known = true
 	q := &asked{client: c, reserve: reserve}
 	c.push(q)
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -64,19 +64,21 @@
 	Ends    *transport.Ends
 	Clock   routing.Clock
 	Ready   func() bool // whether a request could be routed
+	Gate    func() bool // whether a request may still be taken; nil: always
 	Limits  Timeouts
-	Counts  ClientCounts
+	Counts  *ClientCounts
 
 	mu       sync.Mutex
 	open     map[*client]struct{}
 	draining bool
+	ending   transport.Reason // of a drain
 	cut      bool
 	started  uint32
 }
 
 // ClientCounts count what clients sent that never became a request.
 type ClientCounts struct {
-	Empty, NotReady, Malformed, OverMemory, Unsupported atomic.Int64
+	Empty, NotReady, Malformed, OverMemory, Unsupported, Moved atomic.Int64
 }
 
 // client is one client's connection. Its queries are answered in their order; each is asked as soon as it has come.
@@ -135,10 +137,13 @@
 	s.Ends.End(transport.Client, remote, reason, since, c.served, err)
 }
 
-// Drain closes idle connections now and every other one after its answer.
-func (s *Clients) Drain() {
+// Drain closes idle connections now and every other one after its answer, for a reason that their log lines give.
+func (s *Clients) Drain(reason transport.Reason) {
+	s.mu.Lock()
+	s.ending = reason
+	s.mu.Unlock()
 	for _, c := range s.from(&s.draining) {
-		c.CloseIdle(transport.EndDrain)
+		c.CloseIdle(reason)
 	}
 }
 
@@ -181,10 +186,10 @@
 	return len(s.open)
 }
 
-func (s *Clients) isDraining() bool {
+func (s *Clients) isDraining() (transport.Reason, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return s.ending, s.draining
 }
 
 // CloseIdle asks the connection to close as soon as it has nothing to do.
@@ -285,8 +290,8 @@
 	if reason, err := c.startup(process); err != nil {
 		return reason, err
 	}
-	if c.all.isDraining() { // it came after Drain had told all that were open
-		c.CloseIdle(transport.EndDrain)
+	if reason, draining := c.all.isDraining(); draining { // it came after Drain had told all that were open
+		c.CloseIdle(reason)
 	}
 	for {
 		reason, err := c.flush()
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -154,6 +154,20 @@
 	d.mu.Unlock()
 }
 
+// Hold counts descriptors that are no connections and no part of the usual few, or gives them back where n is negative.
+func (d *Descriptors) Hold(n int) {
+	d.mu.Lock()
+	d.used += n
+	d.mu.Unlock()
+}
+
+// Short tells that nearly no descriptor is left for another connection.
+func (d *Descriptors) Short() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.used+d.spare() > d.most
+}
+
 // Used is the number of connections open now.
 func (d *Descriptors) Used() int {
 	d.mu.Lock()
--- a/internal/transport/ends.go
+++ b/internal/transport/ends.go
@@ -36,13 +36,14 @@
 	EndStatus                      // discovery answered with another status than 200
 	EndDone                        // all that was asked for has been read
 	EndDescriptors                 // no descriptor was free for it
+	EndMoved                       // the floating address it came over went to another gateway
 	reasons
 )
 
 var reasonCodes = [reasons]string{
 	"peer_closed", "peer_reset", "peer_gone", "terminate", "idle", "room", "drain", "abandoned", "timeout",
 	"refused", "unreachable", "turned_away", "protocol", "cancel_request", "replaced", "server_failed", "status",
-	"done", "descriptors",
+	"done", "descriptors", "moved",
 }
 
 // String is the reason's code.
--- a/internal/vrrp/machine.go
+++ b/internal/vrrp/machine.go
@@ -31,6 +31,7 @@
 	since   Micros // start of this state
 	givenUp bool   // the holder released the address, and nobody has taken it since
 	peaceBy Micros // when a lower active router may be preempted; 0: none was heard
+	adverts uint32 // of this tenure
 	damp    damper
 }
 
@@ -299,6 +300,7 @@
 // win takes the address: the listener first, so that whoever is led here is heard.
 func (m *Machine) win(now Micros, cause Cause, out []Action) []Action {
 	m.tenure++
+	m.adverts = 0
 	out = m.become(now, Active, cause, out)
 	m.holder, m.rival, m.givenUp, m.peaceBy = holder{}, holder{}, false, 0
 	return append(m.advertise(now, append(out, Take{m.tenure})), Announce{m.tenure})
@@ -306,7 +308,12 @@
 
 func (m *Machine) advertise(now Micros, out []Action) []Action {
 	m.sent, m.timer = now, now+m.cfg.Interval
-	return append(out, Advertise{m.Priority(), m.cfg.Interval})
+	out = append(out, Advertise{m.Priority(), m.cfg.Interval})
+	// One announcement might be lost, and nobody would ask for it again. The RFC sends one.
+	if m.adverts++; m.adverts == 2 || m.adverts == 4 || m.adverts == 8 {
+		out = append(out, Announce{m.tenure})
+	}
+	return out
 }
 
 // lose goes back to Backup.
--- a/internal/vrrp/vrrp.go
+++ b/internal/vrrp/vrrp.go
@@ -159,10 +159,10 @@
 	CauseNotReady         // it could serve no request any more
 	CauseStoodStill       // its process had not run for longer than its peers wait
 	CauseTakeFailed       // the floating listener could not be had
-	causes
+	Causes
 )
 
-var causeNames = [causes]string{
+var causeNames = [Causes]string{
 	"startup", "shutdown", "silence", "given_up", "preempted", "not_ready", "stood_still", "take_failed",
 }
 
