VRRP tests on loopback: troubles under load, tenures, leases, keys; a last word on losing

Whole gateways with a switch, a path that drops, delays, doubles and reorders, and clients that count bookings by what they meant. Seen: after a split the active one that never lost sight of itself did not announce itself again, for it had heard nobody, and the switch went on leading to the other. The one that gives way now says a last word, which makes the other announce; long tenures announce again every 64 advertisements. A client that is sent away between requests is told 57P03 first, or it could not tell whether a request that crossed the close was read.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"marblespan/internal/control"
+	"marblespan/internal/floating"
+)
+
+func run(t *testing.T, env map[string]string, args ...string) (code int, out, errs string) {
+	t.Helper()
+	var o, e strings.Builder
+	code = Main(args, func(k string) string { return env[k] }, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func conf(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "m.conf")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const good = "vrrp\nnode 1\nbind 127.0.0.2:1112\nkey 1 \"a secret nobody sees\"\ngroup counters\nvrid 5\naddress 192.0.2.1\nlisten 127.0.0.2:1\n"
+
+func TestCommandLines(t *testing.T) {
+	platform := map[string]string{"PROXY_CONFIG": filepath.Join("..", "..", "deploy", "sample.json")}
+	bad := conf(t, "contrl x\nvrrp\nnode 0\n")
+	for _, c := range []struct {
+		name      string
+		env       map[string]string
+		args      []string
+		code      int
+		out, errs string
+	}{
+		{"version", nil, []string{"version"}, 0, "marblespan " + Version, ""},
+		{"help", nil, []string{"--help"}, 0, "vrrp        Floating addresses", ""},
+		{"unknown command", nil, []string{"foo"}, 2, "", `marblespan: unknown command "foo" for "marblespan"`},
+		{"unknown flag", nil, []string{"check", "--foo"}, 2, "", "marblespan: unknown flag: --foo"},
+		{"argument", nil, []string{"check", "x"}, 2, "", "takes no arguments"},
+		{"half a command", nil, []string{"vrrp"}, 2, "", "vrrp needs a command: status"},
+		{"no socket", nil, []string{"vrrp", "status"}, 2, "", "no control socket"},
+		{"nobody there", nil, []string{"vrrp", "status", "--socket", "/nowhere"}, 1, "", "no gateway answers at /nowhere"},
+		{"no configuration", nil, []string{}, 1, "", "marblespan: PROXY_CONFIG: not set"},
+		{"no configuration", nil, []string{"gateway"}, 1, "", "marblespan: PROXY_CONFIG: not set"},
+		{"check without a file", platform, []string{"check"}, 0, "# no operators' file: all of it is off", ""},
+		{"check", platform, []string{"check", "--conf", conf(t, good)}, 0, "group counters\n    vrid 5\n", ""},
+		{"hidden secret", platform, []string{"check", "--conf", conf(t, good)}, 0, "key 1 ********", ""},
+		{"all faults at once", nil, []string{"check", "--conf", bad}, 1, "", bad + ":1: contrl: is not known here"},
+		{"all faults at once", nil, []string{"check", "--conf", bad}, 1, "", "marblespan: PROXY_CONFIG: not set"},
+		{"the gateway tells them too", nil, []string{"--conf", bad}, 1, "", bad + ":1: contrl: is not known here"},
+		{"named by the environment", map[string]string{"MARBLESPAN_CONF": bad}, []string{"check"}, 1, "", bad + ":1: contrl"},
+	} {
+		code, out, errs := run(t, c.env, c.args...)
+		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.errs) || (c.errs == "") != (errs == "") {
+			t.Errorf("%s: exit %d\n%s\n%s", c.name, code, out, errs)
+		}
+		if strings.Contains(out+errs, "nobody sees") {
+			t.Errorf("%s shows a secret", c.name)
+		}
+	}
+}
+
+func TestVRRPStatus(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	s, err := control.Listen(path, func(string) (any, error) {
+		return []floating.Status{{
+			Group: "counters", VRID: 5, Addresses: []string{"192.0.2.1"}, State: "backup", ForMS: 1500, Priority: 60, Settings: 100,
+			Ready: true, Wrong: []string{"no-primary"}, Holder: "127.0.0.3", Tenure: 3, HeldMS: 250,
+		}}, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	code, out, errs := run(t, nil, "vrrp", "status", "--conf", conf(t, "control "+path+"\n"))
+	if code != 0 || errs != "" {
+		t.Fatal(code, errs)
+	}
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	if want := "counters 5 192.0.2.1 backup 1.5s 60 of 100 yes no-primary 127.0.0.3 3 250ms"; len(lines) != 2 ||
+		strings.Join(strings.Fields(lines[1]), " ") != want {
+		t.Errorf("%s", out)
+	}
+	if _, out, _ = run(t, nil, "vrrp", "status", "--socket", path, "--json"); !strings.Contains(out, `"priority_of_settings": 100`) {
+		t.Errorf("%s", out)
+	}
+}
--- a/internal/floating/floating.go
+++ b/internal/floating/floating.go
@@ -434,3 +434,6 @@
 	})
 	return all
 }
+
+// Stall keeps the speaker's goroutine from running for a while, for tests of what happens when the process stands still.
+func (s *Speaker) Stall(span time.Duration) { s.ask(func() { time.Sleep(span) }) }
--- /dev/null
+++ b/internal/floating/floating_test.go
@@ -0,0 +1,273 @@
+package floating
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	codec "marblespan/internal/protocol/vrrp"
+	"marblespan/internal/standin"
+	"marblespan/internal/vrrp"
+)
+
+const interval = 20_000 // microseconds
+
+var (
+	oldKey = codec.Key{Number: 1, Secret: []byte("the old secret of the pair")}
+	newKey = codec.Key{Number: 2, Secret: []byte("the new secret of the pair")}
+)
+
+// holder stands in for the program.
+type holder struct {
+	mu    sync.Mutex
+	taken int
+	lost  int
+	gate  func() bool
+	fail  error
+}
+
+func (h *holder) Take(_ string, _ netip.AddrPort, gate func() bool) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fail != nil {
+		return h.fail
+	}
+	h.taken++
+	h.gate = gate
+	return nil
+}
+
+func (h *holder) Release(string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lost++
+}
+
+func (h *holder) holds() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.taken > h.lost
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// pair is two speakers with a path between them.
+type pair struct {
+	t        *testing.T
+	path     *standin.Path
+	ends     []*net.UDPAddr
+	speakers []*Speaker
+	holders  []*holder
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{t: t, speakers: make([]*Speaker, 2), holders: make([]*holder, 2)}
+	for i := range 2 {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, byte(2+i))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.ends = append(p.ends, c.LocalAddr().(*net.UDPAddr))
+		c.Close()
+	}
+	var err error
+	if p.path, err = standin.NewPath(p.ends...); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, s := range p.speakers {
+			if s != nil {
+				s.Close()
+			}
+		}
+		p.path.Close()
+	})
+	return p
+}
+
+func (p *pair) settings(i int, priority uint8, keys ...codec.Key) Settings {
+	bind := p.ends[i].AddrPort()
+	bind = netip.AddrPortFrom(bind.Addr().Unmap(), bind.Port())
+	return Settings{
+		Node: uint8(i + 1), Bind: bind, Keys: keys,
+		Peers: []Peer{{Node: uint8(2 - i), Address: netip.MustParseAddrPort(p.path.Peer(i, 1-i))}},
+		Groups: []Group{{
+			Name: "g", Addresses: []netip.Addr{netip.MustParseAddr("192.0.2.10")}, Listen: netip.MustParseAddrPort("127.0.0.1:1"),
+			Machine: vrrp.Config{VRID: 9, Priority: priority, Interval: interval, Preempt: true, Self: bind.Addr()},
+		}},
+	}
+}
+
+func (p *pair) start(i int, s Settings, start uint64) {
+	p.t.Helper()
+	origin := time.Now()
+	clock := Clock{
+		Now:  func() vrrp.Micros { return vrrp.Micros(time.Since(origin)/time.Microsecond) + 1 },
+		Time: func(m vrrp.Micros) time.Time { return origin.Add(time.Duration(m-1) * time.Microsecond) },
+	}
+	p.holders[i] = &holder{}
+	var err error
+	p.speakers[i], err = Start(s, clock, start, p.holders[i], func() vrrp.Health { return vrrp.Health{Ready: true} }, zerolog.Nop())
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *pair) settles(who int) {
+	p.t.Helper()
+	eventually(p.t, "the wrong one holds the address", func() bool { return p.holders[who].holds() && !p.holders[1-who].holds() })
+}
+
+// The system time is set back while a gateway is away: its peer, which takes it for its own past, tells it so, and it is
+// heard again.
+func TestClockSetBack(t *testing.T) {
+	p := newPair(t)
+	p.start(0, p.settings(0, 200, oldKey), 5_000_000)
+	p.start(1, p.settings(1, 100, oldKey), 5_000_000)
+	p.settles(0)
+	p.speakers[0].Close()
+	p.settles(1)
+	p.start(0, p.settings(0, 200, oldKey), 1_000_000)
+	p.settles(0)
+	if n := p.speakers[0].Counts.Moved.Load(); n != 1 {
+		t.Errorf("moved %d times", n)
+	}
+	sent := p.speakers[1].Counts.Sent.Load()
+	eventually(t, "no more is heard of the holder", func() bool { return p.path.Passed(0, 1) > 50 })
+	if n := p.speakers[1].Counts.Sent.Load(); n != sent || !p.holders[0].holds() {
+		t.Errorf("the backup has sent %d messages", n-sent)
+	}
+}
+
+// Keys change while both run: known to all, then used, then the old one gone, and the holder stays the same all the while.
+func TestKeysChangeInService(t *testing.T) {
+	p := newPair(t)
+	p.start(0, p.settings(0, 200, oldKey), 1)
+	p.start(1, p.settings(1, 100, oldKey), 1)
+	p.settles(0)
+	for _, keys := range [][]codec.Key{{oldKey, newKey}, {newKey, oldKey}, {newKey}} {
+		for i, priority := range []uint8{200, 100} {
+			p.speakers[i].Reload(p.settings(i, priority, keys...))
+		}
+		n := p.path.Passed(0, 1)
+		eventually(t, "the holder is silent", func() bool { return p.path.Passed(0, 1) > n+10 })
+	}
+	if p.holders[0].taken != 1 || p.holders[1].taken != 0 {
+		t.Errorf("taken %d and %d times", p.holders[0].taken, p.holders[1].taken)
+	}
+	// A gateway that was forgotten is a stranger from now on.
+	p.speakers[1].Reload(p.settings(1, 100, oldKey))
+	eventually(t, "a message with a key that is gone counts", func() bool {
+		return p.speakers[1].Counts.Dropped[codec.UnknownKey].Load() > 0 && p.holders[1].holds()
+	})
+}
+
+// What strangers send, and what was sent before, changes nothing and is counted by its fault.
+func TestStrangersAndReplays(t *testing.T) {
+	p := newPair(t)
+	s0 := p.settings(0, 200, oldKey)
+	p.start(1, p.settings(1, 100, oldKey), 1)
+	eventually(t, "it does not take the address", func() bool { return p.holders[1].holds() })
+	message := func(change func(*codec.Message)) []byte {
+		m := codec.Message{
+			VRID: 9, Priority: 250, Interval: interval, Addresses: s0.Groups[0].Addresses,
+			Trailer: codec.Trailer{Sender: 1, Receiver: 2, Start: 77, Sequence: 5},
+		}
+		change(&m)
+		b, err := codec.Append(nil, m, s0.Bind.Addr(), s0.Peers[0].Address.Addr(), oldKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	counts := &p.speakers[1].Counts
+	for _, c := range []struct {
+		fault codec.Fault
+		b     []byte
+	}{
+		{codec.UnknownVRID, message(func(m *codec.Message) { m.VRID = 8 })},
+		{codec.WrongPeer, message(func(m *codec.Message) { m.Sender = 3 })},
+		{codec.WrongPeer, message(func(m *codec.Message) { m.Receiver = 1 })},
+		{codec.OtherAddress, message(func(m *codec.Message) { m.Addresses = []netip.Addr{netip.MustParseAddr("192.0.2.11")} })},
+		{codec.Replayed, message(func(m *codec.Message) { m.Sequence = 4 })},
+		{codec.BadLength, []byte{1, 9, 3}},
+		{codec.BadVersion, make([]byte, 100)[:0]},
+	} {
+		before := counts.Dropped[c.fault].Load()
+		if len(c.b) == 0 {
+			c.b = message(func(*codec.Message) {})
+			c.b[0] = 0x21
+		}
+		p.path.Inject(0, 1, c.b)
+		eventually(t, "not counted: "+codec.FaultNames[c.fault], func() bool { return counts.Dropped[c.fault].Load() == before+1 })
+	}
+	stranger, err := net.DialUDP("udp4", nil, p.ends[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	stranger.Write(message(func(m *codec.Message) { m.Sequence = 9 }))
+	eventually(t, "a stranger is not counted", func() bool { return counts.Dropped[codec.WrongSource].Load() == 1 })
+	if !p.holders[1].holds() || p.holders[1].taken != 1 {
+		t.Error("one of these messages moved the address")
+	}
+	good := message(func(m *codec.Message) { m.Sequence = 10 })
+	p.path.Inject(0, 1, good)
+	eventually(t, "a good one does nothing", func() bool { return !p.holders[1].holds() })
+	before := counts.Dropped[codec.Replayed].Load()
+	p.path.Inject(0, 1, good)
+	eventually(t, "a replay is not counted", func() bool { return counts.Dropped[codec.Replayed].Load() == before+1 })
+}
+
+// A listener that cannot be opened gives the address to the next one.
+func TestListenerFails(t *testing.T) {
+	p := newPair(t)
+	s := p.settings(0, 200, oldKey)
+	s.Groups[0].Machine.Damping = vrrp.Damping{Window: 1_000_000, First: 60_000_000, Most: 60_000_000}
+	p.start(0, s, 1)
+	p.holders[0].mu.Lock()
+	p.holders[0].fail = errors.New("in use")
+	p.holders[0].mu.Unlock()
+	p.start(1, p.settings(1, 100, oldKey), 1)
+	eventually(t, "nobody takes over", func() bool { return p.holders[1].holds() })
+	eventually(t, "the other one is not followed", func() bool {
+		st := p.speakers[0].Status()[0]
+		return st.State == "backup" && st.HeldMS > 0 && st.Holder == "127.0.0.3"
+	})
+	if p.holders[0].gate != nil {
+		t.Error("it was taken all the same")
+	}
+}
+
+func TestStatusAndGate(t *testing.T) {
+	p := newPair(t)
+	p.start(0, p.settings(0, 200, oldKey), 1)
+	eventually(t, "it does not take the address", func() bool { return p.holders[0].holds() && p.holders[0].gate() })
+	st := p.speakers[0].Status()
+	if len(st) != 1 || st[0].State != "active" || st[0].Tenure != 1 || st[0].Priority != 200 || strings.Join(st[0].Addresses, "") != "192.0.2.10" {
+		t.Errorf("%+v", st)
+	}
+	p.speakers[0].GiveUp(false)
+	if p.holders[0].gate() || p.holders[0].holds() {
+		t.Error("it still takes work")
+	}
+	p.speakers[0].Close()
+	if p.speakers[0].Status() != nil {
+		t.Error("a closed speaker answers")
+	}
+	p.speakers[0] = nil
+}
--- /dev/null
+++ b/internal/program/floating_test.go
@@ -0,0 +1,430 @@
+package program
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"marblespan/internal/config"
+	"marblespan/internal/standin"
+	"marblespan/internal/vrrp"
+)
+
+const fleetSecret = "the secret of this fleet"
+
+// fleet is several gateways that share a floating address, with servers, discovery, a switch and a path between them.
+type fleet struct {
+	t        *testing.T
+	primary  *standin.Server
+	replica  *standin.Server
+	disc     *standin.Discovery
+	sw       *standin.Switch
+	path     *standin.Path
+	ends     []*net.UDPAddr
+	floating []string // each one's floating listener
+	gateways []*Gateway
+	logs     []*logBuffer
+	conf     []func(change func(string) string) *config.Operators
+	ledger   standin.Ledger
+	quit     chan struct{}
+	load     sync.WaitGroup
+}
+
+// fleetInterval is short, so that much happens in little time; on a machine that is busy a gateway may then step back now
+// and then, which must do no harm either.
+const fleetInterval = 50 * time.Millisecond
+
+// newFleet starts a gateway for each priority. tune may change what a gateway is told.
+func newFleet(t *testing.T, preempt bool, tune func(i int, c *config.Config), priorities ...int) *fleet {
+	t.Helper()
+	checkLeaks(t)
+	f := &fleet{t: t, quit: make(chan struct{})}
+	f.primary = must2(standin.NewServer("primary"))
+	f.replica = must2(standin.NewServer("replica"))
+	targets := []standin.Target{
+		{UID: "p", Endpoint: f.primary.Addr(), Group: 7, State: "ready", Weight: 1, Role: "primary"},
+		{UID: "r", Endpoint: f.replica.Addr(), Group: 7, State: "ready", Weight: 1, Role: "replica"},
+	}
+	f.disc = must2(standin.NewDiscovery(targets...))
+	f.sw = must2(standin.NewSwitch(fleetSecret))
+	for i := range priorities {
+		ip := net.IPv4(127, 0, 0, byte(2+i))
+		u := must2(net.ListenUDP("udp4", &net.UDPAddr{IP: ip}))
+		f.ends = append(f.ends, u.LocalAddr().(*net.UDPAddr))
+		l := must2(net.ListenTCP("tcp4", &net.TCPAddr{IP: ip}))
+		f.floating = append(f.floating, l.Addr().String())
+		u.Close()
+		l.Close()
+	}
+	f.path = must2(standin.NewPath(f.ends...))
+	for i, priority := range priorities {
+		var text strings.Builder
+		fmt.Fprintf(&text, "vrrp\nnode %d\nbind %v\nannounce %s\nkey 1 \"%s\"\n", i+1, f.ends[i], f.sw.Announced(), fleetSecret)
+		for j := range priorities {
+			if j != i {
+				fmt.Fprintf(&text, "peer %d %s\n", j+1, f.path.Peer(i, j))
+			}
+		}
+		fmt.Fprintf(&text, "group counters\nvrid 51\naddress 192.0.2.10\nlisten %s\npriority %d\ninterval %v\npreempt %v\ndamp 0s 0s 0s\n",
+			f.floating[i], priority, fleetInterval, map[bool]string{true: "on", false: "off"}[preempt])
+		conf := func(change func(string) string) *config.Operators {
+			return must2(config.ParseOperators("fleet.conf", change(text.String())))
+		}
+		f.conf = append(f.conf, conf)
+		raw, _ := json.Marshal(map[string]any{
+			"name": fmt.Sprint("n", i), "listen": "127.0.0.1:1", "discovery": f.disc.Addr(), "seed": fmt.Sprintf("8c1f30d27a5be96%d", i),
+			"limits":   map[string]any{"cores": 2, "memory_mb": 192, "sockets": 1024},
+			"known":    map[string]any{"rev": 1, "all": true, "targets": targets},
+			"settings": json.RawMessage(strings.Replace(testSettings, `"balancers": 1`, fmt.Sprintf(`"balancers": %d, "ordinal": %d`, len(priorities), i), 1)),
+		})
+		cfg := must2(config.Parse(raw, func(string) string { return "" }))
+		cfg.Listen = "127.0.0.1:0"
+		if tune != nil {
+			tune(i, cfg)
+		}
+		f.logs = append(f.logs, &logBuffer{})
+		f.gateways = append(f.gateways, must2(Start(cfg, conf(same), f.logs[i])))
+	}
+	t.Cleanup(f.close)
+	return f
+}
+
+func same(s string) string { return s }
+
+func (f *fleet) close() {
+	close(f.quit)
+	f.load.Wait()
+	var stops sync.WaitGroup
+	for _, g := range f.gateways {
+		if g != nil {
+			stops.Add(1)
+			go func() { defer stops.Done(); g.Stop() }()
+		}
+	}
+	stops.Wait()
+	f.path.Close()
+	f.sw.Close()
+	f.disc.Close()
+	f.primary.Close()
+	f.replica.Close()
+	runs, faults := f.ledger.Check(f.primary, f.replica)
+	for _, fault := range faults {
+		f.t.Error(fault)
+	}
+	f.t.Logf("%d bookings ran; told to clients: %+v", runs, f.ledger.Totals())
+	if f.t.Failed() {
+		for i, log := range f.logs {
+			for _, line := range strings.Split(log.String(), "\n") {
+				if !strings.Contains(line, "connection ended") {
+					f.t.Log(i, line)
+				}
+			}
+		}
+	}
+}
+
+// book keeps clients booking at the floating address until the test ends.
+func (f *fleet) book(clients int) {
+	for c := range clients {
+		f.load.Add(1)
+		go func() {
+			defer f.load.Done()
+			b := &standin.Booker{
+				Addr: f.sw.Addr, Class: "put", Group: 7, Patience: 3 * time.Second, Tries: 400, Wait: 5 * time.Millisecond,
+				Ledger: &f.ledger,
+			}
+			defer b.Close()
+			for n := 0; ; n++ {
+				select {
+				case <-f.quit:
+					return
+				default:
+				}
+				b.Book(fmt.Sprintf("m%d-%d", c, n))
+			}
+		}()
+	}
+}
+
+func (f *fleet) state(i int) string { return f.gateways[i].floats.status()[0].State }
+
+func (f *fleet) active() (all []int) {
+	for i, g := range f.gateways {
+		if g != nil && f.state(i) == "active" {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
+// settles waits until one gateway is active, any or a certain one, and the switch leads to it.
+func (f *fleet) settles(want int) int {
+	f.t.Helper()
+	holder := -1
+	eventually(f.t, func() bool {
+		all := f.active()
+		if len(all) != 1 || want >= 0 && all[0] != want {
+			return false
+		}
+		holder = all[0]
+		at, _ := f.sw.Holder()
+		return at == f.floating[holder]
+	}, func() string {
+		at, _ := f.sw.Holder()
+		return fmt.Sprintf("active are %v, the switch leads to %s, listeners are %v", f.active(), at, f.floating)
+	})
+	return holder
+}
+
+// served waits until that many more bookings have been served.
+func (f *fleet) served(more int) {
+	f.t.Helper()
+	n := f.ledger.Totals().Counts[standin.Served]
+	eventually(f.t, func() bool { return f.ledger.Totals().Counts[standin.Served] >= n+more },
+		func() string { return fmt.Sprintf("%+v", f.ledger.Totals()) })
+}
+
+// logged waits for a line of a gateway's log that holds all the words.
+func (f *fleet) logged(i int, words ...string) {
+	f.t.Helper()
+	(&world{t: f.t, log: f.logs[i]}).logged(words...)
+}
+
+func (f *fleet) split() {
+	f.t.Helper()
+	eventually(f.t, func() bool { return len(f.active()) > 1 }, func() string { return "no split came of it" })
+}
+
+// Under load, one trouble of the network after another. After each the network is whole again and one gateway holds the
+// address; no booking runs twice, and what clients were told is true.
+func TestTroublesUnderLoad(t *testing.T) {
+	f := newFleet(t, true, nil, 200, 150, 100)
+	f.book(6)
+	f.settles(0)
+	for _, c := range []struct {
+		name  string
+		do    func()
+		split bool
+	}{
+		{"the active one is not heard", func() {
+			f.path.Set(0, 1, standin.Fate{Drop: true})
+			f.path.Set(0, 2, standin.Fate{Drop: true})
+		}, true},
+		{"the active one does not hear", func() {
+			f.path.Set(1, 0, standin.Fate{Drop: true})
+			f.path.Set(2, 0, standin.Fate{Drop: true})
+		}, false},
+		{"advertisements come later than the down interval", func() {
+			f.path.SetAll(standin.Fate{Delay: 6 * fleetInterval})
+		}, false},
+		{"advertisements are doubled and come in the wrong order", func() {
+			f.path.SetAll(standin.Fate{Copies: 2, Swap: true})
+		}, false},
+		{"two sides, old flows go on", func() { f.path.Isolate(0, true) }, true},
+		{"two sides, old flows are cut", func() {
+			f.sw.CutOnMove = true
+			f.path.Isolate(0, true)
+		}, true},
+		{"two sides, and a reload of priorities, peers and keys on both", func() {
+			f.path.Isolate(0, true)
+			f.split()
+			for i := range f.gateways {
+				f.reload(i, func(s string) string {
+					s = strings.Replace(s, "key 1 ", "key 2 \"a newer secret of theirs\"\nkey 1 ", 1)
+					return strings.Replace(s, "priority 200", "priority 90", 1)
+				})
+			}
+		}, true},
+		{"the new key stays, the old one goes, the priority is back", func() {
+			for i := range f.gateways {
+				f.reload(i, func(s string) string { return strings.Replace(s, "key 1 ", "key 1 \"the secret of this fleet\"\n#", 1) })
+			}
+		}, false},
+		{"garbage", func() {
+			for n := range 3000 {
+				f.path.Inject(1, 0, make([]byte, n%300))
+				f.path.Inject(0, 1, append([]byte{0x31, 51, 255, 1, 0, 5}, make([]byte, n%100)...))
+			}
+		}, false},
+	} {
+		c.do()
+		if c.split {
+			f.split()
+		}
+		f.served(20)
+		f.path.SetAll(standin.Fate{})
+		f.settles(-1)
+		f.served(20)
+		t.Logf("%s: %+v", c.name, f.ledger.Totals())
+	}
+	if n := &f.gateways[0].floats.speaker.Counts.Dropped; n[1].Load() == 0 {
+		t.Error("no garbage was counted")
+	}
+}
+
+func (f *fleet) reload(i int, change func(string) string) {
+	g := f.gateways[i]
+	g.Reload(g.cfg, f.conf[i](change), nil)
+}
+
+func TestThreeAlikeStartAtOnce(t *testing.T) {
+	f := newFleet(t, false, nil, 100, 100, 100)
+	f.book(2)
+	f.settles(-1)
+	f.served(50)
+}
+
+// A gateway without servers never takes the address, whatever its priority, and takes it as soon as it can serve.
+func TestBackupThatIsNotReady(t *testing.T) {
+	lonely := must2(standin.NewDiscovery())
+	t.Cleanup(lonely.Close)
+	f := newFleet(t, true, func(i int, c *config.Config) {
+		if i == 1 {
+			c.Known.Entries, c.Discovery = nil, lonely.Addr()
+		}
+	}, 100, 250)
+	f.settles(0)
+	f.book(2)
+	f.served(20)
+	f.gateways[0].Stop()
+	f.gateways[0] = nil
+	if _, _, held := f.holds(1); held || f.state(1) != "backup" {
+		t.Fatalf("it is %s", f.state(1))
+	}
+	next := *f.gateways[1].cfg
+	next.Discovery = f.disc.Addr()
+	f.gateways[1].Reload(&next, f.gateways[1].ops, nil)
+	f.settles(1)
+	f.served(20)
+}
+
+// holds tells of a gateway's tenures: how many still serve, their clients, and whether it holds the address.
+func (f *fleet) holds(i int) (tenures, clients int, held bool) {
+	fl := f.gateways[i].floats
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for t := range fl.tenures {
+		clients += t.clients.Open()
+	}
+	return len(fl.tenures), clients, len(fl.holding) > 0
+}
+
+func (f *fleet) open(addr string) *reading {
+	f.t.Helper()
+	nc := must2(net.Dial("tcp", addr))
+	nc.SetDeadline(time.Now().Add(patience))
+	f.t.Cleanup(func() { nc.Close() })
+	c := &reading{nc, f.t, bufio.NewReader(nc)}
+	c.Write(startup())
+	c.until('Z')
+	return c
+}
+
+// The address is lost with a booking out, a client that has sent half a message and one that is idle, won back while that
+// tenure still answers, and lost again: every booking gets its one answer, where it was taken.
+func TestLostAndWonAgainWithWorkOut(t *testing.T) {
+	f := newFleet(t, true, nil, 200, 100)
+	f.settles(0)
+	hold, arrived, release := holding(t)
+	f.primary.SetHandle(hold)
+	first, half, idle := f.open(f.floating[0]), f.open(f.floating[0]), f.open(f.floating[0])
+	put := func(id string) string { return strings.Replace(put(id), "'k'", "'"+id+"'", 1) }
+	first.Write(query(put("x1")))
+	<-arrived
+	half.Write(query(put("x2"))[:40])
+
+	prefer := func(priority int) { // the other gateway's priority
+		f.reload(1, func(s string) string { return strings.Replace(s, "priority 100", fmt.Sprint("priority ", priority), 1) })
+	}
+	prefer(250)
+	f.settles(1)
+	if kinds, bodies := idle.until('E'); kinds != "E" || !strings.Contains(bodies[0], "C57P03\x00") {
+		t.Errorf("an idle client gets %s %q", kinds, bodies)
+	}
+	idle.ends()
+	half.until('E') // its request was not taken, and it is told so
+	half.ends()
+	if _, err := net.Dial("tcp", f.floating[0]); err == nil {
+		t.Error("it still listens")
+	}
+	prefer(100)
+	f.settles(0) // preempted, with the first tenure's booking still out
+	idle.Close()
+	half.Close()
+	eventually(t, func() bool { tenures, clients, held := f.holds(0); return tenures == 2 && clients == 1 && held },
+		func() string { return fmt.Sprint(f.holds(0)) })
+	second := f.open(f.floating[0])
+	second.Write(query(put("x3")))
+	<-arrived
+	f.gateways[0].floats.giveUp(true)
+	f.settles(1)
+	release()
+	for c, want := range map[*reading]string{first: "value of x1", second: "value of x3"} {
+		if kinds, bodies := c.until('Z'); kinds != "TDCZ" || !strings.HasSuffix(bodies[1], want) {
+			t.Errorf("%s %q, want %s", kinds, bodies, want)
+		}
+		c.until('E') // sent away, now that it is idle
+		c.ends()
+	}
+	eventually(t, func() bool { n, _, _ := f.holds(0); return n == 0 }, func() string { return "a tenure is left" })
+	for _, sql := range f.primary.Queries() {
+		if strings.Contains(sql, "id=x2") {
+			t.Error("half a request was taken for a whole one")
+		}
+	}
+	f.logged(0, "connection ended", `"reason":"moved"`)
+	f.logged(0, `"cause":"preempted"`)
+	f.logged(0, `"cause":"shutdown"`)
+}
+
+// A tenure whose lease has run out takes nothing new: what comes is refused unsent, and its client sent away.
+func TestLeaseRunsOut(t *testing.T) {
+	f := newFleet(t, true, nil, 200)
+	f.settles(0)
+	c := f.open(f.floating[0])
+	fl := f.gateways[0].floats
+	var held *tenure
+	fl.mu.Lock()
+	for x := range fl.tenures {
+		held = x
+	}
+	fl.mu.Unlock()
+	gate := held.clients.Gate
+	if !gate() {
+		t.Fatal("the gate of the holder is shut")
+	}
+	late := make(chan struct{}) // as if the clock had run on while the process stood still
+	go func() {
+		defer close(late)
+		f.gateways[0].floats.speaker.Stall(4 * fleetInterval)
+	}()
+	eventually(t, func() bool { return !gate() }, func() string { return "the gate stays open while the speaker stands still" })
+	c.Write(query(put("x1")))
+	if kinds, bodies := c.until('E'); !strings.Contains(bodies[0], "C53300\x00") && !strings.Contains(bodies[0], "C57P03\x00") {
+		t.Errorf("%s %q", kinds, bodies)
+	}
+	<-late
+	if n := len(f.primary.Queries()); n != 0 {
+		t.Errorf("%d statements were sent", n)
+	}
+	f.logged(0, `"cause":"stood_still"`)
+	f.settles(0)
+	if m := vrrp.CauseStoodStill; fl.speaker.Counts.Lost[m].Load() == 0 {
+		t.Error("not counted")
+	}
+}
+
+// A gateway that cannot have its socket says so and does not start half.
+func TestFloatingAddressInUse(t *testing.T) {
+	f := newFleet(t, true, nil, 200)
+	f.settles(0)
+	cfg := *f.gateways[0].cfg
+	if _, err := Start(&cfg, f.conf[0](same), &logBuffer{}); err == nil || !strings.Contains(err.Error(), "address already in use") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -246,6 +246,7 @@
 	g.clients.Drain(transport.EndDrain)
 	g.clients.CutOff()
 	g.end()
+	g.closeLog()
 }
 
 // Addr is the address that clients connect to.
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -130,6 +130,9 @@
 	remote := conn.Remote()
 	reason, err := c.run(process)
 	s.Fds.Unpark(c)
+	if reason == transport.EndMoved {
+		c.sendAway()
+	}
 	conn.Close()
 	s.mu.Lock()
 	delete(s.open, c)
@@ -137,6 +140,15 @@
 	s.Ends.End(transport.Client, remote, reason, since, c.served, err)
 }
 
+// sendAway tells a client between requests, before its connection is closed, that it may come again at once. A request that
+// crosses this reads it as its refusal: without it the client could not tell whether that request was read, and would have
+// to leave a booking in doubt.
+func (c *client) sendAway() {
+	if c.write(postgres.AppendError(nil, true, postgres.CodeNotReady, "the address has moved to another gateway", 0)) == nil {
+		c.conn.Linger(time.Now().Add(c.all.Limits.Linger), lingerBytes)
+	}
+}
+
 // Drain closes idle connections now and every other one after its answer, for a reason that their log lines give.
 func (s *Clients) Drain(reason transport.Reason) {
 	s.mu.Lock()
@@ -312,7 +324,8 @@
 			if reason, err := c.finish(); err != nil {
 				return reason, err
 			}
-			return transport.EndDrain, err
+			reason, _ := c.all.isDraining()
+			return reason, err
 		}
 		if err != nil {
 			return reason, err
--- /dev/null
+++ b/internal/standin/booker.go
@@ -0,0 +1,289 @@
+package standin
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Outcome is what became of one thing that a client meant to do, over all its tries.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Served  Outcome = iota
+	Failed          // it may have run; the gateway said so
+	Unknown         // the connection ended without an answer; it may have run
+	Refused         // given up after refusals only: it has not run
+	Outcomes
+)
+
+// OutcomeNames name the outcomes.
+var OutcomeNames = [Outcomes]string{"served", "failed", "unknown", "refused"}
+
+// Ledger keeps what clients meant and what became of it.
+type Ledger struct {
+	mu       sync.Mutex
+	outcomes map[string]Outcome
+	counts   [Outcomes]int
+	tries    int // statements written
+	refusals int // answered so
+	noWay    int // connections that did not come up
+	extra    int // answers that nobody asked for
+	served   []Mark
+	doubts   []Mark
+}
+
+// Mark is something that happened to a client, by way of a gateway.
+type Mark struct {
+	At     time.Time
+	Client string
+	Via    string
+}
+
+// Totals are a ledger's sums.
+type Totals struct {
+	Counts                        [Outcomes]int
+	Tries, Refusals, NoWay, Extra int
+}
+
+// Totals sums up.
+func (l *Ledger) Totals() Totals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Totals{l.counts, l.tries, l.refusals, l.noWay, l.extra}
+}
+
+// Served lists when bookings were served, and Doubts when connections ended without an answer.
+func (l *Ledger) Served() []Mark {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Mark(nil), l.served...)
+}
+
+// Doubts lists when connections ended without the answer to a booking.
+func (l *Ledger) Doubts() []Mark {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Mark(nil), l.doubts...)
+}
+
+func (l *Ledger) note(meaning string, o Outcome, m Mark) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outcomes == nil {
+		l.outcomes = map[string]Outcome{}
+	}
+	l.outcomes[meaning] = o
+	l.counts[o]++
+	switch o {
+	case Served:
+		l.served = append(l.served, m)
+	case Unknown:
+		l.doubts = append(l.doubts, m)
+	}
+}
+
+func (l *Ledger) add(n *int) {
+	l.mu.Lock()
+	*n++
+	l.mu.Unlock()
+}
+
+var meant = regexp.MustCompile(`INSERT INTO kv \(name, content\) VALUES \('([^']*)'`)
+
+// Check compares what clients were told with what servers ran: nothing more than once, what was served exactly once, what
+// was refused never, and no answer that nobody asked for.
+func (l *Ledger) Check(servers ...*Server) (runs int, faults []string) {
+	ran := map[string]int{}
+	for _, s := range servers {
+		for _, sql := range s.Queries() {
+			if m := meant.FindStringSubmatch(sql); m != nil {
+				ran[m[1]]++
+				runs++
+			}
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for meaning, n := range ran {
+		if n > 1 {
+			faults = append(faults, fmt.Sprintf("%s ran %d times", meaning, n))
+		}
+		if o, ok := l.outcomes[meaning]; ok && o == Refused {
+			faults = append(faults, fmt.Sprintf("%s ran and was refused", meaning))
+		}
+	}
+	for meaning, o := range l.outcomes {
+		if o == Served && ran[meaning] != 1 {
+			faults = append(faults, fmt.Sprintf("%s was served and ran %d times", meaning, ran[meaning]))
+		}
+	}
+	if l.extra > 0 {
+		faults = append(faults, fmt.Sprintf("%d answers that nobody asked for", l.extra))
+	}
+	return runs, faults
+}
+
+// Booker is one client that books, a thing at a time. It tries again after a refusal, and where nothing was written; what
+// may have run it never sends again.
+type Booker struct {
+	Name     string
+	Addr     func() string // where to connect now
+	Via      func() string // which gateway that leads to, if anybody is to know; may be nil
+	Class    string
+	Group    int
+	Patience time.Duration // of one try
+	Tries    int
+	Wait     time.Duration // after a refusal or a connection that did not come up, half as much again at random
+	Ledger   *Ledger
+
+	conn *net.TCPConn
+	via  string
+}
+
+var ids atomic.Int64
+
+// Book does one thing that is meant and notes what became of it.
+func (b *Booker) Book(meaning string) Outcome {
+	o := Refused
+	for range b.Tries {
+		again, out := b.try(meaning)
+		if o = out; !again {
+			break
+		}
+		time.Sleep(b.Wait + time.Duration(rand.Int64N(int64(b.Wait)/2+1)))
+	}
+	b.Ledger.note(meaning, o, Mark{time.Now(), b.Name, b.via})
+	return o
+}
+
+// Close hangs up.
+func (b *Booker) Close() {
+	if b.conn != nil {
+		b.conn.Close()
+		b.conn = nil
+	}
+}
+
+// try makes one try and tells whether another may follow.
+func (b *Booker) try(meaning string) (again bool, o Outcome) {
+	if b.conn != nil && !quiet(b.conn) { // it was closed, or told to go, while idle
+		b.Close()
+	}
+	if b.conn == nil && !b.connect() {
+		b.Ledger.add(&b.Ledger.noWay)
+		return true, Refused
+	}
+	b.conn.SetDeadline(time.Now().Add(b.Patience + b.Patience/4))
+	b.Ledger.add(&b.Ledger.tries)
+	sql := fmt.Sprintf("/* id=b%d,c=%s,d=%d,cluster=%d */ INSERT INTO kv (name, content) VALUES ('%s', '\\x01') RETURNING content\x00",
+		ids.Add(1), b.Class, b.Patience.Milliseconds(), b.Group, meaning)
+	if _, err := b.conn.Write(frame('Q', []byte(sql)...)); err != nil {
+		b.Close()
+		return false, Unknown
+	}
+	o = Unknown
+	code := ""
+	for {
+		kind, body, err := readFrame(b.conn)
+		if err != nil {
+			b.Close()
+			break
+		}
+		switch {
+		case kind == 'E' && (code != "" || o == Served), kind == 'C' && o == Served:
+			b.Ledger.add(&b.Ledger.extra)
+		case kind == 'E':
+			code = field(body, 'C')
+		case kind == 'C':
+			o = Served
+		}
+		if kind == 'Z' {
+			break
+		}
+		if kind == 'E' && strings.HasPrefix(field(body, 'S'), "FATAL") {
+			b.Close()
+			break
+		}
+	}
+	switch {
+	case code == "53300", code == "57P03":
+		return true, Refused
+	case code != "":
+		return false, Failed
+	}
+	return false, o
+}
+
+func (b *Booker) connect() bool {
+	if b.Via != nil {
+		b.via = b.Via()
+	}
+	c, err := net.DialTimeout("tcp", b.Addr(), time.Second)
+	if err != nil {
+		return false
+	}
+	c.SetDeadline(time.Now().Add(time.Second))
+	hello := append([]byte{0, 3, 0, 0}, "user\x00backend\x00database\x00store\x00\x00"...)
+	c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(4+len(hello))), hello...))
+	for {
+		kind, _, err := readFrame(c)
+		if err != nil || kind == 'E' {
+			c.Close()
+			return false
+		}
+		if kind == 'Z' {
+			b.conn = c.(*net.TCPConn)
+			return true
+		}
+	}
+}
+
+// quiet tells that the peer has neither closed nor said anything.
+func quiet(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ok := false
+	raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ok = err == syscall.EAGAIN
+	})
+	return ok
+}
+
+func readFrame(r io.Reader) (byte, []byte, error) {
+	head := make([]byte, 5)
+	if _, err := io.ReadFull(r, head); err != nil {
+		return 0, nil, err
+	}
+	n := binary.BigEndian.Uint32(head[1:])
+	if n < 4 || n > 1<<20 {
+		return 0, nil, errors.New("a message of no sense")
+	}
+	body := make([]byte, n-4)
+	_, err := io.ReadFull(r, body)
+	return head[0], body, err
+}
+
+// field is a field of an ErrorResponse.
+func field(body []byte, code byte) string {
+	for _, part := range strings.Split(string(body), "\x00") {
+		if part != "" && part[0] == code {
+			return part[1:]
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/standin/path.go
@@ -0,0 +1,170 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Fate is what becomes of datagrams from one node to another.
+type Fate struct {
+	Drop   bool
+	Delay  time.Duration
+	Copies int  // further copies of each
+	Swap   bool // each pair arrives in the other order
+}
+
+// Path carries datagrams between nodes, numbered from 0, and does to them what it is told. Each ordered pair has a socket
+// where one node sends to the other; the other sees them come from the socket of the way back, which has the sender's
+// address.
+type Path struct {
+	mu     sync.Mutex
+	nodes  []*net.UDPAddr // where each is bound
+	ways   [][]*way
+	timers sync.WaitGroup
+	done   sync.WaitGroup
+	closed bool
+}
+
+type way struct {
+	conn   *net.UDPConn
+	fate   Fate
+	held   []byte
+	passed int
+}
+
+// NewPath makes a path between nodes whose sockets are at these addresses.
+func NewPath(nodes ...*net.UDPAddr) (*Path, error) {
+	p := &Path{nodes: nodes}
+	for i := range nodes {
+		p.ways = append(p.ways, make([]*way, len(nodes)))
+		for j := range nodes {
+			if i == j {
+				continue
+			}
+			// Where i sends to j: j's address to i, so it has j's IP.
+			c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: nodes[j].IP})
+			if err != nil {
+				p.Close()
+				return nil, err
+			}
+			p.ways[i][j] = &way{conn: c}
+		}
+	}
+	for i := range nodes {
+		for j := range nodes {
+			if i != j {
+				p.done.Add(1)
+				go p.carry(i, j)
+			}
+		}
+	}
+	return p, nil
+}
+
+// Peer is the address under which node j is known to node i.
+func (p *Path) Peer(i, j int) string { return p.ways[i][j].conn.LocalAddr().String() }
+
+// Set decides the fate of what i sends to j from now on.
+func (p *Path) Set(i, j int, f Fate) {
+	p.mu.Lock()
+	p.ways[i][j].fate, p.ways[i][j].held = f, nil
+	p.mu.Unlock()
+}
+
+// SetAll decides it for every pair.
+func (p *Path) SetAll(f Fate) {
+	for i := range p.nodes {
+		for j := range p.nodes {
+			if i != j {
+				p.Set(i, j, f)
+			}
+		}
+	}
+}
+
+// Isolate drops all to and from a node, or lets it pass again.
+func (p *Path) Isolate(i int, on bool) {
+	for j := range p.nodes {
+		if i != j {
+			p.Set(i, j, Fate{Drop: on})
+			p.Set(j, i, Fate{Drop: on})
+		}
+	}
+}
+
+// Passed is how many datagrams have gone from i to j.
+func (p *Path) Passed(i, j int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ways[i][j].passed
+}
+
+// Inject sends a datagram to node j as if i had sent it.
+func (p *Path) Inject(i, j int, b []byte) {
+	p.ways[j][i].conn.WriteToUDP(b, p.nodes[j])
+}
+
+func (p *Path) carry(i, j int) {
+	defer p.done.Done()
+	w, b := p.ways[i][j], make([]byte, 4096)
+	for {
+		n, err := w.conn.Read(b)
+		if err != nil {
+			return
+		}
+		p.fare(i, j, append([]byte(nil), b[:n]...))
+	}
+}
+
+func (p *Path) fare(i, j int, b []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.ways[i][j]
+	f := w.fate
+	if f.Drop || p.closed {
+		return
+	}
+	send := [][]byte{b}
+	if f.Swap {
+		if w.held == nil {
+			w.held = b
+			return
+		}
+		send, w.held = [][]byte{b, w.held}, nil
+	}
+	for range f.Copies {
+		send = append(send, b)
+	}
+	w.passed += len(send)
+	deliver := func() {
+		for _, x := range send {
+			p.Inject(i, j, x)
+		}
+	}
+	if f.Delay == 0 {
+		deliver()
+		return
+	}
+	p.timers.Add(1)
+	time.AfterFunc(f.Delay, func() {
+		defer p.timers.Done()
+		deliver()
+	})
+}
+
+// Close ends the path.
+func (p *Path) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.timers.Wait()
+	for _, ways := range p.ways {
+		for _, w := range ways {
+			if w != nil {
+				w.conn.Close()
+			}
+		}
+	}
+	p.done.Wait()
+}
--- a/internal/vrrp/machine.go
+++ b/internal/vrrp/machine.go
@@ -14,6 +14,9 @@
 // sooner: the shortest Active_Down_Interval is longer by its skew.
 const leaseIntervals = 3
 
+// announceEvery is how many advertisements go between two announcements of a long tenure.
+const announceEvery = 64
+
 // Machine is one group's state on one gateway. Its zero value is of no use; New makes one. It is a plain value: a copy goes
 // its own way.
 type Machine struct {
@@ -248,7 +251,9 @@
 	case e.Priority == GivesUp:
 		return m.advertise(now, out)
 	case e.Priority > m.Priority(), e.Priority == m.Priority() && m.cfg.Self.Less(e.From):
-		out = m.lose(now, CausePreempted, out)
+		// One that never lost sight of itself does not know that somebody else had the address too, and that the network
+		// may lead there. A last word of the lower one has it say again where the address is. The RFC has none.
+		out = m.lose(now, CausePreempted, append(out, Advertise{m.Priority(), m.cfg.Interval}))
 		m.follow(holder{e.From, e.Priority, now, e.Interval})
 		return out
 	}
@@ -309,8 +314,10 @@
 func (m *Machine) advertise(now Micros, out []Action) []Action {
 	m.sent, m.timer = now, now+m.cfg.Interval
 	out = append(out, Advertise{m.Priority(), m.cfg.Interval})
-	// One announcement might be lost, and nobody would ask for it again. The RFC sends one.
-	if m.adverts++; m.adverts == 2 || m.adverts == 4 || m.adverts == 8 {
+	// One announcement might be lost, and nobody would ask for it again: the 2nd, 4th, 8th and so on go with another, later
+	// every so many. The RFC sends one.
+	m.adverts++
+	if n := m.adverts; n > 1 && (n%announceEvery == 0 || n < announceEvery && n&(n-1) == 0) {
 		out = append(out, Announce{m.tenure})
 	}
 	return out
