marblelab failover: take-overs between real processes, as a table and a chart

A lost holder of each kind (kill, SIGTERM, frozen, cut off, split) in fleets of real gateways, with clients of the floating address and of a front that notices deaths late in the same run. Apart from the gateway, whose binary holds none of it.

--- /dev/null
+++ b/internal/lab/failover/failover.go
@@ -0,0 +1,373 @@
+package failover
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"marblespan/internal/lab/report"
+	"marblespan/internal/standin"
+)
+
+// Options say what is measured.
+type Options struct {
+	Binary     string // of the gateway
+	Trials     int    // of each kind
+	Kinds      []string
+	Interval   time.Duration // between advertisements
+	Priorities []int         // one gateway each; the first one is the highest and holds the address at rest
+	Clients    int           // of the floating address, and as many of the front
+	Think      time.Duration // between two bookings of a client
+	Work       time.Duration // of a booking at its server
+	Notice     time.Duration // after which the front knows of a death
+	Seed       uint64
+	Progress   io.Writer
+}
+
+// Defaults are sizes that suit one machine.
+func Defaults() Options {
+	return Options{
+		Binary: "bin/marblespan", Trials: 20, Kinds: Kinds(), Interval: 100 * time.Millisecond,
+		Priorities: []int{200, 180, 160}, Clients: 8, Think: 10 * time.Millisecond, Work: 5 * time.Millisecond,
+		Notice: 2500 * time.Millisecond, Seed: 1, Progress: io.Discard,
+	}
+}
+
+// kind is one way to lose the holder, and to bring it back.
+type kind struct {
+	name  string
+	what  string
+	fails func(f *fleet, n *node) error
+	heals func(f *fleet, n *node) error
+	dies  bool // its process has no part in what comes
+	stops bool // it runs on after the fault, but not for clients
+	front bool // clients that a front spreads see it too
+}
+
+var kinds = []kind{
+	{name: "kill", what: "SIGKILL", dies: true, front: true,
+		fails: func(f *fleet, n *node) error {
+			f.sw.Reset(n.floating) // a dead machine's flows are reset
+			err := f.signal(n, syscall.SIGKILL)
+			f.gone(n, time.Now())
+			return err
+		},
+		heals: restart},
+	{name: "term", what: "SIGTERM", front: true,
+		fails: func(f *fleet, n *node) error { return f.signal(n, syscall.SIGTERM) },
+		heals: restart},
+	{name: "frozen", what: "SIGSTOP for five intervals past the down interval, then SIGCONT", stops: true, front: true,
+		fails: func(f *fleet, n *node) error { return f.signal(n, syscall.SIGSTOP) },
+		heals: func(f *fleet, n *node) error { return f.signal(n, syscall.SIGCONT) }},
+	{name: "cut", what: "its advertisements, announcements and flows cut off", stops: true,
+		fails: func(f *fleet, n *node) error {
+			f.path.Isolate(n.index, true)
+			f.sw.Cut(n.floating, true)
+			return nil
+		},
+		heals: func(f *fleet, n *node) error {
+			f.sw.Cut(n.floating, false)
+			f.path.Isolate(n.index, false)
+			return nil
+		}},
+	{name: "split", what: "its advertisements cut off both ways, all else whole",
+		fails: func(f *fleet, n *node) error { f.path.Isolate(n.index, true); return nil },
+		heals: func(f *fleet, n *node) error { f.path.Isolate(n.index, false); return nil }},
+}
+
+// restart waits for the end of a process and starts it anew.
+func restart(f *fleet, n *node) error {
+	n.wait()
+	return f.start(n)
+}
+
+// Kinds names all kinds.
+func Kinds() (all []string) {
+	for _, k := range kinds {
+		all = append(all, k.name)
+	}
+	return all
+}
+
+// Result is what one kind came to.
+type Result struct {
+	Kind, What string
+	Trials     int
+	Without    *report.Spans // nobody in reach held the address, after the fault
+	Back       *report.Spans // the same, when the holder came back
+	Two        *report.Spans // two that ran held it
+	Gap        *report.Spans // the longest that a client of the floating address had to wait for a booking
+	FrontGap   *report.Spans // the same of a client of the front
+	Floating   standin.Totals
+	Front      standin.Totals
+	Lost       int // taken by a gateway that was in reach, and never answered
+	Faults     []string
+	Runs       int
+}
+
+// Run measures each kind in a fleet of its own.
+func Run(o Options) ([]Result, error) {
+	var out []Result
+	for _, name := range o.Kinds {
+		var k *kind
+		for i := range kinds {
+			if kinds[i].name == name {
+				k = &kinds[i]
+			}
+		}
+		if k == nil {
+			return nil, fmt.Errorf("kind %q is not known; there are %s", name, strings.Join(Kinds(), ", "))
+		}
+		r, err := one(o, *k)
+		if err != nil {
+			return out, fmt.Errorf("%s: %w", name, err)
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// settleBy is how long a fleet may take to come to rest, and rest how long it stays there before the next fault.
+const (
+	settleBy = 20 * time.Second
+	rest     = 400 * time.Millisecond
+)
+
+func one(o Options, k kind) (r Result, err error) {
+	r = Result{
+		Kind: k.name, What: k.what, Without: report.NewSpans(), Back: report.NewSpans(), Two: report.NewSpans(),
+		Gap: report.NewSpans(), FrontGap: report.NewSpans(),
+	}
+	f, err := newFleet(o)
+	if err != nil {
+		return r, err
+	}
+	defer f.close()
+	f.sw.CutOnMove = true // as where an address moves between machines: its new holder knows no old flow
+	if err := f.settles(0, settleBy); err != nil {
+		return r, err
+	}
+	l := newLoad(o, f)
+	defer l.stop()
+	rng := rand.New(rand.NewPCG(o.Seed, uint64(len(k.name))))
+	for i := range o.Trials {
+		time.Sleep(rest + time.Duration(rng.Int64N(int64(o.Interval)))) // at any moment of an interval
+		if err := r.trial(o, k, f, l); err != nil {
+			return r, fmt.Errorf("trial %d: %w", i+1, err)
+		}
+		r.Trials++
+		fmt.Fprintf(o.Progress, "%s %d of %d\n", k.name, i+1, o.Trials)
+	}
+	l.stop()
+	r.Floating, r.Front = l.floating.Totals(), l.front.Totals()
+	runs, faults := l.floating.Check(f.primary)
+	_, more := l.front.Check(f.primary)
+	r.Runs, r.Faults = runs, append(faults, more...)
+	return r, nil
+}
+
+// trial brings one fault about, waits for a successor, heals it and waits for the old holder to have the address again.
+func (r *Result) trial(o Options, k kind, f *fleet, l *load) error {
+	n := f.nodes[0]
+	down := 4 * o.Interval // over the longest down interval
+	start := time.Now()
+	l.spread.fault(n.index, start, k)
+	if err := k.fails(f, n); err != nil {
+		return err
+	}
+	if err := f.succeeded(n.index, settleBy); err != nil {
+		return err
+	}
+	time.Sleep(down + 5*o.Interval - min(time.Since(start), down))
+	if k.front { // the front's clients see all of it, too
+		time.Sleep(max(0, o.Notice+rest-time.Since(start)))
+	}
+	healed := time.Now()
+	if err := k.heals(f, n); err != nil {
+		return err
+	}
+	if err := f.settles(0, settleBy); err != nil {
+		return err
+	}
+	l.spread.healed(n.index)
+	end := time.Now()
+	time.Sleep(50 * time.Millisecond) // the log's last lines
+	changes := f.since(start.Add(-time.Millisecond))
+	out := func(node int, at time.Time) bool { // it runs for nobody
+		return (k.dies || k.stops) && node == n.index && !at.Before(start) && at.Before(healed)
+	}
+	runs := func(node int, at time.Time) bool { return k.name == "cut" || !out(node, at) }
+	r.Without.Add(spans(changes, start, healed, func(active, running int) bool { return active == 0 }, out, runs))
+	r.Back.Add(spans(changes, healed, end, func(active, running int) bool { return active == 0 }, out, runs))
+	r.Two.Add(spans(changes, start, end, func(active, running int) bool { return running > 1 }, out, runs))
+	r.Gap.Add(gap(l.floating.Served(), start, end))
+	if k.front {
+		r.FrontGap.Add(gap(l.front.Served(), start, end))
+	}
+	for _, d := range l.floating.Doubts() {
+		if d.At.After(start) && d.At.Before(end) && d.End != "reset" && !((k.dies || k.stops) && d.Via == n.floating) {
+			r.Lost++
+		}
+	}
+	return nil
+}
+
+// spans sums how long something held between two times, in microseconds. Gateway 0 is active at the start of a trial.
+func spans(changes []change, from, to time.Time, holds func(active, running int) bool, out, runs func(int, time.Time) bool) int64 {
+	sort.SliceStable(changes, func(i, j int) bool { return changes[i].at.Before(changes[j].at) })
+	// The moments at which anything may change; a reachable gateway may change at the ends of the fault too.
+	moments := []time.Time{from, to}
+	for _, c := range changes {
+		if c.at.After(from) && c.at.Before(to) {
+			moments = append(moments, c.at)
+		}
+	}
+	sort.Slice(moments, func(i, j int) bool { return moments[i].Before(moments[j]) })
+	sum := time.Duration(0)
+	for i := 1; i < len(moments); i++ {
+		active, running := 0, 0
+		for node, on := range activeAt(changes, moments[i-1]) {
+			if on && !out(node, moments[i-1]) {
+				active++
+			}
+			if on && runs(node, moments[i-1]) {
+				running++
+			}
+		}
+		if holds(active, running) {
+			sum += moments[i].Sub(moments[i-1])
+		}
+	}
+	return sum.Microseconds()
+}
+
+func activeAt(changes []change, at time.Time) map[int]bool {
+	active := map[int]bool{0: true}
+	for _, c := range changes {
+		if !c.at.After(at) {
+			active[c.node] = c.active
+		}
+	}
+	return active
+}
+
+// gap is the longest that any client went without a booking served, around a fault, in microseconds.
+func gap(served []standin.Mark, from, to time.Time) int64 {
+	last := map[string]time.Time{}
+	longest := time.Duration(0)
+	for _, m := range served {
+		if m.At.After(to.Add(time.Second)) {
+			break
+		}
+		if before, ok := last[m.Client]; ok && m.At.After(from) {
+			longest = max(longest, m.At.Sub(before))
+		}
+		last[m.Client] = m.At
+	}
+	for _, at := range last {
+		longest = max(longest, to.Sub(at))
+	}
+	return longest.Microseconds()
+}
+
+// succeeded waits until another gateway holds the address and the switch leads there.
+func (f *fleet) succeeded(old int, by time.Duration) error {
+	for end := time.Now().Add(by); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		at, _ := f.sw.Holder()
+		for _, n := range f.nodes {
+			if n.index != old && n.floating == at {
+				return nil
+			}
+		}
+	}
+	return errors.New("nobody took over")
+}
+
+// front spreads clients over the gateways' own listeners. Each keeps to its gateway until the front knows that it is away.
+type front struct {
+	mu     sync.Mutex
+	nodes  []*node
+	away   map[int]time.Time // from when on the front knows it
+	notice time.Duration
+}
+
+// announcedAfter is how soon a front knows of a restart that was planned.
+const announcedAfter = 300 * time.Millisecond
+
+func (f *front) fault(i int, at time.Time, k kind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k.front {
+		f.away[i] = at.Add(f.notice)
+		if k.name == "term" {
+			f.away[i] = at.Add(announcedAfter)
+		}
+	}
+}
+
+func (f *front) healed(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.away, i)
+}
+
+func (f *front) addr(client int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var here []string
+	for _, n := range f.nodes {
+		if at, away := f.away[n.index]; !away || time.Now().Before(at) {
+			here = append(here, n.listen)
+		}
+	}
+	return here[client%len(here)]
+}
+
+// load is the clients of an experiment.
+type load struct {
+	floating, front standin.Ledger
+	spread          *front
+	quit            chan struct{}
+	once            sync.Once
+	done            sync.WaitGroup
+}
+
+func newLoad(o Options, f *fleet) *load {
+	l := &load{quit: make(chan struct{}), spread: &front{nodes: f.nodes, away: map[int]time.Time{}, notice: o.Notice}}
+	for c := range 2 * o.Clients {
+		b := &standin.Booker{
+			Name: fmt.Sprint("c", c), Class: "booking", Group: group, Patience: time.Second, Tries: 1000, Wait: 5 * time.Millisecond,
+			Addr: f.sw.Addr, Ledger: &l.floating,
+			Via: func() string { at, _ := f.sw.Holder(); return at },
+		}
+		if c >= o.Clients {
+			b.Ledger, b.Via = &l.front, nil
+			b.Addr = func() string { return l.spread.addr(c) }
+		}
+		l.done.Add(1)
+		go func() {
+			defer l.done.Done()
+			defer b.Close()
+			for n := 0; ; n++ {
+				select {
+				case <-l.quit:
+					return
+				case <-time.After(o.Think):
+				}
+				b.Book(fmt.Sprintf("%s-%d", b.Name, n))
+			}
+		}()
+	}
+	return l
+}
+
+func (l *load) stop() {
+	l.once.Do(func() { close(l.quit) })
+	l.done.Wait()
+}
--- /dev/null
+++ b/internal/lab/failover/write.go
@@ -0,0 +1,90 @@
+package failover
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"marblespan/internal/lab/report"
+	"marblespan/internal/standin"
+)
+
+// DownInterval is how long the first backup waits, as RFC 9568 computes it.
+func (o Options) DownInterval() time.Duration {
+	return 3*o.Interval + o.Interval*time.Duration(256-o.Priorities[1])/256
+}
+
+// Write writes a table to w and, if dir is not empty, the table and a chart into files there.
+func Write(w io.Writer, dir string, o Options, results []Result) error {
+	if dir == "" {
+		return table(w, o, results)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	file, err := os.Create(filepath.Join(dir, "failover.md"))
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if err := table(io.MultiWriter(w, file), o, results); err != nil {
+		return err
+	}
+	fmt.Fprintf(file, "\n![take-overs](failover.svg)\n")
+	return chart(filepath.Join(dir, "failover.svg"), o, results)
+}
+
+func table(w io.Writer, o Options, results []Result) error {
+	fmt.Fprintf(w, "# Take-overs of a floating address\n\nLoopback, real processes, %d gateways of priorities %v, advertisements every %v: the "+
+		"first backup's Active_Down_Interval is %v.\n%d clients book at the floating address without a pause but %v, and as many at the "+
+		"gateways' own listeners, where a\nfront that notices a death after %v spreads them. Times in ms.\n\n",
+		len(o.Priorities), o.Priorities, o.Interval, o.DownInterval(), o.Clients, o.Think, o.Notice)
+	var rows, clients [][]string
+	for _, r := range results {
+		rows = append(rows, []string{
+			r.Kind, r.What, fmt.Sprint(r.Trials), r.Without.Cell(50), r.Without.Cell(90), r.Without.Cell(100), r.Back.Cell(50),
+			r.Back.Cell(100), r.Two.Cell(50), r.Two.Cell(100),
+		})
+		for _, c := range []struct {
+			who   string
+			t     standin.Totals
+			gap   *report.Spans
+			lost  string
+			shown bool
+		}{{"floating address", r.Floating, r.Gap, fmt.Sprint(r.Lost), true}, {"front", r.Front, r.FrontGap, "-", r.FrontGap.Millis(50) >= 0}} {
+			if c.shown {
+				clients = append(clients, []string{
+					r.Kind, c.who, c.gap.Cell(50), c.gap.Cell(90), c.gap.Cell(100), fmt.Sprint(c.t.Counts[standin.Served]),
+					fmt.Sprint(c.t.Refusals), fmt.Sprint(c.t.NoWay), fmt.Sprint(c.t.Counts[standin.Failed]),
+					fmt.Sprint(c.t.Counts[standin.Unknown]), c.lost, fmt.Sprint(len(r.Faults)),
+				})
+			}
+		}
+	}
+	if err := report.Table(w, []string{
+		"kind", "what", "trials", "nobody active: median", "90 %", "longest", "at its return: median", "longest", "two active: median", "longest",
+	}, rows); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "\nWhat clients saw: the longest wait of any client for its next booking, and what became of them. In doubt: the connection "+
+		"ended\nwithout an answer. Lost: so ended by a gateway in reach. Twice: bookings that ran twice, or answers that were not true.\n\n")
+	return report.Table(w, []string{
+		"kind", "clients of", "wait: median", "90 %", "longest", "served", "refusals", "no way in", "failed", "in doubt", "lost", "twice",
+	}, clients)
+}
+
+func chart(path string, o Options, results []Result) error {
+	b := report.Bars{
+		Title: "Waits around a lost holder, ms (median)", Note: fmt.Sprintf("advertisements every %v, %d trials of each kind", o.Interval, o.Trials),
+		Series: []string{"nobody active", "client of the floating address", "client of a front"}, Values: make([][]float64, 3),
+	}
+	for _, r := range results {
+		b.Labels = append(b.Labels, r.Kind)
+		for i, s := range []*report.Spans{r.Without, r.Gap, r.FrontGap} {
+			b.Values[i] = append(b.Values[i], max(s.Millis(50), 0))
+		}
+	}
+	return b.Write(path)
+}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,87 @@
+// Package report writes what an experiment has measured: tables as Markdown, charts as SVG.
+package report
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-analyze/charts"
+	"github.com/olekukonko/tablewriter"
+	"github.com/olekukonko/tablewriter/renderer"
+	"github.com/olekukonko/tablewriter/tw"
+)
+
+// longest is the longest span that is told apart, in microseconds.
+const longest = 10 * 60 * 1_000_000
+
+// Spans collects spans of time in microseconds.
+type Spans struct{ h *hdrhistogram.Histogram }
+
+// NewSpans makes an empty collection.
+func NewSpans() *Spans { return &Spans{hdrhistogram.New(1, longest, 3)} }
+
+// Add notes one span; one below zero counts as none.
+func (s *Spans) Add(micros int64) { s.h.RecordValue(min(max(micros, 0), longest)) }
+
+// Millis is a quantile, from 0 to 100, in milliseconds. A collection without spans has none: -1.
+func (s *Spans) Millis(quantile float64) float64 {
+	if s.h.TotalCount() == 0 {
+		return -1
+	}
+	return float64(s.h.ValueAtQuantile(quantile)) / 1000
+}
+
+// Cell writes a quantile for a table.
+func (s *Spans) Cell(quantile float64) string {
+	if v := s.Millis(quantile); v >= 0 {
+		return fmt.Sprintf("%.1f", v)
+	}
+	return "-"
+}
+
+// Table writes a Markdown table.
+func Table(w io.Writer, head []string, rows [][]string) error {
+	t := tablewriter.NewTable(w,
+		tablewriter.WithRenderer(renderer.NewMarkdown()),
+		tablewriter.WithHeaderAutoFormat(tw.Off),
+		tablewriter.WithAlignment(tw.Alignment{tw.AlignLeft}),
+	)
+	t.Header(head)
+	if err := t.Bulk(rows); err != nil {
+		return err
+	}
+	return t.Render()
+}
+
+// Bars is a chart of bars, a group for each label.
+type Bars struct {
+	Title, Note string
+	Labels      []string
+	Series      []string
+	Values      [][]float64 // by series, then label
+}
+
+// Write draws the chart into an SVG file.
+func (b Bars) Write(path string) error {
+	p, err := charts.BarRender(b.Values,
+		charts.TitleTextOptionFunc(b.Title, b.Note), charts.XAxisLabelsOptionFunc(b.Labels),
+		charts.LegendOptionFunc(charts.LegendOption{
+			SeriesNames: b.Series, Offset: charts.OffsetStr{Left: charts.PositionRight},
+		}),
+		charts.DimensionsOptionFunc(900, 420), charts.SVGOutputOptionFunc(),
+	)
+	if err != nil {
+		return err
+	}
+	raw, err := p.Bytes()
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, raw, 0o644)
+}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -41,9 +41,12 @@
 	"internal/cli": {
 		"internal/config", "internal/config/lines", "internal/control", "internal/floating", "internal/program",
 	},
-	"internal/standin": {},
-	"cmd/marblespan":   {"internal/cli"},
-	"cmd/simhost":      {"internal/simhost"},
+	"internal/standin":      {},
+	"internal/lab/report":   {},
+	"internal/lab/failover": {"internal/lab/report", "internal/standin"},
+	"cmd/marblelab":         {"internal/lab/failover"},
+	"cmd/marblespan":        {"internal/cli"},
+	"cmd/simhost":           {"internal/simhost"},
 }
 
 // forbidden are packages that must not be used where the prefix says.
--- a/internal/standin/booker.go
+++ b/internal/standin/booker.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"regexp"
 	"strings"
 	"sync"
@@ -48,6 +49,7 @@
 	At     time.Time
 	Client string
 	Via    string
+	End    string // of a connection that ended without an answer: "closed", "reset" or "timeout"
 }
 
 // Totals are a ledger's sums.
@@ -149,6 +151,7 @@
 
 	conn *net.TCPConn
 	via  string
+	end  string
 }
 
 var ids atomic.Int64
@@ -163,7 +166,7 @@
 		}
 		time.Sleep(b.Wait + time.Duration(rand.Int64N(int64(b.Wait)/2+1)))
 	}
-	b.Ledger.note(meaning, o, Mark{time.Now(), b.Name, b.via})
+	b.Ledger.note(meaning, o, Mark{time.Now(), b.Name, b.via, b.end})
 	return o
 }
 
@@ -190,6 +193,7 @@
 		ids.Add(1), b.Class, b.Patience.Milliseconds(), b.Group, meaning)
 	if _, err := b.conn.Write(frame('Q', []byte(sql)...)); err != nil {
 		b.Close()
+		b.end = ending(err)
 		return false, Unknown
 	}
 	o = Unknown
@@ -198,6 +202,7 @@
 		kind, body, err := readFrame(b.conn)
 		if err != nil {
 			b.Close()
+			b.end = ending(err)
 			break
 		}
 		switch {
@@ -225,6 +230,17 @@
 	return false, o
 }
 
+// ending names how a connection ended.
+func ending(err error) string {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "timeout"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "closed"
+	}
+	return "reset"
+}
+
 func (b *Booker) connect() bool {
 	if b.Via != nil {
 		b.via = b.Via()
