--- /dev/null
+++ b/internal/duties/keeper.go
@@ -0,0 +1,280 @@
+package duties
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// failedFor is for how many periods a member that had no answer from a subject ranks behind the others for it. It guards
+// against a holder whose own path is cut; it may harm where the subject is gone for all: then the work moves round.
+const failedFor = 8
+
+// never is a time that does not come.
+const never Micros = math.MaxInt64
+
+// Keeper holds one instance's view of all duties of one kind.
+type Keeper struct {
+	cfg     Config
+	members []Member
+	all     map[string]*duty
+	queue   queue // all duties by when they are to be looked at
+	now     Micros
+	draws   uint64
+}
+
+// duty is the work for one subject.
+type duty struct {
+	subject Subject
+	ranking []string
+	place   int    // of this instance in the ranking; -1: it is no member
+	seen    Micros // when it was last dealt with well, by whomever; 0: never
+	tried   Micros // when this instance last did so, well or not
+	out     bool   // this instance is at it
+	born    Micros // when it was first heard of here
+	since   Micros // when this instance came to its place
+	jitter  Micros // of the present wait
+	wishes  map[string]wish
+	failed  map[string]Micros // until when members rank behind
+
+	look  Micros // when anything about it may change by time alone
+	index int    // in the queue
+}
+
+type wish struct {
+	period Micros
+	until  Micros
+}
+
+// New makes a keeper that sees nobody but itself.
+func New(cfg Config) *Keeper {
+	cfg.Holders = max(cfg.Holders, 1)
+	return &Keeper{cfg: cfg, members: []Member{cfg.Self}, all: map[string]*duty{}}
+}
+
+// Handle takes in one event and tells what is to be done now, in the order of keys.
+func (k *Keeper) Handle(now Micros, ev Event) []Do {
+	k.now = max(k.now, now)
+	switch e := ev.(type) {
+	case View:
+		k.view(e.Members)
+	case Subjects:
+		k.subjects(e.All)
+	case Notice:
+		if d := k.all[e.Key]; d != nil {
+			k.noticed(d, e)
+			k.plan(d)
+		}
+	case Done:
+		if d := k.all[e.Key]; d != nil {
+			d.out = false
+			k.noticed(d, Notice{From: k.cfg.Self.Name, Good: e.Good})
+			k.plan(d)
+		}
+	case Wish:
+		if d := k.all[e.Key]; d != nil {
+			d.wishes[e.From] = wish{e.Period, k.now + e.For}
+			k.plan(d)
+		}
+	}
+	return k.due()
+}
+
+// Next is when something falls due or has to be looked at again, unless something is heard before.
+func (k *Keeper) Next() (at Micros, ok bool) {
+	if len(k.queue) == 0 || k.queue[0].look == never {
+		return 0, false
+	}
+	return k.queue[0].look, true
+}
+
+// Period is how often a subject is dealt with now; 0: it is none.
+func (k *Keeper) Period(key string) Micros {
+	if d := k.all[key]; d != nil {
+		return k.period(d)
+	}
+	return 0
+}
+
+// Rank is this instance's place for a subject, 0 for the first; -1: it has none.
+func (k *Keeper) Rank(key string) int {
+	if d := k.all[key]; d != nil {
+		return k.rank(d)
+	}
+	return -1
+}
+
+// Ranking is the order of all members for a subject, as this instance sees it.
+func (k *Keeper) Ranking(key string) []string {
+	if d := k.all[key]; d != nil {
+		return slices.Clone(d.ranking)
+	}
+	return nil
+}
+
+// view takes over who is there. A member that comes back takes its share back gently: it does not act before a wait of its
+// own, and until it is heard the one before goes on.
+func (k *Keeper) view(members []Member) {
+	k.members = slices.Clone(members)
+	slices.SortFunc(k.members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	k.members = slices.CompactFunc(k.members, func(a, b Member) bool { return a.Name == b.Name })
+	for _, d := range k.all {
+		k.order(d)
+	}
+}
+
+func (k *Keeper) order(d *duty) {
+	before := d.place
+	d.ranking = ranking(k.members, d.subject)
+	d.place = slices.Index(d.ranking, k.cfg.Self.Name)
+	if d.place != before {
+		d.since = k.now
+		d.jitter = k.draw(d)
+	}
+	k.plan(d)
+}
+
+// subjects takes over what there is to deal with.
+func (k *Keeper) subjects(all []Subject) {
+	keep := map[string]bool{}
+	for _, s := range all {
+		keep[s.Key] = true
+		d := k.all[s.Key]
+		if d == nil {
+			d = &duty{subject: s, place: -2, born: k.now, since: k.now, wishes: map[string]wish{}, failed: map[string]Micros{}}
+			k.all[s.Key] = d
+			heap.Push(&k.queue, d)
+			k.order(d)
+		} else if d.subject != s {
+			d.subject = s
+			k.order(d)
+		}
+	}
+	for key, d := range k.all {
+		if !keep[key] {
+			heap.Remove(&k.queue, d.index)
+			delete(k.all, key)
+		}
+	}
+}
+
+// noticed takes in that somebody has dealt with a subject. Old news changes nothing.
+func (k *Keeper) noticed(d *duty, n Notice) {
+	at := k.now - max(n.Age, 0)
+	if !n.Good {
+		d.failed[n.From] = k.now + failedFor*k.period(d)
+		return
+	}
+	delete(d.failed, n.From)
+	if at > d.seen {
+		d.seen, d.jitter = at, k.draw(d)
+	}
+}
+
+// period is the shortest that anybody wishes, within the bounds.
+func (k *Keeper) period(d *duty) Micros {
+	p := k.cfg.Idle
+	for from, w := range d.wishes {
+		if k.now >= w.until {
+			delete(d.wishes, from)
+			continue
+		}
+		p = min(p, w.period)
+	}
+	return max(p, k.cfg.Least)
+}
+
+// rank is this instance's place among those that have not failed lately.
+func (k *Keeper) rank(d *duty) int {
+	if d.place < 0 {
+		return -1
+	}
+	ahead := 0
+	own := k.now < d.failed[k.cfg.Self.Name]
+	for i, name := range d.ranking {
+		if failed := k.now < d.failed[name]; i < d.place && (own || !failed) || i > d.place && own && !failed {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// wait is how much later than a holder an instance of some rank steps in.
+func (k *Keeper) wait(d *duty, rank int) Micros {
+	if rank = rank - k.cfg.Holders + 1; rank <= 0 {
+		return 0
+	}
+	return min(Micros(rank)*k.cfg.Step, k.cfg.Most) + d.jitter
+}
+
+// dueAt is when this instance is to deal with a subject, if nothing is heard before.
+func (k *Keeper) dueAt(d *duty) (Micros, bool) {
+	rank := k.rank(d)
+	if d.out || rank < 0 {
+		return 0, false
+	}
+	period := k.period(d)
+	base := d.seen + period
+	if d.seen == 0 { // nobody was heard of it yet: all of it would fall due in one moment
+		base = d.born + min(d.jitter, period)
+	}
+	at := base + k.wait(d, rank)
+	if rank < k.cfg.Holders && d.since > d.seen {
+		// It has just come to this instance, which takes it gently; but never later than any rank steps in, or views that
+		// change all the time would put it off for ever.
+		at = max(at, min(d.since+d.jitter, base+k.cfg.Most+k.cfg.Jitter))
+	}
+	if d.tried > 0 {
+		at = max(at, d.tried+max(period, k.cfg.Least)) // where it fails, no oftener than where it does not
+	}
+	return at, true
+}
+
+// plan works out anew when a duty is to be looked at: when it is due, or when a wish or a failure ends before that, which
+// changes when it is due.
+func (k *Keeper) plan(d *duty) {
+	k.period(d) // drops the wishes that have ended
+	d.look = never
+	if at, ok := k.dueAt(d); ok {
+		d.look = at
+	}
+	for _, w := range d.wishes {
+		d.look = min(d.look, w.until)
+	}
+	for _, until := range d.failed {
+		if until > k.now {
+			d.look = min(d.look, until)
+		}
+	}
+	heap.Fix(&k.queue, d.index)
+}
+
+// due starts all that is due.
+func (k *Keeper) due() (out []Do) {
+	for len(k.queue) > 0 && k.queue[0].look <= k.now {
+		d := k.queue[0]
+		if at, ok := k.dueAt(d); ok && k.now >= at {
+			out = append(out, Do{d.subject.Key, k.rank(d)})
+			d.out, d.tried = true, k.now
+		}
+		k.plan(d)
+	}
+	slices.SortFunc(out, func(a, b Do) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+// draw is a wait at random, from the seed, up to the jitter.
+func (k *Keeper) draw(d *duty) Micros {
+	if k.cfg.Jitter <= 0 {
+		return 0
+	}
+	k.draws++
+	var h xxhash.Digest
+	h.ResetWithSeed(k.cfg.Seed)
+	h.WriteString(d.subject.Key)
+	h.Write([]byte{byte(k.draws), byte(k.draws >> 8), byte(k.draws >> 16), byte(k.draws >> 24)})
+	return Micros(h.Sum64() % uint64(k.cfg.Jitter+1))
+}
--- /dev/null
+++ b/internal/duties/queue.go
@@ -0,0 +1,26 @@
+package duties
+
+// queue is the duties as a heap by when each is to be looked at.
+type queue []*duty
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].look < q[j].look }
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push and Pop are container/heap's.
+func (q *queue) Push(x any) {
+	d := x.(*duty)
+	d.index = len(*q)
+	*q = append(*q, d)
+}
+
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	d := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	return d
+}
--- /dev/null
+++ b/internal/duties/rank_test.go
@@ -0,0 +1,129 @@
+package duties
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func members(n int) (all []Member) {
+	for i := range n {
+		all = append(all, Member{Name: fmt.Sprint("n", i), Weight: 1})
+	}
+	return all
+}
+
+// A member that leaves moves only what was its own; the order of the others stays.
+func TestLeavingMovesOnlyItsOwn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 40).Draw(t, "members")
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		s := Subject{Key: rapid.String().Draw(t, "key")}
+		all := members(n)
+		before := ranking(all, s)
+		after := ranking(append(all[:gone:gone], all[gone+1:]...), s)
+		i := 0
+		for _, name := range before {
+			if name == fmt.Sprint("n", gone) {
+				continue
+			}
+			if after[i] != name {
+				t.Fatalf("%v became %v", before, after)
+			}
+			i++
+		}
+	})
+}
+
+// Shares follow weights, and a server's own zone goes first.
+func TestSharesAndZones(t *testing.T) {
+	all := members(5)
+	all[0].Weight = 4
+	all[1].Zone, all[2].Zone = "a", "a"
+	first := map[string]int{}
+	const n = 8000
+	for i := range n {
+		first[ranking(all, Subject{Key: fmt.Sprint(i)})[0]]++
+	}
+	if share := float64(first["n0"]) / n; share < 0.46 || share > 0.54 {
+		t.Errorf("a weight of 4 beside four of 1 has a share of %.2f, want 0.50", share)
+	}
+	for i := range 100 {
+		r := ranking(all, Subject{Key: fmt.Sprint(i), Zone: "a"})
+		if r[0] != "n1" && r[0] != "n2" || r[1] != "n1" && r[1] != "n2" {
+			t.Fatalf("%v for a server in zone a", r)
+		}
+	}
+}
+
+// Whatever comes in whatever order, an instance is told to deal with each subject within the bound of the last time it
+// knows of, never while it is at it, and not at all once it is gone.
+func TestKeeperProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := config("n0", rapid.Uint64().Draw(t, "seed"))
+		cfg.Holders = rapid.IntRange(0, 2).Draw(t, "holders")
+		k := New(cfg)
+		keys := []string{"a", "b", "c"}
+		now, started := Micros(1), map[string]Micros{}
+		here, known := map[string]bool{}, map[string]Micros{}
+		do := func(ev Event) {
+			for _, d := range k.Handle(now, ev) {
+				if _, out := started[d.Key]; out || !here[d.Key] {
+					t.Fatalf("told to deal with %s: at it %v, there %v", d.Key, out, here[d.Key])
+				}
+				started[d.Key] = now
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "events") {
+			step := Micros(rapid.SampledFrom([]int{0, 1, 20, 100, 400}).Draw(t, "gap")) * ms
+			for end := now + step; ; { // it is asked to look whenever it wants to
+				at, ok := k.Next()
+				if !ok || at > end {
+					now = end
+					break
+				}
+				now = max(now, at)
+				do(Tick{})
+			}
+			key := rapid.SampledFrom(keys).Draw(t, "key")
+			switch rapid.IntRange(0, 6).Draw(t, "kind") {
+			case 0:
+				var all []Subject
+				for _, x := range keys {
+					if rapid.Bool().Draw(t, "there") {
+						all = append(all, Subject{Key: x})
+						if !here[x] {
+							known[x] = now
+						}
+						here[x] = true
+					} else {
+						delete(here, x)
+						delete(started, x)
+					}
+				}
+				do(Subjects{all})
+			case 1:
+				do(View{members(rapid.IntRange(1, 9).Draw(t, "members"))})
+			case 2, 3:
+				if _, out := started[key]; out {
+					delete(started, key)
+					known[key] = now
+					do(Done{key, true})
+				}
+			case 4:
+				age := Micros(rapid.IntRange(0, 2000).Draw(t, "age")) * ms
+				known[key] = max(known[key], now-age)
+				do(Notice{Key: key, From: "n1", Age: age, Good: true})
+			case 5:
+				do(Wish{key, "n2", Micros(rapid.IntRange(0, 9000).Draw(t, "period")) * ms, 1000 * ms})
+			}
+			for x := range here {
+				_, out := started[x]
+				if bound := cfg.Gap(cfg.Idle) + 1; !out && now-known[x] > bound {
+					t.Fatalf("%s was not dealt with for %d ms", x, (now-known[x])/ms)
+				}
+			}
+		}
+	})
+}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -20,6 +20,7 @@
 	"internal/protocol/vrrp":      {},
 	"internal/vrrp":               {},
 	"internal/explore":            {},
+	"internal/duties":             {},
 	"internal/transport":          {},
 	"internal/config":             {"internal/config/lines", "internal/settings", "internal/protocol/discovery"},
 	"internal/config/lines":       {},
