Codec of notices between instances, for shared duties

What one instance learned of a server, in batches of one datagram each: start, role with its age, position, load, ages instead of times so that clocks need not agree. Nothing uses it yet.

--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -18,6 +18,7 @@
 	"internal/protocol/postgres":  {},
 	"internal/protocol/discovery": {},
 	"internal/protocol/vrrp":      {},
+	"internal/protocol/notices":   {},
 	"internal/vrrp":               {},
 	"internal/explore":            {},
 	"internal/duties":             {},
--- /dev/null
+++ b/internal/protocol/notices/notices_test.go
@@ -0,0 +1,98 @@
+package notices
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+var full = Notice{
+	UID: "s-5be2a07c", Start: 1_767_225_600_123, Good: true, Age: 40, Role: RolePrimary, RoleAge: 90, Position: 1_767_225_601_000,
+	Load: []Field{{0, 610}, {3, 1 << 40}},
+}
+
+func written(t *testing.T, all ...Notice) (out [][]byte) {
+	t.Helper()
+	if _, err := Append(7, 1, all, func(b []byte) { out = append(out, b) }); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestRoundTrip(t *testing.T) {
+	all := []Notice{full, {UID: "x"}, {UID: strings.Repeat("u", MostUID), Role: RoleReplica, Age: MostAge}}
+	got, err := Parse(written(t, all...)[0])
+	if err != nil || got.Incarnation != 7 || got.Sequence != 1 || !reflect.DeepEqual(got.Notices, all) {
+		t.Errorf("%+v %v", got, err)
+	}
+}
+
+// Many notices go into as many datagrams as they need, each whole and numbered on.
+func TestBatches(t *testing.T) {
+	var all []Notice
+	for range 300 {
+		all = append(all, full)
+	}
+	n, next := 0, uint64(0)
+	for _, b := range written(t, all...) {
+		got, err := Parse(b)
+		next++
+		if err != nil || len(b) > MostSize || got.Sequence != next {
+			t.Fatalf("%d bytes, sequence %d, want %d: %v", len(b), got.Sequence, next, err)
+		}
+		n += len(got.Notices)
+	}
+	if n != 300 || next < 5 {
+		t.Errorf("%d notices in %d batches", n, next)
+	}
+	if out := written(t); out != nil {
+		t.Error("a batch of nothing")
+	}
+}
+
+func TestFaults(t *testing.T) {
+	good := written(t, full)[0]
+	for n := range good {
+		if _, err := Parse(good[:n]); err == nil {
+			t.Errorf("cut to %d bytes unnoticed", n)
+		}
+	}
+	h := string(good[:headSize])
+	for name, b := range map[string]string{
+		"another version": "MSN\x02" + h[4:] + "\x00\x01x\x00\x00", "unknown flag": h + "\x20\x01x\x00\x00",
+		"role 3": h + "\x06\x01x\x00\x00\x00", "no name": h + "\x00\x00\x00\x00", "long name": h + "\x00\x41" + strings.Repeat("x", 65) + "\x00\x00",
+		"a longer varint than need be": h + "\x00\x01x\x80\x00\x00", "too old": h + "\x00\x01x\x00\xff\xff\xff\x7f",
+		"position 0": h + "\x08\x01x\x00\x00\x00", "no load": h + "\x10\x01x\x00\x00\x00",
+		"load out of order": h + "\x10\x01x\x00\x00\x02\x03\x00\x03\x00", "one byte more": string(good) + "\x00",
+	} {
+		if got, err := Parse([]byte(b)); err == nil {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+	for _, n := range []Notice{
+		{}, {UID: strings.Repeat("u", MostUID+1)}, {UID: "x", Role: roles}, {UID: "x", Age: MostAge + 1}, {UID: "x", RoleAge: 1},
+		{UID: "x", Load: []Field{{1, 0}, {1, 0}}}, {UID: "x", Load: make([]Field, MostFields+1)},
+	} {
+		if _, err := Append(1, 1, []Notice{n}, func([]byte) { t.Errorf("%+v was written", n) }); err == nil {
+			t.Errorf("%+v is no error", n)
+		}
+	}
+}
+
+// Whatever is read is written back to the same bytes.
+func FuzzParse(f *testing.F) {
+	var b []byte
+	Append(7, 1, []Notice{full, {UID: "x", Role: RoleReplica}}, func(x []byte) { b = x })
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		got, err := Parse(b)
+		if err != nil {
+			return
+		}
+		var again []byte
+		if _, err := Append(got.Incarnation, got.Sequence, got.Notices, func(x []byte) { again = x }); err != nil || !bytes.Equal(again, b) {
+			t.Errorf("%x came back as %x, %v", b, again, err)
+		}
+	})
+}
