Test of a frozen holder waits until every thread stands still

It failed once in a run of all packages: the booking was read before the signal had reached all threads, so it was taken before the stop and rightly served.

--- a/cmd/marblespan/floating_test.go
+++ b/cmd/marblespan/floating_test.go
@@ -75,6 +75,9 @@
 		t.Fatalf("a booking before: %s", got)
 	}
 	cmd.Process.Signal(syscall.SIGSTOP)
+	for !stopped(t, cmd.Process.Pid) { // the signal is sent, but threads on other cores may still run
+		time.Sleep(time.Millisecond)
+	}
 	answer := make(chan string, 1)
 	go func() { answer <- book(c, "b") }()
 	time.Sleep(600 * time.Millisecond) // the one wait that is the test itself
@@ -108,3 +111,19 @@
 		t.Error("the control socket is left")
 	}
 }
+
+// stopped tells whether every thread of a process stands still.
+func stopped(t *testing.T, pid int) bool {
+	t.Helper()
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(stats) == 0 {
+		t.Fatalf("no threads of %d are to be seen: %v", pid, err)
+	}
+	for _, name := range stats {
+		raw, err := os.ReadFile(name)
+		if _, rest, _ := strings.Cut(string(raw), ") "); err != nil || !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return true
+}
