Read again: one way to release an address, one to send a datagram

The release with its last advertisement stood in the VRRP machine three times, the sending and counting of a datagram in the speaker twice, and the gateway kept a copy of its clients' time limits. Behaviour stays; the explorer, its mutants and the loopback tests pass.

--- a/internal/floating/floating.go
+++ b/internal/floating/floating.go
@@ -252,17 +252,21 @@
 				Sender: s.settings.Node, Receiver: p.Node, Start: o.Start, Sequence: o.Sequence, Known: s.origins.Known(p.Node),
 			},
 		}, s.settings.Bind.Addr(), p.Address.Addr(), s.settings.Keys[0])
-		if err == nil {
-			_, err = s.conn.WriteToUDPAddrPort(b, p.Address)
-		}
-		if err != nil {
-			s.Counts.SendFailed.Add(1)
-			continue
-		}
-		s.Counts.Sent.Add(1)
+		s.send(b, err, p.Address, &s.Counts.Sent)
 	}
 }
 
+// send writes one datagram, unless it could not be made, and counts it.
+func (s *Speaker) send(b []byte, err error, to netip.AddrPort, sent *atomic.Int64) {
+	if err == nil {
+		_, err = s.conn.WriteToUDPAddrPort(b, to)
+	}
+	if err != nil {
+		sent = &s.Counts.SendFailed
+	}
+	sent.Add(1)
+}
+
 func (s *Speaker) announce(g *group) {
 	for _, to := range s.settings.Announce {
 		o := s.origins.Next()
@@ -270,14 +274,7 @@
 			VRID: g.Machine.VRID, Sender: s.settings.Node, Start: o.Start, Sequence: o.Sequence, Listen: g.Listen,
 			Addresses: g.Addresses,
 		}, s.settings.Keys[0])
-		if err == nil {
-			_, err = s.conn.WriteToUDPAddrPort(b, to)
-		}
-		if err != nil {
-			s.Counts.SendFailed.Add(1)
-			continue
-		}
-		s.Counts.Announced.Add(1)
+		s.send(b, err, to, &s.Counts.Announced)
 	}
 }
 
--- a/internal/program/floating.go
+++ b/internal/program/floating.go
@@ -35,7 +35,6 @@
 	g        *Gateway
 	speaker  *floating.Speaker
 	counts   session.ClientCounts
-	limits   session.Timeouts
 	health   atomic.Pointer[healthSeen]
 	stopping atomic.Bool
 	quit     chan struct{}
@@ -62,7 +61,7 @@
 // startFloats binds the speaker's socket and begins to take part.
 func startFloats(g *Gateway) (*floats, error) {
 	f := &floats{
-		g: g, limits: g.clients.Limits, quit: make(chan struct{}), tenures: map[*tenure]struct{}{}, holding: map[string]*tenure{},
+		g: g, quit: make(chan struct{}), tenures: map[*tenure]struct{}{}, holding: map[string]*tenure{},
 	}
 	f.health.Store(&healthSeen{at: time.Now()})
 	clock := floating.Clock{
@@ -182,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	t := &tenure{listener: l, clients: f.g.newClients(&f.counts, f.limits), freed: make(chan struct{})}
+	t := &tenure{listener: l, clients: f.g.newClients(&f.counts, f.g.clients.Limits), freed: make(chan struct{})}
 	t.clients.Gate = gate
 	f.mu.Lock()
 	f.tenures[t], f.holding[group] = struct{}{}, t
--- a/internal/vrrp/machine.go
+++ b/internal/vrrp/machine.go
@@ -136,7 +136,7 @@
 		out = m.noticed(now, e.Health, out)
 	case TakeFailed:
 		if m.state == Active && e.Tenure == m.tenure {
-			out = m.lose(now, CauseTakeFailed, append(out, Advertise{GivesUp, m.cfg.Interval}))
+			out = m.release(now, CauseTakeFailed, out)
 			m.damp.strike(now, m.cfg.Damping)
 		}
 	case Reconfigured:
@@ -175,7 +175,7 @@
 
 func (m *Machine) shutdown(now Micros, out []Action) []Action {
 	if m.state == Active {
-		out = m.lose(now, CauseShutdown, append(out, Advertise{GivesUp, m.cfg.Interval}))
+		out = m.release(now, CauseShutdown, out)
 	}
 	if m.state == Initialize {
 		return out
@@ -264,14 +264,12 @@
 // noticed takes in the gateway's health. One that cannot serve gives up at once; one that can again waits its skew, so that
 // several do not go for the address in the same moment.
 func (m *Machine) noticed(now Micros, h Health, out []Action) []Action {
-	before, after := m.health.Ready, h.Ready
-	if m.state == Active && !after {
-		out = append(out, Advertise{GivesUp, m.cfg.Interval}) // with nothing lowered yet: it is a release either way
-		m.health = h
-		return m.lose(now, CauseNotReady, out)
-	}
+	wasReady := m.health.Ready
 	m.health = h
-	if m.state == Backup && after && !before {
+	switch {
+	case m.state == Active && !h.Ready:
+		return m.release(now, CauseNotReady, out)
+	case m.state == Backup && h.Ready && !wasReady:
 		m.timer = max(m.timer, now+SkewTime(m.Priority(), m.waiting))
 	}
 	return out
@@ -323,6 +321,11 @@
 	return out
 }
 
+// release gives the address up with a word to the others, who need not wait for their down intervals then.
+func (m *Machine) release(now Micros, cause Cause, out []Action) []Action {
+	return m.lose(now, cause, append(out, Advertise{GivesUp, m.cfg.Interval}))
+}
+
 // lose goes back to Backup.
 func (m *Machine) lose(now Micros, cause Cause, out []Action) []Action {
 	if cause == CausePreempted || cause == CauseStoodStill {
