--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-# Build, test, lint and run. Needs Go and nothing else.
+# Build, test, lint and run. Needs Go and a C compiler.
 .PHONY: build test race lint run
 
 CONFIG ?= deploy/sample.json
 
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 test:
 	go test ./...
