Bounded reads that find no fresh replica wait for a probe where servers check nothing

A gateway sees 1.2 reads a second and group: probeStalest, paid by one probe in four arrivals, leaves nearly all positions older than the bound, and placeRead sent every such read to the primary. Change: asks in placeRead; probeStalest only where servers check.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,6 +40,7 @@
 	hopelessPart = 4    // with less left than this part of it nothing is sent
 	levelPart    = 8    // replicas within this part of the smallest bound are level
 	crowdFactor  = 2    // a replica is crowded beyond this many times the emptiest one's attempts, plus one
+	askPart      = 3    // a read waits for reports of replicas for this part of its aim
 	readRoom     = 500  // share of the primary's limit that reads of replicas may fill
 	coldChance   = 1500 // a chance of the cold budget is drawn up to this: above one, as its share is a guess
 )
@@ -143,7 +144,7 @@
 	c := &r.set.Classes[e.Class]
 	q := &request{
 		id: e.ID, kind: e.Class, class: c, group: r.groupOf(e.Group),
-		deadline: r.now + e.Left, aimAt: r.now + c.Aim,
+		deadline: r.now + e.Left, aimAt: r.now + c.Aim, since: r.now, askUntil: r.now + c.Aim/askPart,
 	}
 	r.requests[q.id] = q
 	r.retries = min(r.retries+retryShare, retryBurst*one)
@@ -280,12 +281,39 @@
 			return s
 		}
 	}
+	if r.asks(q, able) {
+		return nil
+	}
 	if p := q.group.primary; p != nil && r.takes(p, q, readRoom) {
 		return p
 	}
 	return nil
 }
 
+// asks has a bounded read that finds no fresh replica wait for a report, where nothing else proves freshness:
+// the servers check nothing, so old news rules a replica out, and with little traffic most news is old. All
+// that wait share the probe; the most advanced is asked first, so that few positions have to be known. A
+// replica whose report came while the read waited is not asked again. Harm: the read is later by the probe.
+func (r *Router) asks(q *request, able []*server) bool {
+	if q.class.Need != NeedBounded || r.set.Checks != ChecksNone || !r.set.CanProbe || r.now >= q.askUntil {
+		return false
+	}
+	var best *server
+	for _, s := range able {
+		if s.probing && r.now-s.probedAt < r.set.ConnectTimeout/2 {
+			return true
+		}
+		if s.probedAt < q.since && !s.probing && (best == nil || s.pos > best.pos) {
+			best = s
+		}
+	}
+	if best == nil {
+		return false
+	}
+	r.probe(best)
+	return true
+}
+
 // needOf is the position that a read's answer must have reached if it is sent now.
 func (r *Router) needOf(q *request) Position {
 	if q.class.Need == NeedBounded {
@@ -969,7 +997,7 @@
 // probeStalest probes replicas whose known position is older than half the bound, the one probed longest ago
 // first, as far as the arrivals pay for it. Harm: with little traffic most positions are old.
 func (r *Router) probeStalest(g *group) {
-	for r.probes >= one {
+	for r.set.Checks != ChecksNone && r.probes >= one {
 		var old *server
 		for _, s := range g.members {
 			due := s != g.primary && !s.down && r.now-max(s.pos, s.probedAt) > r.minBound/2 && r.mayProbe(g, s)
--- /dev/null
+++ b/brain/shapes_test.go
@@ -0,0 +1,89 @@
+package brain_test
+
+import (
+	"fmt"
+	"testing"
+
+	"marblespan/brain"
+)
+
+// These tests are of deployments put together otherwise than the first ones: servers that check nothing, lists that
+// show no primary, little traffic for each gateway.
+
+func probesOf(acts []brain.Action) (out []brain.ServerID) {
+	for _, a := range acts {
+		if p, ok := a.(brain.Probe); ok {
+			out = append(out, p.Server)
+		}
+	}
+	return out
+}
+
+// A bounded read that finds no fresh replica asks the most advanced one and goes there on its report; all that wait
+// share the probe. Hundreds of gateways that each know only old positions would otherwise fill the primary with reads.
+func TestBoundedReadAsksAReplicaFirst(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(4)
+	for id, ago := range []brain.Micros{0, 900 * ms, 850 * ms, 1000 * ms} {
+		g.fresh(brain.ServerID(id+1), ago)
+	}
+	g.after(10 * ms)
+	if asked := probesOf(g.arrive("a", boundedRead)); len(asked) != 1 || asked[0] != 3 {
+		t.Fatalf("asked %v, not the most advanced", asked)
+	}
+	g.wantSent("a")
+	if asked := probesOf(g.arrive("b", boundedRead)); len(asked) != 0 {
+		t.Fatalf("a second read asked %v", asked)
+	}
+	g.after(5*ms).fresh(3, 100*ms)
+	g.wantSent("a", 3)
+	g.wantSent("b", 3)
+	g.outcome("a", 0, 3, brain.ResultOK)
+	g.arrive("c", boundedRead) // the news still holds
+	g.wantSent("c", 3)
+}
+
+// Who turns out to be behind is not asked again for the same read; the primary takes it when nobody is left, and when
+// an answer is not worth waiting for any longer.
+func TestBoundedReadFallsBackToThePrimary(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(3)
+	g.fresh(1, 0)
+	g.after(10 * ms)
+	g.arrive("a", boundedRead)
+	for n := range 2 {
+		asked := probesOf(g.acts)
+		if len(asked) != 1 {
+			t.Fatalf("step %d: asked %v", n, asked)
+		}
+		g.after(5*ms).fresh(asked[0], 2000*ms)
+	}
+	g.wantSent("a", 1)
+
+	g.after(1000 * ms)
+	g.arrive("b", boundedRead)
+	if asked := probesOf(g.acts); len(asked) != 1 {
+		t.Fatalf("asked %v", asked)
+	}
+	all := len(g.all)
+	for range 8 { // no report comes
+		g.sweep(25 * ms)
+	}
+	if to := sent(g.all[all:], "b"); len(to) != 1 || to[0] != 1 {
+		t.Errorf("without a report it went to %v", to)
+	}
+}
+
+// However many reads there are, replicas that all lag are asked a bounded number of times.
+func TestAsksAreShared(t *testing.T) {
+	g := newRig(t, settings())
+	g.group(5)
+	g.fresh(1, 0)
+	probes := 0
+	for n := range 200 {
+		probes += len(probesOf(g.arrive(fmt.Sprint("q", n), boundedRead)))
+	}
+	if probes != 1 {
+		t.Errorf("%d probes for 200 reads at once", probes)
+	}
+}
