Long reads go to every other replica of a group, so that the others stay fresh

No setting tells which class stops the log: a read for which any member will do and whose aim is over twice the smallest bound counts as long.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,6 +40,7 @@
 	hopelessPart = 4    // with less left than this part of it nothing is sent
 	levelPart    = 8    // replicas within this part of the smallest bound are level
 	crowdFactor  = 2    // a replica is crowded beyond this many times the emptiest one's attempts, plus one
+	longBounds   = 2    // a read is long if its aim is more than this many times the smallest bound
 	askPart      = 3    // a read waits for reports of replicas for this part of its aim
 	readRoom     = 500  // share of the primary's limit that reads of replicas may fill
 	coldChance   = 1500 // a chance of the cold budget is drawn up to this: above one, as its share is a guess
@@ -267,6 +268,11 @@
 // placeRead is the freshness gate and the draw.
 func (r *Router) placeRead(q *request) *server {
 	able, need := r.replicas(q), r.needOf(q)
+	if r.long(q) {
+		if s := r.draw(q, aside(q.group, able)); s != nil {
+			return s
+		}
+	}
 	var fresh []*server
 	for _, s := range able {
 		if q.class.Need == NeedAny || s.pos >= need {
@@ -290,6 +296,28 @@
 	return nil
 }
 
+// aside keeps, of the able replicas, every other one of the group's, in the order that all gateways
+// falls behind the smallest bound.
+func (r *Router) long(q *request) bool {
+	return q.class.Need == NeedAny && q.class.Aim > r.minBound*longBounds
+}
+
+// aside keeps, of the replicas that are able, every other one of the group's, in the order that all gateways
+// see. Long reads go there first: a replica may apply nothing while it holds one, and spread over all they
+// would leave none fresh. Harm: where long reads do not stop the log, their half may be the fuller one.
+func aside(g *group, able []*server) (out []*server) {
+	odd := true
+	for _, s := range g.members {
+		if s == g.primary || s.forbidden {
+			continue
+		}
+		if odd = !odd; odd && contains(able, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // asks has a bounded read that finds no fresh replica wait for a report, where nothing else proves freshness:
 // the servers check nothing, so old news rules a replica out, and with little traffic most news is old. All
 // that wait share the probe; the most advanced is asked first, so that few positions have to be known. A
--- a/brain/shapes_test.go
+++ b/brain/shapes_test.go
@@ -87,3 +87,36 @@
 		t.Errorf("%d probes for 200 reads at once", probes)
 	}
 }
+
+// Reads that take longer than the smallest bound go to the same half of the replicas at every gateway, whatever its seed:
+// a replica may apply nothing while it holds one. Without one of that half they go to the others.
+func TestLongReadsStandAside(t *testing.T) {
+	set := settings()
+	set.Classes[anyRead].Aim, set.Classes[anyRead].Deadline = 5000*ms, 10_000*ms
+	used := map[brain.ServerID]int{}
+	for seed := range uint64(20) {
+		g := newRig(t, set)
+		g.r, _ = brain.New(g.now, seed, set)
+		g.group(5)
+		for id := brain.ServerID(1); id <= 5; id++ {
+			g.fresh(id, 0)
+		}
+		for n := range 4 {
+			id := fmt.Sprint("q", n)
+			for _, s := range sent(g.arrive(id, anyRead), id) {
+				used[s]++
+			}
+		}
+	}
+	if len(used) != 2 || used[3] == 0 || used[5] == 0 {
+		t.Errorf("long reads went to %v", used)
+	}
+	g := newRig(t, set)
+	g.group(5)
+	g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{
+		{Server: 3, Group: 1, State: brain.MemberDraining}, {Server: 5, Group: 1, State: brain.MemberDraining},
+		{Server: 4, Group: 1, State: brain.MemberDraining},
+	}})
+	g.arrive("q", anyRead)
+	g.wantSent("q", 2)
+}
