--- a/brain/api.go
+++ b/brain/api.go
@@ -32,20 +32,9 @@
 // The effects. The zero value is the strictest.
 const (
 	EffectUnsafe Effect = iota // must never run twice
-	EffectKeyed                // repeats are dropped by its key within a window
 	EffectSafe                 // may be repeated at will
 )
 
-// Scope says how far a keyed request's key is known.
-type Scope uint8
-
-// The scopes of a key. The zero value is the narrowest.
-const (
-	ScopeGroup Scope = iota // the servers of the same group
-	ScopeZone               // the servers of the same zone
-	ScopeAll                // every server
-)
-
 // Checks says what a server does with a read for which it is too far behind.
 type Checks uint8
 
@@ -60,11 +49,9 @@
 type Class struct {
 	Need       Need
 	Effect     Effect
-	Scope      Scope  // of a keyed class
 	Bound      Micros // of a bounded class
 	Aim        Micros // an answer within this time earns all of the worth
 	Deadline   Micros // the client's patience over all its tries
-	KeyWindow  Micros // how long a key is remembered
 	Worth      int64  // in thousandths
 	LateWorth  int64  // share of the worth after the aim, in thousandths
 	AimStretch int64  // the aim grows by this multiple of the request's work, in thousandths
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -448,35 +448,16 @@
 }
 
 // mayResend says whether another attempt is allowed now: what may have run is repeated only if its class is
-// safe, or keyed and its window still open; nothing has two attempts out.
+// safe; nothing has two attempts out.
 func (r *Router) mayResend(q *request) bool {
 	if q.done || q.bound || len(q.attempts) >= r.set.MaxAttempts || q.outstanding() > 0 {
 		return false
 	}
-	first := firstMaybe(q)
-	switch {
-	case first == nil || q.class.Effect == EffectSafe:
-		return true
-	case q.class.Effect == EffectKeyed:
-		return r.now < first.sentAt+q.class.KeyWindow
-	}
-	return false
-}
-
-// inScope keeps a keyed request, once it may have run, where its key is known and while it is.
-func (r *Router) inScope(q *request, s *server) bool {
-	first := firstMaybe(q)
-	if first == nil || q.class.Effect == EffectSafe {
-		return true
-	}
-	return r.mayResend(q) && (q.class.Scope != ScopeZone || s.zone == first.server.zone)
+	return mayRefuse(q)
 }
 
 // mayRefuse says whether it is true to tell the client that asking again is harmless.
-func mayRefuse(q *request) bool {
-	return q.class.Effect == EffectSafe || firstMaybe(q) == nil ||
-		q.class.Effect == EffectKeyed && q.class.Scope == ScopeAll
-}
+func mayRefuse(q *request) bool { return q.class.Effect == EffectSafe || firstMaybe(q) == nil }
 
 // giveUp ends a request that this router will not serve.
 func (r *Router) giveUp(q *request) {
@@ -783,7 +764,7 @@
 
 // takes tells whether a request may go to a server now, within a share of the server's limit.
 func (r *Router) takes(s *server, q *request, share int64) bool {
-	return r.usable(s) && r.hasRoom(s, q, share) && r.inScope(q, s)
+	return r.usable(s) && r.hasRoom(s, q, share)
 }
 
 // hasRoom tells whether this gateway may have one more attempt out at a server, within a share of its limit.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,8 +54,6 @@
 		Aim        number `json:"aim_ms"`
 		Deadline   number `json:"give_up_ms"`
 		Effect     string `json:"effect"`
-		Group      string `json:"group"`
-		KeyWindow  number `json:"key_ttl_ms"`
 		Worth      number `json:"points"`
 		LateWorth  number `json:"late_worth"`
 		AimStretch number `json:"aim_stretch"`
@@ -101,11 +99,10 @@
 }
 
 var effects = map[string]brain.Effect{
-	"free": brain.EffectSafe, "guarded": brain.EffectKeyed, "single_shot": brain.EffectUnsafe,
+	"free": brain.EffectSafe, "single_shot": brain.EffectUnsafe,
+	"guarded": brain.EffectUnsafe, // repeats dropped by a key: read in the strictest sense, never repeated
 }
 
-var scopes = map[string]brain.Scope{"cell": brain.ScopeGroup, "zone": brain.ScopeZone, "all": brain.ScopeAll}
-
 var needs = map[string]brain.Need{
 	"eventual": brain.NeedAny, "lag_bound": brain.NeedBounded, "causal": brain.NeedSession,
 	"strong": brain.NeedFresh, "mutate": brain.NeedWrite,
@@ -116,7 +113,7 @@
 }
 
 // Parse reads an instance's settings. Unknown keys are skipped. Unknown words take the strictest meaning, and are noted
-// as doubts: an effect is unsafe, a scope the group, a check none, and a need the primary.
+// as doubts: an effect is unsafe, a check none, and a need the primary.
 func Parse(raw []byte) (*Facts, error) {
 	var w wireFacts
 	if err := json.Unmarshal(raw, &w); err != nil {
@@ -133,9 +130,9 @@
 		key := fmt.Sprintf("classes[%d].", i)
 		k := brain.Class{
 			Need:   brain.NeedWrite,
-			Effect: word(&p, key+"effect", effects, c.Effect), Scope: word(&p, key+"group", scopes, c.Group),
-			Aim: p.time(key+"aim_ms", c.Aim), Deadline: p.time(key+"give_up_ms", c.Deadline),
-			KeyWindow: p.time(key+"key_ttl_ms", c.KeyWindow), Worth: p.thousandths(key+"points", c.Worth),
+			Effect: word(&p, key+"effect", effects, c.Effect),
+			Aim:    p.time(key+"aim_ms", c.Aim), Deadline: p.time(key+"give_up_ms", c.Deadline),
+			Worth:      p.thousandths(key+"points", c.Worth),
 			LateWorth:  p.thousandths(key+"late_worth", c.LateWorth),
 			AimStretch: p.thousandths(key+"aim_stretch", c.AimStretch),
 		}
