Long reads keep to their half, and no long aim sets the pace of what is learned

Probes of the other half were two thirds of all, hopeless. Limits stayed cut: strain, ejections and spans between probes of the dead were set by the largest aim, 5 s, beside 300 ms. Lines: placeRead fell through to all replicas; asks asked all that were able; maxAim in strained, readmit, markDown.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,6 +40,7 @@
 	hopelessPart = 4    // with less left than this part of it nothing is sent
 	levelPart    = 8    // replicas within this part of the smallest bound are level
 	crowdFactor  = 2    // a replica is crowded beyond this many times the emptiest one's attempts, plus one
+	aimSpread    = 3    // what is learned keeps the pace of aims up to this many times the smallest
 	longBounds   = 2    // a read is long if its aim is more than this many times the smallest bound
 	askPart      = 3    // a read waits for reports of replicas for this part of its aim
 	readRoom     = 500  // share of the primary's limit that reads of replicas may fill
@@ -92,6 +93,7 @@
 	if r.minAim == 0 {
 		r.minAim, r.maxAim = s.ConnectTimeout, s.ConnectTimeout
 	}
+	r.maxAim = min(r.maxAim, r.minAim*aimSpread)
 	if r.minBound == 0 {
 		r.minBound = r.minAim
 	}
@@ -269,9 +271,7 @@
 func (r *Router) placeRead(q *request) *server {
 	able, need := r.replicas(q), r.needOf(q)
 	if r.long(q) {
-		if s := r.draw(q, aside(q.group, able)); s != nil {
-			return s
-		}
+		able = r.aside(q.group, able)
 	}
 	var fresh []*server
 	for _, s := range able {
@@ -287,51 +287,53 @@
 			return s
 		}
 	}
-	if r.asks(q, able) {
-		return nil
-	}
-	if p := q.group.primary; p != nil && r.takes(p, q, readRoom) {
+	if p := q.group.primary; !r.asks(q, able) && p != nil && r.takes(p, q, readRoom) {
 		return p
 	}
 	return nil
 }
 
-// aside keeps, of the able replicas, every other one of the group's, in the order that all gateways
-// falls behind the smallest bound.
+// long tells that a read for which any member will do may take longer than the smallest bound.
 func (r *Router) long(q *request) bool {
 	return q.class.Need == NeedAny && q.class.Aim > r.minBound*longBounds
 }
 
-// aside keeps, of the replicas that are able, every other one of the group's, in the order that all gateways
-// see. Long reads go there first: a replica may apply nothing while it holds one, and spread over all they
-// would leave none fresh. Harm: where long reads do not stop the log, their half may be the fuller one.
-func aside(g *group, able []*server) (out []*server) {
-	odd := true
+// aside keeps, of the able replicas, every other one of the group's, in the order that all gateways see. Long
+// reads go there: a replica may apply nothing while it holds one, and spread over all they would leave none
+// fresh. The primary's data are current whatever it holds, so it may help out. Harm: where long reads do not
+// stop the log, their half may be the fuller one.
+func (r *Router) aside(g *group, able []*server) (out []*server) {
+	n := 0
 	for _, s := range g.members {
-		if s == g.primary || s.forbidden {
+		if s == g.primary || !r.usable(s) {
 			continue
 		}
-		if odd = !odd; odd && contains(able, s) {
+		if n++; n%2 == 0 && contains(able, s) {
 			out = append(out, s)
 		}
 	}
+	if n < 2 {
+		return able
+	}
 	return out
 }
 
-// asks has a bounded read that finds no fresh replica wait for a report, where nothing else proves freshness:
-// the servers check nothing, so old news rules a replica out, and with little traffic most news is old. All
-// that wait share the probe; the most advanced is asked first, so that few positions have to be known. A
-// replica whose report came while the read waited is not asked again. Harm: the read is later by the probe.
+// asks has replicas report to a bounded read that finds none fresh, and tells whether it is worth waiting for
+// that before the primary takes it. It acts where servers check nothing: there old news rules a replica out,
+// and with little traffic most news is old. All that wait share a probe; the most advanced is asked first, so
+// that few positions have to be known, and none again within half the bound or before it can have caught up.
+// Harm: the read is later by the probe.
 func (r *Router) asks(q *request, able []*server) bool {
-	if q.class.Need != NeedBounded || r.set.Checks != ChecksNone || !r.set.CanProbe || r.now >= q.askUntil {
+	if q.class.Need != NeedBounded || r.set.Checks != ChecksNone || !r.set.CanProbe {
 		return false
 	}
 	var best *server
 	for _, s := range able {
 		if s.probing && r.now-s.probedAt < r.set.ConnectTimeout/2 {
-			return true
+			return r.now < q.askUntil
 		}
-		if s.probedAt < q.since && !s.probing && (best == nil || s.pos > best.pos) {
+		pause := max(r.minBound, s.probedAt-s.pos-r.minBound) / 2
+		if !s.probing && r.now-s.probedAt > pause && (best == nil || s.pos > best.pos) {
 			best = s
 		}
 	}
@@ -339,7 +341,7 @@
 		return false
 	}
 	r.probe(best)
-	return true
+	return r.now < q.askUntil
 }
 
 // needOf is the position that a read's answer must have reached if it is sent now.
--- a/brain/shapes_test.go
+++ b/brain/shapes_test.go
@@ -120,3 +120,54 @@
 	g.arrive("q", anyRead)
 	g.wantSent("q", 2)
 }
+
+// A long read waits for its half rather than hold up the log of another replica; the primary's log stands on its own.
+func TestLongReadsKeepToTheirHalf(t *testing.T) {
+	set := settings()
+	set.Classes[anyRead].Aim, set.Classes[anyRead].Deadline = 5000*ms, 10_000*ms
+	set.Gateways = 12 // one attempt at a server to begin with
+	g := newRig(t, set)
+	g.group(3)
+	for id := brain.ServerID(1); id <= 3; id++ {
+		g.fresh(id, 0)
+	}
+	g.arrive("a", anyRead)
+	g.wantSent("a", 3)
+	g.arrive("w", unsafeWrite) // fills the primary
+	g.wantSent("w", 1)
+	g.arrive("b", anyRead)
+	g.wantSent("b")
+	g.arrive("c", boundedRead)
+	g.wantSent("c", 2)
+	g.outcome("a", 0, 3, brain.ResultOK)
+	g.wantSent("b", 3)
+}
+
+// One class with a long aim does not set the pace of all: a server that is down is asked again after times like those
+// of the shorter aims.
+func TestALongAimSetsNoPace(t *testing.T) {
+	asked := func(longest brain.Micros) int {
+		set := settings()
+		set.Classes[anyRead].Aim, set.Classes[anyRead].Deadline = longest, 2*longest
+		g := newRig(t, set)
+		g.group(3)
+		for range 2 {
+			g.step(brain.Probed{Server: 2, Result: brain.ResultTimeout})
+		}
+		n := 0
+		for i := range 800 { // 20 s
+			g.arrive(fmt.Sprint("q", i), freshRead)
+			g.outcome(fmt.Sprint("q", i), 0, 1, brain.ResultOK)
+			for _, s := range probesOf(g.sweep(25 * ms)) {
+				if s == 2 {
+					n++
+					g.step(brain.Probed{Server: 2, Result: brain.ResultTimeout})
+				}
+			}
+		}
+		return n
+	}
+	if short, long := asked(1200*ms), asked(60_000*ms); long*2 < short {
+		t.Errorf("asked %d times with an aim of 1.2 s, %d times with one of 60 s", short, long)
+	}
+}
