Cold budgets count work, and the own zone's replicas are drawn first where crossing has a price

Out, as no class streams and nothing else used it: the bound flag of a request, silent and giveUp as functions of their own.

--- a/brain/api.go
+++ b/brain/api.go
@@ -85,6 +85,7 @@
 	Ramp              Micros // a started server is warm after this
 	FallMultiple      int64  // a cold server falls beyond this multiple of its capacity, in thousandths
 	FallWindow        Micros // when kept up for this long
+	CrossZoneCost     int64  // points for each attempt that goes to another zone, as a share of requests; in thousandths
 }
 
 // Event is one of the events below.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -9,7 +9,7 @@
 //	                   replica that may have caught up (where servers check), else the primary
 //	        -> send, or wait in the group's queue until dispatch finds room, best worth for its time first
 //	Outcome -> learn (role, position, health, room) -> conclude: served, or tried again as `mayResend` allows
-//	Timer   -> giveUp at the request's end; sweep: probes, ejections, discovery, the queues
+//	Timer   -> finish at the request's end; sweep: probes, ejections, discovery, the queues
 //
 // Every final answer passes through finish. usable tells whether a server may be used, hasRoom for one more.
 package brain
@@ -93,7 +93,7 @@
 	if r.minAim == 0 {
 		r.minAim, r.maxAim = s.ConnectTimeout, s.ConnectTimeout
 	}
-	r.maxAim = min(r.maxAim, r.minAim*aimSpread)
+	r.maxAim, r.meanCost = min(r.maxAim, r.minAim*aimSpread), int64(r.minAim/hopelessPart/2)
 	if r.minBound == 0 {
 		r.minBound = r.minAim
 	}
@@ -106,10 +106,6 @@
 	switch e := ev.(type) {
 	case Arrival:
 		r.accept(e)
-	case Headers:
-		if q := r.requests[e.ID]; q != nil {
-			q.bound = true
-		}
 	case Outcome:
 		r.conclude(e)
 	case Dropped:
@@ -122,13 +118,13 @@
 		} else if q := r.requests[e.Token]; q != nil && r.now < r.end(q) && len(q.attempts) > 0 {
 			r.at(r.end(q), q.id)
 		} else if q != nil {
-			r.giveUp(q)
+			r.finish(q)
 		}
 	case Probed:
 		r.probed(e)
 	case MemberNews:
 		r.members(e)
-	case PeerMessage: // nothing is sent between gateways: each keeps every rule alone
+	case Headers, PeerMessage: // no class streams; nothing is sent between gateways
 	}
 	return r.take()
 }
@@ -220,11 +216,11 @@
 			continue
 		}
 		if r.now+r.expected(q)/hopelessPart > r.end(q) {
-			r.giveUp(q)
+			r.finish(q)
 		} else if s := r.place(q); s != nil {
 			r.send(q, s)
 		} else if r.pressed(q) {
-			r.giveUp(q)
+			r.finish(q)
 		}
 	}
 }
@@ -279,7 +275,7 @@
 			fresh = append(fresh, s)
 		}
 	}
-	if s := r.draw(q, fresh); s != nil {
+	if s := r.draw(q, r.near(fresh)); s != nil {
 		return s
 	}
 	if r.set.Checks != ChecksNone {
@@ -384,6 +380,21 @@
 	return kept
 }
 
+// near keeps the replicas of this gateway's own zone that are not strained, if there are any, where crossing
+// zones has a price. Harm: a zone with more requests than replicas crowds them up to that strain.
+func (r *Router) near(from []*server) []*server {
+	var out []*server
+	for _, s := range from {
+		if r.set.CrossZoneCost > 0 && s.zone == r.set.Zone && s.strain < strainHigh {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return from
+	}
+	return out
+}
+
 // draw keeps the session's replica while it qualifies, and draws anew when it does not.
 func (r *Router) draw(q *request, from []*server) *server {
 	if len(from) == 0 {
@@ -435,7 +446,7 @@
 	}
 	s.open = append(s.open, a)
 	if r.warmth(s) < one {
-		s.sends, s.coldDrawnAt = append(s.sends, r.now), r.now
+		s.sends, s.coldDrawnAt = append(s.sends, coldSend{r.now, r.cost(q)}), r.now
 	}
 	r.do(Send{ID: q.id, Server: s.id, Until: max(r.end(q), r.now+1)})
 }
@@ -452,7 +463,7 @@
 // mayResend says whether another attempt is allowed now: what may have run is repeated only if its class is
 // safe; nothing has two attempts out.
 func (r *Router) mayResend(q *request) bool {
-	if q.done || q.bound || len(q.attempts) >= r.set.MaxAttempts || q.outstanding() > 0 {
+	if q.done || len(q.attempts) >= r.set.MaxAttempts || q.outstanding() > 0 {
 		return false
 	}
 	return mayRefuse(q)
@@ -461,17 +472,13 @@
 // mayRefuse says whether it is true to tell the client that asking again is harmless.
 func mayRefuse(q *request) bool { return q.class.Effect == EffectSafe || firstMaybe(q) == nil }
 
-// giveUp ends a request that this router will not serve.
-func (r *Router) giveUp(q *request) {
-	if !q.done && !q.bound {
-		r.finish(q)
-	}
-}
-
 // finish gives the one final answer that is not a served one, and stops what is still out. A refused client
 // is asked to stay away as long as it heeds: want of room or of a primary mostly outlasts its patience. Harm:
 // after a short trouble it comes back later than it could.
 func (r *Router) finish(q *request) {
+	if q.done {
+		return
+	}
 	if mayRefuse(q) {
 		advice := Micros(0)
 		if r.set.AdviseRetry {
@@ -577,6 +584,9 @@
 
 // answered notes an answer: the class's usual latency, the session's mark and the server's strain.
 func (r *Router) answered(s *server, q *request, e Outcome) {
+	if r.typical[q.kind] == 0 {
+		r.typical[q.kind] = e.Latency
+	}
 	r.typical[q.kind] += (e.Latency - r.typical[q.kind]) / smoothing
 	if q.class.Need == NeedWrite && q.session != nil {
 		commit := e.Position
@@ -589,7 +599,7 @@
 	if q.class.Need == NeedBounded || q.class.Need == NeedSession && q.need > 0 {
 		s.missSpan = 0
 	}
-	r.countServed()
+	r.countServed(q)
 	r.strained(s, q, e.Latency)
 	r.judge(s, false)
 }
@@ -784,7 +794,7 @@
 	if room < one && r.luck(q) < room {
 		room = one
 	}
-	return int64(len(s.open)+1)*one <= room && (warmth == one || r.coldBudget(s, warmth))
+	return int64(len(s.open)+1)*one <= room && (warmth == one || r.coldBudget(s, q, warmth))
 }
 
 // luck is a request's draw, from 0 to 999, anew after each aim, and sooner for what has only the primary to
@@ -809,25 +819,37 @@
 	return r.set.ColdShare + (one-r.set.ColdShare)*int64(max(age, 0))/int64(r.set.Ramp)
 }
 
-// coldBudget keeps the sends within any fall window under what brings a cold server down. Each
-// gateway keeps to its own share of the work, measured by what it gets from a server in the mean, so that all
-// together stay below the fall however unevenly they are used; less than one send is a chance, drawn once a
-// window. Every attempt counts, refused ones too.
-func (r *Router) coldBudget(s *server, warmth int64) bool {
-	for len(s.sends) > 0 && r.now-s.sends[0] >= r.set.FallWindow {
+// coldBudget keeps the work sent within any fall window under what brings a cold server down. Each gateway
+// keeps to its own share of it, measured by the work that it gets from a server in the mean, so that all
+// together stay below the fall however unevenly they are used; less than one request is a chance, drawn once
+// a window. Every attempt counts, refused ones too, each as much as its class usually takes.
+func (r *Router) coldBudget(s *server, q *request, warmth int64) bool {
+	for len(s.sends) > 0 && r.now-s.sends[0].at >= r.set.FallWindow {
 		s.sends = s.sends[1:]
 	}
 	if r.now-s.coldDrawnAt >= r.set.FallWindow {
 		s.coldDrawnAt, s.coldDraw = r.now, int64(r.rng.below(coldChance))
 	}
-	share := max(r.usualServed, startLimit*one/int64(r.set.Gateways))
-	budget := share * r.set.FallMultiple / one * warmth / one
-	return int64(len(s.sends))*one+s.coldDraw < budget
+	sent := s.coldDraw * r.cost(q) / one
+	for _, c := range s.sends {
+		sent += c.cost
+	}
+	share := max(r.usualServed, startLimit*r.meanCost/int64(r.set.Gateways))
+	return sent < share*r.set.FallMultiple/one*warmth/one
 }
 
-// countServed keeps the mean of answers from one server in a fall window.
-func (r *Router) countServed() {
-	r.served++
+// cost is the work that a request may be, as far as its class has been seen.
+func (r *Router) cost(q *request) int64 {
+	if t := r.typical[q.kind]; t > 0 {
+		return int64(t)
+	}
+	return int64(q.class.Aim / hopelessPart)
+}
+
+// countServed keeps the mean of the work that one server does for this gateway in a fall window.
+func (r *Router) countServed(q *request) {
+	r.served += r.cost(q)
+	r.meanCost += (r.cost(q) - r.meanCost) / smoothing
 	if span := r.now - r.servedFrom; span >= r.set.FallWindow {
 		usable := int64(0)
 		for _, s := range r.servers {
@@ -835,7 +857,7 @@
 				usable++
 			}
 		}
-		mean := r.served * one * int64(r.set.FallWindow) / int64(span) / max(usable, 1)
+		mean := r.served * int64(r.set.FallWindow) / int64(span) / max(usable, 1)
 		r.usualServed += (mean - r.usualServed) / 2
 		r.served, r.servedFrom = 0, r.now
 	}
@@ -992,7 +1014,7 @@
 		return since >= r.sweepSpan()
 	case g.primary == nil:
 		return r.now-max(s.probedAt, s.roleAt) >= r.minAim/2
-	case r.silent(s):
+	case len(s.open) > 0 && r.now-max(s.heardAt, s.busySince) > r.minAim: // at work, and not a word
 		return since >= r.set.ConnectTimeout
 	}
 	return false
@@ -1023,11 +1045,6 @@
 	}
 }
 
-// silent tells that a server has been at work for longer than an aim without a word.
-func (r *Router) silent(s *server) bool {
-	return len(s.open) > 0 && r.now-max(s.heardAt, s.busySince) > r.minAim
-}
-
 // probed takes in a probe's result. A report is as old as its sender makes it: a primary's position tells
 // when.
 func (r *Router) probed(e Probed) {
--- a/brain/shapes_test.go
+++ b/brain/shapes_test.go
@@ -171,3 +171,85 @@
 		t.Errorf("asked %d times with an aim of 1.2 s, %d times with one of 60 s", short, long)
 	}
 }
+
+// A cold server stands work, not sends: a request that takes twenty times the usual counts twenty times. Counted as one
+// each, the long reads that go to few servers push a newcomer over.
+func TestColdBudgetCountsWork(t *testing.T) {
+	set := settings()
+	set.Classes[anyRead].Aim, set.Classes[anyRead].Deadline = 5000*ms, 10_000*ms
+	set.Gateways = 12
+	g := newRig(t, set)
+	g.group(3) // 3 takes the long reads
+	g.fresh(1, 0)
+	end := func(id string, to brain.ServerID, took brain.Micros) {
+		g.step(brain.Outcome{ID: id, Server: to, Final: true, Latency: took})
+	}
+	for n := range 400 { // 20 s: twenty short reads a second, and a long one
+		g.after(50*ms).fresh(2, 0)
+		id := fmt.Sprint("s", n)
+		if len(sent(g.arrive(id, boundedRead), id)) == 1 {
+			end(id, sent(g.acts, id)[0], 50*ms)
+		}
+		if id = fmt.Sprint("l", n); n%20 == 0 && len(sent(g.arrive(id, anyRead), id)) == 1 {
+			end(id, sent(g.acts, id)[0], 1000*ms)
+		}
+	}
+	cold := member(3, false)
+	cold.Started = g.now
+	g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{cold}})
+	long := 0
+	for n := range 40 { // a fall window
+		id := fmt.Sprint("c", n)
+		if to := sent(g.after(50*ms).arrive(id, anyRead), id); len(to) == 1 && to[0] == 3 {
+			long++
+			end(id, 3, 1000*ms)
+		}
+	}
+	// In the mean a server gives 2 s of work to this gateway in a window at most; a quarter of it, thrice.
+	if long > 2 {
+		t.Errorf("%d s of work to a server that has just started", long)
+	}
+}
+
+// Replicas of the own zone are drawn first where crossing has a price, until they are strained; those of the others take
+// over when they are.
+func TestOwnZoneFirst(t *testing.T) {
+	for _, cost := range []int64{0, 49} {
+		set := settings()
+		set.Zone, set.CrossZoneCost = "east", cost
+		g := newRig(t, set)
+		var list []brain.Member
+		for id := brain.ServerID(1); id <= 5; id++ {
+			m := member(id, id == 1)
+			if m.Zone = "west"; id == 3 || id == 4 {
+				m.Zone = "east"
+			}
+			list = append(list, m)
+		}
+		g.step(brain.MemberNews{Form: brain.ListCached, Members: list})
+		read := func(n int, took brain.Micros) (east, west int) {
+			for i := range n {
+				id := fmt.Sprint("q", cost, took, i)
+				to := sent(g.after(20*ms).arrive(id, anyRead), id)
+				if len(to) != 1 {
+					continue
+				}
+				latency := 20 * ms
+				if to[0] == 3 || to[0] == 4 {
+					east, latency = east+1, took
+				} else {
+					west++
+				}
+				g.step(brain.Outcome{ID: id, Server: to[0], Final: true, Latency: latency})
+			}
+			return east, west
+		}
+		east, west := read(60, 20*ms)
+		if cost == 0 && (east == 0 || west == 0) || cost > 0 && west > 0 {
+			t.Errorf("cost %d: %d reads in the zone, %d out of it", cost, east, west)
+		}
+		if _, west = read(200, 395*ms); west < 60 {
+			t.Errorf("cost %d: only %d of 200 reads left a strained zone", cost, west)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -20,8 +20,9 @@
 	sessions *sessions
 	typical  []Micros // mean latency of answers, a class each
 
-	served, usualServed int64  // answers since servedFrom; the usual number from a server in a fall window
-	servedFrom          Micros // usualServed is in thousandths
+	served, usualServed int64  // work answered since servedFrom; the usual amount from a server in a fall window
+	servedFrom          Micros // both in microseconds
+	meanCost            int64  // moving mean of the work of a request
 	retries             int64  // saved-up retries, in thousandths
 	probes              int64  // saved-up probes for freshness, in thousandths
 
@@ -74,11 +75,17 @@
 	probedAt   Micros
 	probeFails int
 
-	sends       []Micros // sends while cold, within the fall window
-	coldDraw    int64    // a budget below one send is a chance: what was drawn, in thousandths
+	sends       []coldSend // sends while cold, within the fall window
+	coldDraw    int64      // a budget below one send is a chance: what was drawn, in thousandths
 	coldDrawnAt Micros
 }
 
+// coldSend is a send to a cold server, and the work that it may be.
+type coldSend struct {
+	at   Micros
+	cost int64
+}
+
 // Health is what a router knows of its servers, for those who judge whether its gateway is of use.
 type Health struct {
 	Usable         int // servers that work may be sent to
@@ -151,7 +158,6 @@
 	luckUntil Micros
 	waiting   bool
 	done      bool
-	bound     bool // its answer has begun to flow
 }
 
 // outstanding counts the attempts that are out.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,6 +83,9 @@
 		RetryAfter     bool   `json:"retry_after"`
 		SecondCopies   bool   `json:"second_copies"`
 	} `json:"policy_limits"`
+	Costs struct {
+		CrossZone number `json:"cross_zone"`
+	} `json:"costs"`
 	Report struct {
 		Fields []string `json:"fields"`
 	} `json:"report"`
@@ -167,6 +170,7 @@
 	s.ColdShare = p.thousandths("rules.cold_from", r.ColdFrom)
 	s.Ramp = p.time("rules.ramp_time_ms", r.Ramp)
 	s.FallMultiple = p.thousandths("rules.overload_factor", r.OverloadFactor)
+	s.CrossZoneCost = p.thousandths("costs.cross_zone", w.Costs.CrossZone)
 	s.FallWindow = p.time("rules.fall_ms", r.Fall)
 	if p.err != nil {
 		return nil, p.err
