A server that ran while out of this gateway's reach does not count as cold when it is back

Now a position past the moment it went down and within the smallest bound, or an answer to an attempt made before, shows that it ran; what comes back behind is cold as before, and a start told by the list always is.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -250,10 +250,8 @@
 	}
 	var best *server
 	for _, s := range q.group.members {
-		if s == q.group.primary || !r.takes(s, q, one) {
-			continue
-		}
-		if s.writeMiss > 0 && r.now-s.writeMiss < r.minAim/2 {
+		missed := s.writeMiss > 0 && r.now-s.writeMiss < r.minAim/2
+		if missed || s == q.group.primary || !r.takes(s, q, one) {
 			continue
 		}
 		if best == nil || s.listed && !best.listed || s.listed == best.listed && s.pos > best.pos {
@@ -559,13 +557,13 @@
 	r.position(s, e.Position)
 	switch e.Result {
 	case ResultOK:
-		r.alive(s)
+		r.alive(s, true)
 		r.answered(s, q, e)
 	case ResultError:
-		r.alive(s)
+		r.alive(s, true)
 		r.judge(s, true)
 	case ResultFull:
-		r.alive(s)
+		r.alive(s, true)
 		r.rest(s)
 		r.judge(s, true)
 	case ResultConnectFailed:
@@ -575,7 +573,7 @@
 		r.judge(s, true)
 		s.suspect = true
 	case ResultMiss:
-		r.alive(s)
+		r.alive(s, true)
 		r.missed(s, q)
 	case ResultTimeout, ResultCancelled:
 		r.strained(s, q, r.now-a.sentAt)
@@ -738,13 +736,17 @@
 	}
 }
 
-// alive notes a sign of life. A server that was out of reach may have started again, so it counts as cold.
-func (r *Router) alive(s *server) {
+// alive notes a sign of life. A server that was out of reach may have started again, so it counts as cold,
+// unless something shows that it ran all the while: an answer to an attempt made before, or a position that
+// it can only have reached since. Guards against easing in what only this gateway could not reach.
+func (r *Router) alive(s *server, ran bool) {
 	s.heardAt, s.probeFails, s.suspect = r.now, 0, false
 	if s.down {
-		s.down, s.downSpan = false, 0
-		s.started, s.limit = max(s.started, r.now), one
-		r.log("server %d is back", s.id)
+		s.down, s.downSpan, s.limit = false, 0, one
+		if !ran {
+			s.started = max(s.started, r.now)
+		}
+		r.log("server %d is back, cold: %v", s.id, !ran)
 	}
 }
 
@@ -752,7 +754,7 @@
 // further failed probe doubles the span to the next.
 func (r *Router) markDown(s *server) {
 	if !s.down {
-		s.down, s.downSpan = true, r.set.ConnectTimeout
+		s.down, s.downAt, s.downSpan = true, r.now, r.set.ConnectTimeout
 		r.log("server %d is down", s.id)
 	}
 	s.downSpan = min(s.downSpan*2, r.maxAim)
@@ -913,10 +915,8 @@
 	switch m.State {
 	case MemberGone:
 		r.gone(s)
-	case MemberDraining:
-		s.state, s.forbidden = m.State, true
-	case MemberReady:
-		s.state, s.forbidden = m.State, false
+	default:
+		s.state, s.forbidden = m.State, m.State == MemberDraining
 	}
 	if s.forbidden && s.group.primary == s {
 		r.losePrimary(s.group)
@@ -1055,7 +1055,7 @@
 	s.probing = false
 	switch e.Result {
 	case ResultOK:
-		r.alive(s)
+		r.alive(s, e.Report.Position > max(s.downAt, r.now-r.minBound))
 		if e.Report.HasPosition {
 			r.position(s, e.Report.Position)
 			r.role(s, e.Report.Role, min(e.Report.Position, r.now))
--- a/brain/shapes_test.go
+++ b/brain/shapes_test.go
@@ -253,3 +253,38 @@
 		}
 	}
 }
+
+// Out of one gateway's reach is not out of service: what has applied the log meanwhile has not started again, and is not
+// eased in. What comes back behind counts as cold.
+func TestOutOfReachIsNotCold(t *testing.T) {
+	sends := func(ago brain.Micros) int {
+		set := settings()
+		set.Gateways = 12
+		g := newRig(t, set)
+		g.group(2)
+		g.fresh(1, 0)
+		g.fresh(2, 0)
+		for range 2 {
+			g.step(brain.Probed{Server: 2, Result: brain.ResultReset})
+		}
+		g.after(3000*ms).fresh(2, ago)
+		n := 0
+		for i := range 100 { // answered at once
+			id := fmt.Sprint("q", i)
+			to := sent(g.after(10*ms).arrive(id, anyRead), id)
+			if len(to) == 1 && to[0] == 2 {
+				n++
+			}
+			if len(to) == 1 {
+				g.outcome(id, 0, to[0], brain.ResultOK)
+			}
+		}
+		return n
+	}
+	if n := sends(50 * ms); n != 100 {
+		t.Errorf("%d of 100 reads to a replica that ran all the while", n)
+	}
+	if n := sends(3500 * ms); n > 30 {
+		t.Errorf("%d of 100 reads in a second to one that came back behind", n)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -59,6 +59,7 @@
 
 	suspect   bool // a connection failed or broke: a probe shall tell whether it is down
 	down      bool // its probes fail
+	downAt    Micros
 	downSpan  Micros
 	ejectedAt Micros
 	ejected   bool
