SIGHUP loads new settings into a running gateway, and the same step leads back

The module keeps the settings a request came under with the request and finishes it under those; drains, cold starts, roles, positions and attempts that are out survive (Reconfigure, adopt). routing places requests by their class's name where the settings changed on their way in; a class that needs other data now is refused unsent. Counters keep each class's place. costs.cross_zone comes from the configuration, checked; lists of another length than classes, names that stand twice and unknown words are named. The log tells which keys changed. Tests on loopback against stand-ins, race detector on: there and back thrice under load with faulty files between and two at once, a write out at a primary that dies over a reload, a drain over reloads, ten faulty files by their key.

--- a/brain/api.go
+++ b/brain/api.go
@@ -47,6 +47,7 @@
 
 // Class is one kind of request.
 type Class struct {
+	Name       string // what it is known by when the settings change
 	Need       Need
 	Effect     Effect
 	Bound      Micros // of a bounded class
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,11 +50,11 @@
 // New makes a router and returns what it does first.
 func New(now Micros, seed uint64, set Settings) (*Router, []Action) {
 	r := &Router{
-		set: set, now: now, rng: random{seed}, servers: map[ServerID]*server{}, groups: map[int]*group{},
+		now: now, rng: random{seed}, servers: map[ServerID]*server{}, groups: map[int]*group{},
 		requests: map[string]*request{}, sessions: newSessions(maxSessions), retries: retryBurst * one,
 		servedFrom: now,
 	}
-	r.readSettings()
+	r.adopt(set)
 	r.at(now+r.sweepSpan(), "sweep")
 	if r.set.ListAsked {
 		r.askList()
@@ -64,8 +64,7 @@
 
 // readSettings gives missing or contradictory settings a safe reading: the strictest that still works.
 func (r *Router) readSettings() {
-	s := &r.set
-	s.Classes = append([]Class(nil), s.Classes...)
+	s := r.set
 	atLeast := func(v *Micros, least Micros, name string) {
 		if *v < least {
 			r.log("setting %s is %d us, read as %d", name, *v, least)
@@ -75,8 +74,7 @@
 	atLeast(&s.Tick, 1, "tick")
 	atLeast(&s.ConnectTimeout, s.Tick, "connect timeout")
 	s.Gateways, s.MaxAttempts = max(s.Gateways, 1), max(s.MaxAttempts, 1)
-	for i := range s.Classes {
-		c := &s.Classes[i]
+	for i, c := range r.kinds {
 		atLeast(&c.Deadline, s.Tick, "deadline")
 		if c.Aim <= 0 || c.Aim > c.Deadline {
 			r.log("class %d: aim read as its deadline", i)
@@ -97,7 +95,6 @@
 	if r.minBound == 0 {
 		r.minBound = r.minAim
 	}
-	r.typical = make([]Micros, len(s.Classes))
 }
 
 // Step takes one event and returns the actions it calls for, in order.
@@ -137,12 +134,12 @@
 // class without late worth the aim, for others a tick before the client stops waiting. With nothing sent by
 // half of its time it ends then: a later refusal costs the client the time in which it could come again.
 func (r *Router) accept(e Arrival) {
-	if r.requests[e.ID] != nil || e.Class < 0 || e.Class >= len(r.set.Classes) {
+	if r.requests[e.ID] != nil || e.Class < 0 || e.Class >= len(r.kinds) {
 		return
 	}
-	c := &r.set.Classes[e.Class]
+	c := r.kinds[e.Class]
 	q := &request{
-		id: e.ID, kind: e.Class, class: c, group: r.groupOf(e.Group),
+		id: e.ID, set: r.set, class: c, group: r.groupOf(e.Group),
 		deadline: r.now + e.Left, aimAt: r.now + c.Aim, since: r.now, askUntil: r.now + c.Aim/askPart,
 	}
 	r.requests[q.id] = q
@@ -166,7 +163,7 @@
 
 // end is when a request stops being worth an answer.
 func (r *Router) end(q *request) Micros {
-	last := q.deadline - r.set.Tick
+	last := q.deadline - q.set.Tick
 	if q.class.LateWorth == 0 && q.class.Effect == EffectSafe {
 		return min(last, q.aimAt)
 	}
@@ -182,13 +179,13 @@
 	} else if r.now+r.expected(q) > q.aimAt {
 		worth = worth * q.class.LateWorth / one
 	}
-	return worth * one / int64(max(r.typical[q.kind]/1000, 1))
+	return worth * one / int64(max(q.class.typical/1000, 1))
 }
 
 // expected is how long an answer may well take, never so long that a new request looks hopeless. With less
 // left it would mostly time out and waste its work. Harm: where latency varies little, a few too many end so.
 func (r *Router) expected(q *request) Micros {
-	return min(r.typical[q.kind]*expectTimes, q.class.Aim*expectMost/one)
+	return min(q.class.typical*expectTimes, q.class.Aim*expectMost/one)
 }
 
 // pressed tells that a request may well run out of time. Sent while others wait it would mostly waste its
@@ -245,7 +242,7 @@
 		}
 		return nil
 	}
-	if q.class.Need == NeedFresh || len(q.attempts)*2 >= r.set.MaxAttempts {
+	if q.class.Need == NeedFresh || len(q.attempts)*2 >= q.set.MaxAttempts {
 		return nil
 	}
 	var best *server
@@ -276,7 +273,7 @@
 	if s := r.draw(q, r.near(fresh)); s != nil {
 		return s
 	}
-	if r.set.Checks != ChecksNone {
+	if q.set.Checks != ChecksNone {
 		if s := r.draw(q, r.mostAdvanced(able)); s != nil {
 			return s
 		}
@@ -318,7 +315,7 @@
 // that few positions have to be known, and none again within half the bound or before it can have caught up.
 // Harm: the read is later by the probe.
 func (r *Router) asks(q *request, able []*server) bool {
-	if q.class.Need != NeedBounded || r.set.Checks != ChecksNone || !r.set.CanProbe {
+	if q.class.Need != NeedBounded || q.set.Checks != ChecksNone || !r.set.CanProbe {
 		return false
 	}
 	var best *server
@@ -461,7 +458,7 @@
 // mayResend says whether another attempt is allowed now: what may have run is repeated only if its class is
 // safe; nothing has two attempts out.
 func (r *Router) mayResend(q *request) bool {
-	if q.done || len(q.attempts) >= r.set.MaxAttempts || q.outstanding() > 0 {
+	if q.done || len(q.attempts) >= q.set.MaxAttempts || q.outstanding() > 0 {
 		return false
 	}
 	return mayRefuse(q)
@@ -479,8 +476,8 @@
 	}
 	if mayRefuse(q) {
 		advice := Micros(0)
-		if r.set.AdviseRetry {
-			advice = r.set.MaxRetryAdvice
+		if q.set.AdviseRetry {
+			advice = q.set.MaxRetryAdvice
 		}
 		r.do(Refuse{ID: q.id, RetryAfter: advice})
 	} else {
@@ -497,7 +494,7 @@
 		q.group.waiting = drop(q.group.waiting, q)
 	}
 	for _, a := range q.attempts {
-		if a.out && r.set.CanCancel {
+		if a.out && q.set.CanCancel {
 			r.do(Cancel{ID: q.id, Attempt: a.index})
 		}
 	}
@@ -582,10 +579,10 @@
 
 // answered notes an answer: the class's usual latency, the session's mark and the server's strain.
 func (r *Router) answered(s *server, q *request, e Outcome) {
-	if r.typical[q.kind] == 0 {
-		r.typical[q.kind] = e.Latency
+	if q.class.typical == 0 {
+		q.class.typical = e.Latency
 	}
-	r.typical[q.kind] += (e.Latency - r.typical[q.kind]) / smoothing
+	q.class.typical += (e.Latency - q.class.typical) / smoothing
 	if q.class.Need == NeedWrite && q.session != nil {
 		commit := e.Position
 		if commit == 0 {
@@ -761,11 +758,8 @@
 	if s.group.primary == s {
 		r.losePrimary(s.group)
 	}
-	if !r.set.CanCancel {
-		return
-	}
 	for _, a := range s.open {
-		if !a.req.done && a.req.class.Effect == EffectSafe {
+		if a.req.set.CanCancel && !a.req.done && a.req.class.Effect == EffectSafe {
 			r.do(Cancel{ID: a.req.id, Attempt: a.index})
 		}
 	}
@@ -842,7 +836,7 @@
 
 // cost is the work that a request may be, as far as its class has been seen.
 func (r *Router) cost(q *request) int64 {
-	if t := r.typical[q.kind]; t > 0 {
+	if t := q.class.typical; t > 0 {
 		return int64(t)
 	}
 	return int64(q.class.Aim / hopelessPart)
--- a/brain/shapes_test.go
+++ b/brain/shapes_test.go
@@ -288,3 +288,52 @@
 		t.Errorf("%d of 100 reads in a second to one that came back behind", n)
 	}
 }
+
+// New settings change nothing that was learned: a drain, a cold start, a role, positions, an unsafe attempt that is out. A
+// server that the list called gone is forbidden once gone binds.
+func TestReconfigureForgetsNothing(t *testing.T) {
+	loose := settings()
+	loose.OnlyDrainingBinds = true
+	strict := settings()
+	strict.Gateways, strict.Classes[unsafeWrite].Effect = 12, brain.EffectSafe
+	g := newRig(t, loose)
+	g.group(5)
+	g.fresh(1, 0)
+	g.probed(2, brain.RolePrimary, g.now) // who took over
+	cold := member(5, false)
+	cold.Started = g.now
+	g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{
+		{Server: 3, Group: 1, State: brain.MemberDraining}, {Server: 4, Group: 1, State: brain.MemberGone}, cold,
+	}})
+	g.arrive("w", unsafeWrite)
+	g.wantSent("w", 2)
+	for _, set := range []brain.Settings{strict, loose, strict} {
+		g.acts = g.r.Reconfigure(g.now, set)
+		used := map[brain.ServerID]int{}
+		for i := range 200 {
+			id := fmt.Sprint("q", g.now, i)
+			for n := 0; ; n++ {
+				to := sent(g.acts, id)
+				if n == 0 {
+					to = sent(g.after(ms).arrive(id, anyRead), id)
+				}
+				if len(to) != 1 {
+					break
+				}
+				used[to[0]]++
+				g.outcome(id, n, to[0], brain.ResultOK)
+			}
+		}
+		if used[3] > 0 || used[4] > 0 {
+			t.Errorf("what drains or is gone was sent to after a change: %v", used)
+		}
+		if used[5] > 40 {
+			t.Errorf("a cold server is taken for warm after a change: %v", used)
+		}
+	}
+	g.outcome("w", 0, 2, brain.ResultTimeout)
+	g.wantSent("w")
+	g.wantEnd("w", "fail") // unsafe when it came
+	g.arrive("v", unsafeWrite)
+	g.wantSent("v", 2) // the role is still known, though the list says otherwise
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -9,7 +9,8 @@
 
 // Router decides for one gateway. It is not safe for concurrent use.
 type Router struct {
-	set      Settings
+	set      *Settings // in force
+	kinds    []*kind   // its classes
 	rng      random
 	now      Micros
 	acts     []Action
@@ -18,7 +19,6 @@
 	order    []*group // by id
 	requests map[string]*request
 	sessions *sessions
-	typical  []Micros // mean latency of answers, a class each
 
 	served, usualServed int64  // work answered since servedFrom; the usual amount from a server in a fall window
 	servedFrom          Micros // both in microseconds
@@ -34,6 +34,41 @@
 	askAt, askSpan     Micros
 }
 
+// kind is a class, and what has been learned of it.
+type kind struct {
+	Class
+	typical Micros // moving mean of the latency of its answers
+}
+
+// Reconfigure puts other settings in force. A request in hand is finished under those that it came under; what has been
+// learned of servers, groups, sessions and of classes that keep their names stays.
+func (r *Router) Reconfigure(now Micros, set Settings) []Action {
+	r.now = max(r.now, now)
+	r.adopt(set)
+	return r.take()
+}
+
+// adopt takes settings over. Servers that the list has called gone are judged by the new ones again: what forbids them
+// may bind only now, and what was forbidden stays so until the list says ready.
+func (r *Router) adopt(set Settings) {
+	known := map[string]Micros{}
+	for _, k := range r.kinds {
+		known[k.Name] = k.typical
+	}
+	r.set, r.kinds, r.minAim, r.maxAim, r.minBound = &set, nil, 0, 0, 0
+	for _, c := range set.Classes {
+		r.kinds = append(r.kinds, &kind{Class: c, typical: known[c.Name]})
+	}
+	r.readSettings()
+	for _, g := range r.order {
+		for _, s := range g.members {
+			if s.state == MemberGone {
+				r.gone(s)
+			}
+		}
+	}
+}
+
 // server is what this gateway knows of one database server.
 type server struct {
 	id        ServerID
@@ -144,8 +179,8 @@
 // request is one accepted request.
 type request struct {
 	id        string
-	kind      int // its class's index
-	class     *Class
+	set       *Settings // those that it came under and is finished under, as its class
+	class     *kind
 	group     *group
 	session   *session
 	need      Position // what a replica must have applied; for bounded reads it moves with the clock
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 
 	"marblespan/internal/protocol/discovery"
@@ -47,6 +48,7 @@
 	Sockets   int
 	Known     discovery.List
 	Facts     *settings.Facts
+	Settings  map[string]any // as written, to tell what a reload changes
 }
 
 // KeyError names the key that is at fault.
@@ -143,6 +145,9 @@
 	if len(c.Facts.Names) == 0 {
 		return nil, faulty("settings.classes", "names no class")
 	}
+	if err := json.Unmarshal(w.Settings, &c.Settings); err != nil {
+		return nil, faulty("settings", "%v", err)
+	}
 	return c, nil
 }
 
@@ -175,7 +180,7 @@
 	}{
 		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen},
 		{"limits.cores", c.Cores == next.Cores}, {"limits.memory_mb", c.MemoryMB == next.MemoryMB},
-		{"limits.sockets", c.Sockets == next.Sockets}, {"settings", reflect.DeepEqual(c.Facts, next.Facts)},
+		{"limits.sockets", c.Sockets == next.Sockets},
 	} {
 		if !k.same {
 			keys = append(keys, k.name)
@@ -184,6 +189,29 @@
 	return keys
 }
 
+// Changed lists the keys whose values differ between two objects, a key of an object within as outer.inner, in order.
+func Changed(from, to map[string]any) []string {
+	var keys []string
+	for key := range from {
+		if _, both := to[key]; !both {
+			keys = append(keys, key)
+		}
+	}
+	for key, now := range to {
+		was, both := from[key]
+		inner, isObject := now.(map[string]any)
+		if outer, wasObject := was.(map[string]any); isObject && wasObject {
+			for _, k := range Changed(outer, inner) {
+				keys = append(keys, key+"."+k)
+			}
+		} else if !both || !reflect.DeepEqual(was, now) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 func choose(given *string, fallback string) string {
 	if given != nil && *given != "" {
 		return *given
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -38,7 +38,7 @@
 	"internal/floating": {"internal/protocol/vrrp", "internal/vrrp"},
 	"internal/program": {
 		"brain", "internal/config", "internal/control", "internal/floating", "internal/protocol/vrrp", "internal/routing",
-		"internal/session", "internal/transport", "internal/vrrp",
+		"internal/session", "internal/settings", "internal/transport", "internal/vrrp",
 	},
 	"internal/cli": {
 		"internal/config", "internal/config/lines", "internal/control", "internal/floating", "internal/program",
--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -28,7 +28,7 @@
 
 func (g *Gateway) printOwner(c *routing.Core) {
 	n := &c.Counts
-	for i, name := range g.cfg.Facts.Names {
+	for i, name := range n.Names {
 		line := g.log.Info().Str("class", name).Int64("requests", n.Requests[i]).Int64("sends", n.Sends[i]).
 			Int64("gone", n.Gone[i])
 		for k, kind := range routing.KindNames {
@@ -39,7 +39,8 @@
 	named(g.log.Info(), routing.ResultNames[:], n.Outcomes[:]).Msg("outcomes of attempts")
 	named(g.log.Info().Int64("sent", n.ProbesSent), routing.ResultNames[:], n.Probes[:]).Msg("outcomes of probes")
 	named(g.log.Info().Int64("watches", n.Watches).Int64("fetches", n.Fetches), routing.FormNames[:],
-		n.Lists[:]).Int("open", c.Open()).Int64("unknown_group", n.UnknownGroup).Msg("member lists")
+		n.Lists[:]).Int("open", c.Open()).Int64("unknown_group", n.UnknownGroup).
+		Int64("class_changed", n.ClassChanged).Int64("settings_reloads", n.Reloads).Msg("member lists")
 }
 
 func named(line *zerolog.Event, names []string, counts []int64) *zerolog.Event {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,6 +22,7 @@
 	"marblespan/internal/control"
 	"marblespan/internal/routing"
 	"marblespan/internal/session"
+	"marblespan/internal/settings"
 	"marblespan/internal/transport"
 )
 
@@ -72,7 +74,10 @@
 
 // Gateway is one running gateway.
 type Gateway struct {
-	cfg       *config.Config
+	cfg       *config.Config // as at the start; what may change meanwhile stands below
+	facts     *settings.Live
+	settings  map[string]any // in force, as written
+	reloading sync.Mutex
 	ops       *config.Operators
 	log       zerolog.Logger
 	closeLog  func()
@@ -135,9 +140,11 @@
 	}
 }
 
-// Reload takes over what may change while the gateway runs: the address of discovery, and of the operators' file all but
-// what Fixed names. A fault in either leaves everything as it is.
+// Reload takes over what may change while the gateway runs: the settings, the address of discovery, and of the operators'
+// file all but what Fixed names. A fault in either file leaves everything as it is.
 func (g *Gateway) Reload(next *config.Config, ops *config.Operators, err error) {
+	g.reloading.Lock()
+	defer g.reloading.Unlock()
 	if err != nil {
 		g.log.Error().Err(err).Msg("reload failed, the old configuration stays")
 		return
@@ -145,6 +152,12 @@
 	if fixed := append(g.cfg.Fixed(next), g.ops.Fixed(ops)...); len(fixed) > 0 {
 		g.log.Warn().Strs("keys", fixed).Msg("changed keys that take a restart")
 	}
+	if keys := config.Changed(g.settings, next.Settings); len(keys) > 0 {
+		g.facts.Store(next.Facts)
+		g.settings = next.Settings
+		g.owner.Ask(func(c *routing.Core) { c.Reconfigure(next.Facts) })
+		g.log.Info().Strs("keys", keys).Msg("settings in force")
+	}
 	g.discovery.Move(next.Discovery)
 	g.floats.reload(ops)
 	g.log.Info().Str("discovery", next.Discovery).Msg("reloaded")
@@ -162,7 +175,7 @@
 	w := diode.NewWriter(struct{ io.Writer }{out}, logLines, logPoll, func(missed int) { dropped.Add(int64(missed)) })
 	log := zerolog.New(w).With().Timestamp().Str("gateway", cfg.Name).Logger()
 	g := &Gateway{
-		cfg: cfg, ops: ops, log: log, clock: routing.NewClock(), accepting: make(chan struct{}),
+		cfg: cfg, facts: settings.NewLive(cfg.Facts), settings: cfg.Settings, ops: ops, log: log, clock: routing.NewClock(), accepting: make(chan struct{}),
 		buffers: transport.NewBuffers(int64(cfg.MemoryMB) << 20 * messageShare / 100),
 		fds:     transport.NewDescriptors(cfg.Sockets),
 		ends:    transport.NewEnds(log),
@@ -176,7 +189,7 @@
 	g.owner = routing.NewOwner(g.clock)
 	g.clients = g.newClients(&session.ClientCounts{}, session.DefaultTimeouts)
 	g.servers = &session.Servers{
-		Owner: g.owner, Facts: cfg.Facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
+		Owner: g.owner, Facts: g.facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
 		User: serverUser, DB: serverDatabase,
 	}
 	g.discovery = &session.Discovery{
@@ -208,7 +221,7 @@
 // newClients makes a set of clients beside the ones there are; they share everything but their listener.
 func (g *Gateway) newClients(counts *session.ClientCounts, limits session.Timeouts) *session.Clients {
 	return &session.Clients{
-		Owner: g.owner, Facts: g.cfg.Facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
+		Owner: g.owner, Facts: g.facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
 		Ready: g.isReady, Limits: limits, Counts: counts,
 	}
 }
@@ -267,7 +280,7 @@
 	start := time.Now()
 	g.floats.giveUp(false)
 	longest := time.Duration(0)
-	for _, c := range g.cfg.Facts.Settings.Classes {
+	for _, c := range g.facts.Load().Settings.Classes {
 		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
 	}
 	leave := min(longest, mostPatience) + killSlack - stopMargin
--- /dev/null
+++ b/internal/program/settings_test.go
@@ -0,0 +1,227 @@
+package program
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"marblespan/internal/config"
+)
+
+// movedSettings are those of a deployment put together otherwise: servers that check nothing, no primary on the list, the
+// classes in another order and one more, a price for crossing zones.
+const movedSettings = `{"balancers": 40, "ordinal": 3, "locality": "here",
+ "classes": [
+  {"name": "long", "aim_ms": 5000, "give_up_ms": 10000, "effect": "free", "points": 6, "late_worth": 0.2},
+  {"name": "put", "aim_ms": 1000, "give_up_ms": 5000, "effect": "single_shot", "points": 3, "late_worth": 0.5},
+  {"name": "look", "aim_ms": 2000, "give_up_ms": 4000, "effect": "free", "points": 2, "late_worth": 0.2}],
+ "costs": {"cross_zone": 0.014},
+ "family_info": {"answers_stamped": false, "checks": "none", "freshness": ["eventual", "mutate", "lag_bound"],
+  "oldest_data_ms": [0, 0, 500], "shows_role": "none", "write_marks": "brought"},
+ "granularity_ms": 5, "membership_mode": "subscribe",
+ "policy_limits": {"cancelling": true, "connect_timeout_ms": 250, "most_tries": 10, "probing": true, "retry_after": true,
+  "max_retry_after_ms": 1000, "keepalive_ms": 15000},
+ "report": {"how": "probe", "fields": ["x0", "x1"]},
+ "rules": {"ask_within_ms": 10000, "cold_from": 0.16, "fall_ms": 2000, "grace_to_answer_ms": 20,
+  "overload_factor": 2.5, "ramp_time_ms": 18000, "stop_sending_within_ms": 2000}}`
+
+// with is the running configuration with other settings, as a file would bring them.
+func (w *world) with(settings string) (*config.Config, error) {
+	raw, _ := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:1", "discovery": w.disc.Addr(), "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 2, "memory_mb": 192, "sockets": 1024},
+		"settings": json.RawMessage(settings),
+	})
+	next, err := config.Parse(raw, func(string) string { return "" })
+	if err == nil {
+		next.Listen = w.cfg.Listen
+	}
+	return next, err
+}
+
+// load does what SIGHUP does.
+func (w *world) load(settings string) {
+	next, err := w.with(settings)
+	w.gateway.Reload(next, w.gateway.ops, err)
+}
+
+// There, back, there again, a faulty file between, and two at once, with reads and writes under way all the time: each
+// request has one final answer, all are served but the few whose class changed on their way in, and no write reaches a
+// server twice.
+func TestSettingsThereAndBackUnderLoad(t *testing.T) {
+	w := newWorld(t, nil)
+	now := func() { // positions as servers that keep up report them
+		w.primary.Position.Store(time.Now().UnixMilli())
+		w.replica.Position.Store(time.Now().UnixMilli())
+	}
+	now()
+	var stop atomic.Bool
+	var asked, served, refused atomic.Int64
+	var wg sync.WaitGroup
+	clients := make([]*pgconn.PgConn, 6)
+	for k := range clients {
+		clients[k] = w.dial()
+	}
+	for k, c := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; !stop.Load(); n++ {
+				now()
+				sql := look(fmt.Sprintf("l%d-%d", k, n))
+				if n%3 == 0 {
+					sql = put(fmt.Sprintf("p%d-%d", k, n))
+				}
+				asked.Add(1)
+				switch value, code, err := ask(c, sql); {
+				case err == nil && code == "" && value != "":
+					served.Add(1)
+				case err == nil && code == "53300": // only where the class changed while it was on its way in
+					refused.Add(1)
+				default:
+					t.Errorf("%s: value %q code %q, %v", sql, value, code, err)
+				}
+			}
+		}()
+	}
+	more := func() { // some more requests go through under what is in force now
+		from := served.Load()
+		eventually(t, func() bool { return served.Load() > from+60 || t.Failed() }, func() string { return "no progress" })
+	}
+	for round := range 3 {
+		for _, s := range []string{movedSettings, testSettings} {
+			w.load(s)
+			more()
+		}
+		w.load(strings.Replace(movedSettings, `"checks": "none"`, `"checks": "perhaps"`, 1))
+		w.logged("reload failed", "settings.family_info.checks")
+		if got, want := w.counts().Reloads, int64(2*round+2); got != want {
+			t.Errorf("%d reloads of the settings, want %d", got, want)
+		}
+		more()
+	}
+	var both sync.WaitGroup
+	for range 2 {
+		both.Add(1)
+		go func() { defer both.Done(); w.load(movedSettings) }()
+	}
+	both.Wait()
+	more()
+	stop.Store(true)
+	wg.Wait()
+	ran := map[string]int{}
+	for _, sql := range append(w.primary.Queries(), w.replica.Queries()...) {
+		if strings.Contains(sql, "INSERT") {
+			ran[sql]++
+		}
+	}
+	for sql, n := range ran {
+		if n > 1 {
+			t.Errorf("%s ran %d times", sql, n)
+		}
+	}
+	n := w.counts()
+	if n.Reloads != 7 { // two at once that bring the same are one
+		t.Errorf("%d reloads of the settings, want 7", n.Reloads)
+	}
+	if asked.Load() != served.Load()+refused.Load() || refused.Load() != n.ClassChanged {
+		t.Errorf("%d requests, %d served, %d refused, %d of a changed class", asked.Load(), served.Load(), refused.Load(),
+			n.ClassChanged)
+	}
+	total := int64(0)
+	for _, of := range n.Requests {
+		total += of
+	}
+	if total+n.ClassChanged != asked.Load() {
+		t.Errorf("counted %d requests by class and %d strays, asked %d", total, n.ClassChanged, asked.Load())
+	}
+	w.logged("settings in force", "family_info.checks", "costs", "rules.overload_factor")
+}
+
+// A write that is out when the settings change is finished under those that it came under: new ones that call its class
+// harmless do not make it so, and neither does the death of its primary.
+func TestWriteOutOverAReload(t *testing.T) {
+	for _, back := range []bool{false, true} {
+		w := newWorld(t, nil)
+		handle, arrived, release := holding(t)
+		w.primary.SetHandle(handle)
+		harmless := strings.Replace(movedSettings, "single_shot", "free", 1)
+		done := make(chan string, 1)
+		client := w.dial()
+		go func() {
+			_, code, err := ask(client, put("w1"))
+			done <- fmt.Sprint(code, err)
+		}()
+		<-arrived
+		w.load(harmless)
+		if back {
+			w.load(testSettings)
+		}
+		w.replica.Role.Store("primary")
+		w.primary.Drop()
+		if got := <-done; got != "58000<nil>" {
+			t.Errorf("the write ended with %s", got)
+		}
+		if n := len(w.primary.Queries()) + len(w.replica.Queries()); n != 1 {
+			t.Errorf("it was sent %d times", n)
+		}
+		release()
+	}
+}
+
+// A drain that was told before the settings change binds after it.
+func TestDrainSurvivesAReload(t *testing.T) {
+	w := newWorld(t, nil)
+	w.lists(formFull, 1)
+	gone := w.targets()[1]
+	gone.State = "draining"
+	w.disc.Push(gone)
+	w.lists(formDelta, 1)
+	client := w.dial()
+	for k, s := range []string{movedSettings, testSettings, movedSettings} {
+		w.load(s)
+		for n := range 5 {
+			id := fmt.Sprintf("d%d-%d", k, n)
+			w.asks(client, look(id), "value of "+id, "")
+		}
+	}
+	if n := len(w.replica.Queries()); n != 0 {
+		t.Errorf("%d requests went to a draining server", n)
+	}
+}
+
+// What is at fault in new settings is named, and nothing changes.
+func TestFaultySettingsAreNamed(t *testing.T) {
+	w := newWorld(t, nil)
+	for change, key := range map[[2]string]string{
+		{`"cross_zone": 0.014`, `"cross_zone": "dear"`}:              "settings.costs.cross_zone",
+		{`"cross_zone": 0.014`, `"cross_zone": -1`}:                  "settings.costs.cross_zone",
+		{`"cross_zone": 0.014`, `"cross_zone": 14`}:                  "settings.costs.cross_zone",
+		{`"costs": {`, `"costs": 3, "other": {`}:                     "settings.costs",
+		{`[0, 0, 500]`, `[0, 500]`}:                                  "settings.family_info.oldest_data_ms",
+		{`["eventual", "mutate", "lag_bound"]`, `["eventual"]`}:      "settings.family_info.freshness",
+		{`"lag_bound"`, `"quick"`}:                                   "settings.family_info.freshness[2]",
+		{`"name": "long"`, `"name": "put"`}:                          "settings.classes[1].name",
+		{`"overload_factor": 2.5`, `"overload_factor": [2.5]`}:       "settings.rules.overload_factor",
+		{`"give_up_ms": 10000, "effect": "free"`, `"effect": "odd"`}: "settings.classes[0].effect",
+	} {
+		_, err := w.with(strings.Replace(movedSettings, change[0], change[1], 1))
+		var fault *config.KeyError
+		if !errors.As(err, &fault) || fault.Key != key {
+			t.Errorf("%s: %v, want %s", change[1], err, key)
+		}
+		w.gateway.Reload(nil, nil, err)
+	}
+	w.logged("reload failed", "settings.costs.cross_zone")
+	if n := w.counts().Reloads; n != 0 {
+		t.Errorf("%d reloads", n)
+	}
+	w.asks(w.dial(), look("f"), "value of f", "")
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -11,7 +11,8 @@
 
 // Core holds the module and the requests it has in hand. It is driven by one goroutine and reads no clock.
 type Core struct {
-	facts     *settings.Facts
+	facts     *settings.Facts // in force
+	places    []int           // of its classes among the counters
 	router    *brain.Router
 	servers   Servers
 	discovery Discovery
@@ -36,7 +37,9 @@
 	name     string // the client's id
 	client   Client
 	payload  Payload
-	class    int
+	facts    *settings.Facts // those it is finished under
+	class    int             // among them
+	place    int             // among the counters
 	deadline brain.Micros
 	attempts []Attempt // nil once it has ended
 	out      int
@@ -52,8 +55,8 @@
 		facts: facts, servers: servers, discovery: disc, log: log, now: now,
 		requests: map[string]*request{}, byClient: map[Client]*request{}, byName: map[string]*request{},
 		members: newMembers(),
-		Counts:  newCounts(len(facts.Names)),
 	}
+	c.places = c.Counts.places(facts.Names)
 	router, first := brain.New(now, seed, facts.Settings)
 	c.router = router
 	// The list comes first, so that a watch asks for the changes after it.
@@ -88,7 +91,7 @@
 		c.arrive(e)
 	case Gone:
 		if q := c.byClient[e.Client]; q != nil {
-			c.Counts.Gone[q.class]++
+			c.Counts.Gone[q.place]++
 			c.over(q)
 			c.step(brain.Dropped{ID: q.id})
 		}
@@ -148,10 +151,18 @@
 		e.Client.Answer(Answer{Kind: Refused})
 		return
 	}
+	class, ok := c.classOf(e)
+	if !ok {
+		// The settings changed while it was on its way in, and its class with them. Nothing was sent for it.
+		c.Counts.ClassChanged++
+		e.Payload.Free()
+		e.Client.Answer(Answer{Kind: Refused})
+		return
+	}
 	if e.ID != "" && c.byName[e.ID] != nil {
 		// Every request has an id of its own. A second one under it would be a second copy to the servers, whoever sent
 		// it; the first is left alone.
-		c.Counts.Answers[Rejected][e.Arrival.Class]++
+		c.Counts.Answers[Rejected][c.places[class]]++
 		e.Payload.Free()
 		e.Client.Answer(Answer{Kind: Rejected})
 		return
@@ -159,21 +170,40 @@
 	c.next++
 	id := "r" + strconv.FormatUint(c.next, 10)
 	q := &request{
-		id: id, name: e.ID, client: e.Client, payload: e.Payload, class: e.Arrival.Class, deadline: e.ReadAt + e.Wait,
+		id: id, name: e.ID, client: e.Client, payload: e.Payload, facts: c.facts, class: class, place: c.places[class],
+		deadline: e.ReadAt + e.Wait,
 	}
 	c.requests[id], c.byClient[e.Client] = q, q
 	if q.name != "" {
 		c.byName[q.name] = q
 	}
-	c.Counts.Requests[q.class]++
+	c.Counts.Requests[q.place]++
 	a := e.Arrival
-	a.ID, a.Left = id, max(q.deadline-c.now, 0)
+	a.Class, a.ID, a.Left = class, id, max(q.deadline-c.now, 0)
 	if e.After > 0 {
 		a.SinceWrite = max(c.now-e.After, 1)
 	}
 	c.step(a)
 }
 
+// classOf finds a request's class among the settings in force, by its name if it was read by others. A class that needs
+// other data now is another class: what was read as one must not go out as the other.
+func (c *Core) classOf(e *Request) (int, bool) {
+	if e.Facts == nil || e.Facts == c.facts {
+		return e.Arrival.Class, true
+	}
+	class, ok := c.facts.Classes[e.Facts.Names[e.Arrival.Class]]
+	return class, ok && c.facts.Settings.Classes[class].Need == e.Facts.Settings.Classes[e.Arrival.Class].Need
+}
+
+// Reconfigure puts other settings in force. The requests in hand are finished under those that they came under.
+func (c *Core) Reconfigure(facts *settings.Facts) {
+	c.facts, c.places = facts, c.Counts.places(facts.Names)
+	c.Counts.Reloads++
+	c.perform(c.router.Reconfigure(c.now, facts.Settings))
+	c.settle()
+}
+
 // ended takes in the end of an attempt. An answer goes out before the module hears of it: it is final in any case.
 func (c *Core) ended(e Ended) {
 	c.Counts.Outcomes[e.Result]++
@@ -199,7 +229,7 @@
 
 // answer gives a request its one final answer.
 func (c *Core) answer(q *request, a Answer) {
-	c.Counts.Answers[a.Kind][q.class]++
+	c.Counts.Answers[a.Kind][q.place]++
 	c.over(q)
 	q.client.Answer(a)
 }
@@ -282,17 +312,17 @@
 	index := len(q.attempts)
 	q.attempts = append(q.attempts, nil)
 	until := min(a.Until, q.deadline)
-	if q.over || q.out > 0 || until <= c.now || index >= max(c.facts.Settings.MaxAttempts, 1) {
+	if q.over || q.out > 0 || until <= c.now || index >= max(q.facts.Settings.MaxAttempts, 1) {
 		c.Counts.Outcomes[brain.ResultMoot]++
 		c.pending = append(c.pending, brain.Outcome{
 			ID: q.id, Attempt: index, Server: a.Server, Result: brain.ResultMoot, Final: q.over,
 		})
 		return
 	}
-	c.Counts.Sends[q.class]++
+	c.Counts.Sends[q.place]++
 	q.out++
 	q.attempts[index] = c.servers.Send(Job{
 		ID: q.id, Attempt: index, Server: a.Server, Payload: q.payload.Share(), Sent: c.now, Until: until,
-		Once: c.facts.Settings.Classes[q.class].Effect == brain.EffectUnsafe,
+		Once: q.facts.Settings.Classes[q.class].Effect == brain.EffectUnsafe,
 	})
 }
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -407,3 +407,39 @@
 		t.Errorf("%d names kept", len(r.core.byName))
 	}
 }
+
+// A request read under other settings is placed by its class's name, and refused, unsent, if that class needs other data
+// now or is no more. The counters keep each class's place.
+func TestClassesAreFoundByNameAfterAChange(t *testing.T) {
+	r := newRig(t)
+	old := r.core.facts
+	next := *old
+	next.Names = []string{"extra", old.Names[1], old.Names[0]}
+	next.Classes = map[string]int{"extra": 0, old.Names[1]: 1, old.Names[0]: 2}
+	c := old.Settings.Classes
+	next.Settings.Classes = []brain.Class{c[0], c[1], c[0]}
+	next.Settings.Classes[0].Name = "extra"
+	r.core.Reconfigure(&next)
+	ask := func(facts *settings.Facts, class int) *fakeClient {
+		f := &fakeClient{}
+		r.core.Handle(r.now, &Request{
+			Client: f, Payload: &fakePayload{holders: 1}, Facts: facts, Arrival: brain.Arrival{Class: class, Group: 7},
+			ReadAt: r.now, Wait: 1_000_000,
+		})
+		return f
+	}
+	ask(old, 0)
+	if n := r.core.Counts; n.Requests[0] != 1 || n.Names[2] != "extra" || n.ClassChanged != 0 {
+		t.Errorf("%+v", n)
+	}
+	other := next
+	other.Names, other.Classes = next.Names[:2], map[string]int{"extra": 0, old.Names[1]: 1}
+	other.Settings.Classes = []brain.Class{c[1], c[1]}
+	r.core.Reconfigure(&other)
+	sends := len(r.servers.jobs)
+	r.want(ask(old, 0), Refused)   // no more
+	r.want(ask(&next, 0), Refused) // a write now
+	if n := r.core.Counts; n.ClassChanged != 2 || len(r.servers.jobs) != sends {
+		t.Errorf("%d strays, %d sent", n.ClassChanged, len(r.servers.jobs)-sends)
+	}
+}
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -1,6 +1,10 @@
 package routing
 
-import "marblespan/brain"
+import (
+	"slices"
+
+	"marblespan/brain"
+)
 
 // Results and forms as counters name them.
 var (
@@ -11,9 +15,11 @@
 	KindNames = [...]string{"served", "refused", "failed", "rejected"}
 )
 
-// Counts are the owner's counters since the start.
+// Counts are the owner's counters since the start. A class keeps its place for as long as the gateway runs, also when the
+// settings change.
 type Counts struct {
-	Requests   []int64 // by class
+	Names      []string // of the classes
+	Requests   []int64  // by class
 	Sends      []int64
 	Gone       []int64
 	Answers    [len(KindNames)][]int64
@@ -22,19 +28,30 @@
 	ProbesSent int64
 	// UnknownGroup counts requests refused because no list has ever named their group.
 	UnknownGroup int64
+	// ClassChanged counts requests refused because the settings changed their class while they were on their way in.
+	ClassChanged int64
+	Reloads      int64 // of the settings
 	Lists        [len(FormNames)]int64
 	Watches      int64
 	Fetches      int64
 }
 
-func newCounts(classes int) Counts {
-	c := Counts{
-		Requests: make([]int64, classes), Sends: make([]int64, classes), Gone: make([]int64, classes),
-	}
-	for k := range c.Answers {
-		c.Answers[k] = make([]int64, classes)
+// places finds or makes the places of classes, by their names.
+func (n *Counts) places(classes []string) []int {
+	out := make([]int, len(classes))
+	for i, name := range classes {
+		at := slices.Index(n.Names, name)
+		if at < 0 {
+			at = len(n.Names)
+			n.Names = append(n.Names, name)
+			n.Requests, n.Sends, n.Gone = append(n.Requests, 0), append(n.Sends, 0), append(n.Gone, 0)
+			for k := range n.Answers {
+				n.Answers[k] = append(n.Answers[k], 0)
+			}
+		}
+		out[i] = at
 	}
-	return c
+	return out
 }
 
 var _ = [1]struct{}{}[brain.ResultMiss-brain.Result(len(ResultNames)-1)] // every result has its name
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -6,6 +6,7 @@
 import (
 	"marblespan/brain"
 	"marblespan/internal/protocol/discovery"
+	"marblespan/internal/settings"
 	"marblespan/internal/transport"
 )
 
@@ -74,10 +75,11 @@
 	Client  Client
 	ID      string // the client's; empty: none
 	Payload Payload
-	Arrival brain.Arrival // ID and Left are filled in by the owner
-	ReadAt  brain.Micros  // when its last byte was read
-	Wait    brain.Micros  // how long the client waits, from then on
-	After   brain.Micros  // the position that it must see; 0: none
+	Facts   *settings.Facts // the settings it was read by: those that Arrival.Class counts in; nil: those in force
+	Arrival brain.Arrival   // ID and Left are filled in by the owner
+	ReadAt  brain.Micros    // when its last byte was read
+	Wait    brain.Micros    // how long the client waits, from then on
+	After   brain.Micros    // the position that it must see; 0: none
 }
 
 // Gone tells that a client left while its request was out.
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -10,6 +10,7 @@
 	"marblespan/brain"
 	"marblespan/internal/protocol/postgres"
 	"marblespan/internal/routing"
+	"marblespan/internal/settings"
 	"marblespan/internal/transport"
 )
 
@@ -207,7 +208,8 @@
 		}
 		return transport.ReasonOf(err), err
 	}
-	arrival, st, fault, code := c.read(text, body)
+	facts := c.all.Facts.Load()
+	arrival, st, fault, code := c.read(facts, text, body)
 	if code != "" || st.ID == "" {
 		text.Free()
 		c.all.Buffers.Release(reserve)
@@ -237,14 +239,17 @@
 	q := &asked{client: c, reserve: reserve}
 	c.push(q)
 	c.all.Owner.Post(&routing.Request{
-		Client: q, ID: st.ID, Payload: &query{text: text, statement: st}, Arrival: arrival, ReadAt: c.all.Clock.Now(),
-		Wait: brain.Micros(st.Wait) * 1000, After: brain.Micros(st.After) * 1000,
+		Client: q, ID: st.ID, Payload: &query{text: text, statement: st}, Facts: facts, Arrival: arrival,
+		ReadAt: c.all.Clock.Now(),
+		Wait:   brain.Micros(st.Wait) * 1000, After: brain.Micros(st.After) * 1000,
 	})
 	return 0, nil
 }
 
 // read makes a request of a query's text. An empty query makes none; for a bad one it tells the fault and its code.
-func (c *client) read(text *transport.Message, body int) (a brain.Arrival, st postgres.Statement, fault, code string) {
+func (c *client) read(facts *settings.Facts, text *transport.Message, body int) (
+	a brain.Arrival, st postgres.Statement, fault, code string,
+) {
 	if body <= transport.BufferSize && postgres.IsEmpty(text.First()) {
 		if !c.all.Ready() {
 			return a, st, "no server is known yet", postgres.CodeNotReady
@@ -255,15 +260,15 @@
 	if err != nil {
 		return a, st, err.Error(), postgres.CodeProtocol
 	}
-	class, ok := c.all.Facts.Classes[st.Class]
+	class, ok := facts.Classes[st.Class]
 	if !ok {
 		return a, st, "class " + strconv.Quote(st.Class) + " is not known", postgres.CodeBadValue
 	}
-	if st.Write != c.all.Facts.Writes(class) {
+	if st.Write != facts.Writes(class) {
 		return a, st, "class " + strconv.Quote(st.Class) + " is not for such statements", postgres.CodeBadValue
 	}
 	a = brain.Arrival{Class: class, Group: st.Group, Repeat: st.Repeat}
-	if c.all.Facts.HasSession(class) {
+	if facts.HasSession(class) {
 		sum := fnv.New64a()
 		sum.Write([]byte(st.Key))
 		a.Session, a.HasSession = sum.Sum64(), true
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -58,7 +58,7 @@
 // Clients serves all client connections.
 type Clients struct {
 	Owner   Queue
-	Facts   *settings.Facts
+	Facts   *settings.Live
 	Buffers *transport.Buffers
 	Fds     *transport.Descriptors
 	Ends    *transport.Ends
--- a/internal/session/link.go
+++ b/internal/session/link.go
@@ -112,7 +112,7 @@
 func (l *link) connect(t *task) (brain.Result, transport.Reason, error) {
 	t.carriedBy(l)
 	clock := l.all.Clock
-	by := clock.Time(min(clock.Now()+l.all.Facts.Settings.ConnectTimeout, t.Until))
+	by := clock.Time(min(clock.Now()+l.all.Facts.Load().Settings.ConnectTimeout, t.Until))
 	conn, err := transport.Dial(t.ctx, l.place.endpoint, by, l.all.Buffers, l.all.Fds, t.probe)
 	if err != nil {
 		return brain.ResultConnectFailed, transport.DialReason(err), err
@@ -382,7 +382,7 @@
 
 // stall is when an answer that has begun and stops counts as spoilt.
 func (l *link) stall(by time.Time) time.Time {
-	due := time.Now().Add(time.Duration(l.all.Facts.Settings.ConnectTimeout) * time.Microsecond)
+	due := time.Now().Add(time.Duration(l.all.Facts.Load().Settings.ConnectTimeout) * time.Microsecond)
 	if due.After(by) {
 		return by
 	}
--- a/internal/session/link_test.go
+++ b/internal/session/link_test.go
@@ -36,7 +36,7 @@
 	r := &rig{t: t, server: server, told: make(chan routing.Event, 64)}
 	facts := &settings.Facts{Settings: brain.Settings{ConnectTimeout: 250_000}, Keepalive: 30_000_000}
 	r.servers = &Servers{
-		Owner: poster(r.told), Facts: facts, Buffers: transport.NewBuffers(1 << 24),
+		Owner: poster(r.told), Facts: settings.NewLive(facts), Buffers: transport.NewBuffers(1 << 24),
 		Fds: transport.NewDescriptors(1024), Ends: transport.NewEnds(zerolog.Nop()), Clock: routing.NewClock(),
 		User: "backend", DB: "store",
 	}
--- a/internal/session/servers.go
+++ b/internal/session/servers.go
@@ -18,7 +18,7 @@
 // Servers keeps the connections to the database servers and carries out attempts and probes on them.
 type Servers struct {
 	Owner   Queue
-	Facts   *settings.Facts
+	Facts   *settings.Live
 	Buffers *transport.Buffers
 	Fds     *transport.Descriptors
 	Ends    *transport.Ends
@@ -258,7 +258,7 @@
 
 // idleAfter is how long a connection may be idle.
 func (s *Servers) idleAfter() time.Duration {
-	keep := time.Duration(s.Facts.Keepalive) * time.Microsecond
+	keep := time.Duration(s.Facts.Load().Keepalive) * time.Microsecond
 	if keep <= 0 {
 		return DefaultTimeouts.Idle
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"marblespan/brain"
 )
@@ -23,6 +24,16 @@
 	Doubts    []*KeyError    // what was read in its strictest sense for want of a better one
 }
 
+// Live is the settings in force; they may change while the gateway runs.
+type Live struct{ atomic.Pointer[Facts] }
+
+// NewLive begins with f.
+func NewLive(f *Facts) *Live {
+	l := &Live{}
+	l.Store(f)
+	return l
+}
+
 // KeyError names the setting that is at fault.
 type KeyError struct{ Key, Text string }
 
@@ -132,7 +143,7 @@
 	for i, c := range w.Classes {
 		key := fmt.Sprintf("classes[%d].", i)
 		k := brain.Class{
-			Need:   brain.NeedWrite,
+			Name: c.Name, Need: brain.NeedWrite,
 			Effect: word(&p, key+"effect", effects, c.Effect),
 			Aim:    p.time(key+"aim_ms", c.Aim), Deadline: p.time(key+"give_up_ms", c.Deadline),
 			Worth:      p.thousandths(key+"points", c.Worth),
@@ -149,10 +160,20 @@
 		if i < len(w.Family.Bounds) {
 			k.Bound = p.time(fmt.Sprintf("family_info.oldest_data_ms[%d]", i), w.Family.Bounds[i])
 		}
+		if _, twice := f.Classes[c.Name]; twice {
+			p.doubt(key+"name", "%.40q stands twice", c.Name)
+		}
 		f.Classes[c.Name] = i
 		f.Names = append(f.Names, c.Name)
 		s.Classes = append(s.Classes, k)
 	}
+	for key, n := range map[string]int{
+		"family_info.freshness": len(w.Family.Freshness), "family_info.oldest_data_ms": len(w.Family.Bounds),
+	} {
+		if n != 0 && n != len(w.Classes) {
+			p.doubt(key, "has %d entries for %d classes", n, len(w.Classes))
+		}
+	}
 	f.Zero = p.time("family_info.counted_from_ms", w.Family.Zero)
 	f.Keepalive = p.time("policy_limits.keepalive_ms", l.Keepalive)
 	s.Gateways, s.Ordinal, s.Zone = w.Balancers, w.Ordinal, w.Zone
@@ -170,7 +191,9 @@
 	s.ColdShare = p.thousandths("rules.cold_from", r.ColdFrom)
 	s.Ramp = p.time("rules.ramp_time_ms", r.Ramp)
 	s.FallMultiple = p.thousandths("rules.overload_factor", r.OverloadFactor)
-	s.CrossZoneCost = p.thousandths("costs.cross_zone", w.Costs.CrossZone)
+	if s.CrossZoneCost = p.thousandths("costs.cross_zone", w.Costs.CrossZone); s.CrossZoneCost > 1000 {
+		p.doubt("costs.cross_zone", "%s is more than one point a request", w.Costs.CrossZone)
+	}
 	s.FallWindow = p.time("rules.fall_ms", r.Fall)
 	if p.err != nil {
 		return nil, p.err
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -36,12 +36,12 @@
 	s := testFacts(t).Settings
 	want := brain.Settings{
 		Classes: []brain.Class{
-			{Need: brain.NeedBounded, Effect: brain.EffectSafe, Bound: 800_000, Aim: 300_500,
+			{Name: "look", Need: brain.NeedBounded, Effect: brain.EffectSafe, Bound: 800_000, Aim: 300_500,
 				Deadline: 900_000, Worth: 2000, LateWorth: 250},
-			{Need: brain.NeedWrite, Effect: brain.EffectUnsafe, Aim: 700_000, Deadline: 5_000_000,
+			{Name: "put", Need: brain.NeedWrite, Effect: brain.EffectUnsafe, Aim: 700_000, Deadline: 5_000_000,
 				Worth: 6000},
 			// Unknown words take the strictest meaning.
-			{Need: brain.NeedWrite, Effect: brain.EffectUnsafe, Aim: 700_000,
+			{Name: "odd", Need: brain.NeedWrite, Effect: brain.EffectUnsafe, Aim: 700_000,
 				Deadline: 5_000_000, Worth: 1000},
 		},
 		Gateways: 2, Ordinal: 1, Tick: 5000, Zone: "east", Checks: brain.ChecksWait, CheckWait: 50_000,
