A limit that nobody cut for long doubles instead of being forgotten

Cancels and time-outs stop nothing there, so what is queued is served dead. Line: readmit set any limit below one back to one after eight aims without a cut; of hundreds of gateways that hear little each does so every 3.2 s, and all together keep the queues full. Looked at and dropped: first limits, own zone first (worst zones alike), the half for long reads (none there).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -721,15 +721,16 @@
 	r.log("server %d ejected for %d ms, bad %d", s.id, s.ejectSpan/1000, s.bad)
 }
 
-// readmit ends an ejection: one attempt at a time, and the next bad one ejects again. It also forgets a cut
-// below one attempt after as long, or a server seldom used stays shunned.
+// readmit ends an ejection: one attempt at a time, and the next bad one ejects again. It also doubles a limit
+// below one attempt after each time as long, or a server seldom used stays shunned; forgetting it at once
+// would have hundreds of gateways, none of which hears much, fill an overloaded server again and again.
 func (r *Router) readmit(s *server) {
 	if s.ejected && r.now-s.ejectedAt >= s.ejectSpan {
 		s.ejected, s.limit, s.strain = false, one, strainHigh
 		s.bad = badHigh - 1
 	}
-	if r.now-s.cutAt > r.maxAim*ejectGrowth {
-		s.limit = max(s.limit, one)
+	if s.limit < one && r.now-s.cutAt > r.maxAim*ejectGrowth {
+		s.limit, s.cutAt = min(s.limit*2, one), r.now
 	}
 }
 
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -185,7 +185,9 @@
 	if got := share(40, brain.ResultTimeout); got > 0.6 {
 		t.Errorf("%.2f of the reads still go to a replica that answers none in time", got)
 	}
-	g.sweep(10_000 * ms)
+	for range 100 { // ten seconds, as time passes in service
+		g.sweep(100 * ms)
+	}
 	if got := share(40, brain.ResultOK); got < 0.8 {
 		t.Errorf("%.2f of the reads go to a replica that has been sound for long", got)
 	}
--- a/brain/shapes_test.go
+++ b/brain/shapes_test.go
@@ -363,3 +363,42 @@
 		t.Errorf("%d of 100 reads went to a replica that answers quickly again", n)
 	}
 }
+
+// A limit that nobody has cut for long is doubled, not forgotten: of hundreds of gateways that hear little each forgets
+// every few seconds, and all together they keep an overloaded server full of work that times out.
+func TestSmallLimitsAreNotForgottenAtOnce(t *testing.T) {
+	set := settings()
+	set.Gateways = 200
+	g := newRig(t, set)
+	g.group(2)
+	g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{
+		{Server: 1, Group: 1, State: brain.MemberGone}, // the replica is all there is
+	}})
+	for i := range 60 {
+		id := fmt.Sprint("slow", i)
+		if len(sent(g.after(200*ms).arrive(id, anyRead), id)) == 1 {
+			g.step(brain.Outcome{ID: id, Server: 2, Final: true, Latency: 390 * ms})
+		}
+	}
+	went := func(span brain.Micros) (n int) { // whose requests end before they tell anything
+		g.sweep(span)
+		for i := range 100 {
+			id := fmt.Sprint("r", g.now, i)
+			if len(sent(g.arrive(id, anyRead), id)) == 1 {
+				n++
+				g.step(brain.Dropped{ID: id})
+				g.step(brain.Outcome{ID: id, Server: 2, Result: brain.ResultError, Final: true})
+			}
+		}
+		return n
+	}
+	if n := went(3300 * ms); n == 0 || n > 50 {
+		t.Errorf("%d of 100 requests went after one span", n)
+	}
+	for range 4 {
+		g.sweep(3300 * ms)
+	}
+	if n := went(3300 * ms); n < 60 {
+		t.Errorf("%d of 100 requests went after six spans", n)
+	}
+}
