--- a/brain/brain.go
+++ b/brain/brain.go
@@ -6,7 +6,8 @@
 //	Arrival -> accept: note its need, its aim and its end, set its timer
 //	        -> place:  writes and fresh reads -> placeOnPrimary; other reads -> placeRead:
 //	                   the session's replica or a random draw among the fresh ones, else the most advanced
-//	                   replica that may have caught up (where servers check), else the primary
+//	                   replica that may have caught up (where servers check) or one that asks finds fresh
+//	                   (where they do not), else the primary; long reads only one half of the replicas
 //	        -> send, or wait in the group's queue until dispatch finds room, best worth for its time first
 //	Outcome -> learn (role, position, health, room) -> conclude: served, or tried again as `mayResend` allows
 //	Timer   -> finish at the request's end; sweep: probes, ejections, discovery, the queues
@@ -140,7 +141,7 @@
 	c := r.kinds[e.Class]
 	q := &request{
 		id: e.ID, set: r.set, class: c, group: r.groupOf(e.Group),
-		deadline: r.now + e.Left, aimAt: r.now + c.Aim, since: r.now, askUntil: r.now + c.Aim/askPart,
+		deadline: r.now + e.Left, aimAt: r.now + c.Aim, askUntil: r.now + c.Aim/askPart,
 	}
 	r.requests[q.id] = q
 	r.retries = min(r.retries+retryShare, retryBurst*one)
@@ -258,7 +259,7 @@
 	return best
 }
 
-// placeRead is the freshness gate and the draw.
+// placeRead is the freshness gate and the draw; every bounded read goes through it at the moment it is sent.
 func (r *Router) placeRead(q *request) *server {
 	able, need := r.replicas(q), r.needOf(q)
 	if r.long(q) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -186,7 +186,6 @@
 	need      Position // what a replica must have applied; for bounded reads it moves with the clock
 	deadline  Micros
 	aimAt     Micros
-	since     Micros // its arrival
 	askUntil  Micros // it waits for reports of replicas until then
 	attempts  []*attempt
 	missed    []ServerID
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -74,3 +74,13 @@
 		t.Error("sessions belong to session reads and writes")
 	}
 }
+
+// A price for crossing zones is read in thousandths of a point; without one nothing costs anything, as before there was one.
+func TestCosts(t *testing.T) {
+	for in, want := range map[string]int64{`{}`: 0, `{"costs":{}}`: 0, `{"costs":{"cross_zone":0.049,"waste":0.03}}`: 49} {
+		f, err := Parse([]byte(in))
+		if err != nil || len(f.Doubts) > 0 || f.Settings.CrossZoneCost != want {
+			t.Errorf("%s: %+v, %v", in, f, err)
+		}
+	}
+}
