--- a/brain/shapes_test.go
+++ b/brain/shapes_test.go
@@ -338,16 +338,20 @@
 	g.wantSent("v", 2) // the role is still known, though the list says otherwise
 }
 
-// Where hundreds of gateways each see little, a limit far below one attempt is back after a few quick answers: grown by a
-// part of itself it took dozens, seconds apart each, and reads were refused beside idle servers.
-func TestSmallLimitsFindBack(t *testing.T) {
+// oneOfMany is one of 200 gateways, beside a replica that is all there is.
+func oneOfMany(t *testing.T) *rig {
 	set := settings()
 	set.Gateways = 200
 	g := newRig(t, set)
 	g.group(2)
-	g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{
-		{Server: 1, Group: 1, State: brain.MemberGone}, // the replica is all there is
-	}})
+	g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{{Server: 1, Group: 1, State: brain.MemberGone}}})
+	return g
+}
+
+// Where hundreds of gateways each see little, a limit far below one attempt is back after a few quick answers: grown by a
+// part of itself it took dozens, seconds apart each, and reads were refused beside idle servers.
+func TestSmallLimitsFindBack(t *testing.T) {
+	g := oneOfMany(t)
 	read := func(n int, took brain.Micros) (to int) {
 		for i := range n {
 			id := fmt.Sprint("q", took, i)
@@ -367,13 +371,7 @@
 // A limit that nobody has cut for long is doubled, not forgotten: of hundreds of gateways that hear little each forgets
 // every few seconds, and all together they keep an overloaded server full of work that times out.
 func TestSmallLimitsAreNotForgottenAtOnce(t *testing.T) {
-	set := settings()
-	set.Gateways = 200
-	g := newRig(t, set)
-	g.group(2)
-	g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{
-		{Server: 1, Group: 1, State: brain.MemberGone}, // the replica is all there is
-	}})
+	g := oneOfMany(t)
 	for i := range 60 {
 		id := fmt.Sprint("slow", i)
 		if len(sent(g.after(200*ms).arrive(id, anyRead), id)) == 1 {
