--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -167,11 +167,14 @@
 		f.Names = append(f.Names, c.Name)
 		s.Classes = append(s.Classes, k)
 	}
-	for key, n := range map[string]int{
-		"family_info.freshness": len(w.Family.Freshness), "family_info.oldest_data_ms": len(w.Family.Bounds),
+	for _, list := range []struct {
+		key string
+		n   int
+	}{
+		{"family_info.freshness", len(w.Family.Freshness)}, {"family_info.oldest_data_ms", len(w.Family.Bounds)},
 	} {
-		if n != 0 && n != len(w.Classes) {
-			p.doubt(key, "has %d entries for %d classes", n, len(w.Classes))
+		if list.n != 0 && list.n != len(w.Classes) {
+			p.doubt(list.key, "has %d entries for %d classes", list.n, len(w.Classes))
 		}
 	}
 	f.Zero = p.time("family_info.counted_from_ms", w.Family.Zero)
