--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -44,6 +44,7 @@
 		"internal/config", "internal/config/lines", "internal/control", "internal/floating", "internal/program",
 	},
 	"internal/standin":      {},
+	"internal/rig":          {"internal/config/lines", "internal/standin"},
 	"internal/lab/report":   {},
 	"internal/lab/failover": {"internal/lab/report", "internal/standin"},
 	"cmd/marblelab":         {"internal/lab/failover"},
--- /dev/null
+++ b/internal/rig/check.go
@@ -0,0 +1,398 @@
+package rig
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// Violation is one rule or invariant that a history breaks.
+type Violation struct {
+	Rule string
+	At   int64 // microseconds since the history began
+	Text string
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%s at %.3fs: %s", v.Rule, float64(v.At)/1e6, v.Text)
+}
+
+// checker looks for breaks of one rule in a history, and knows nothing else.
+type checker struct {
+	rule  string
+	check func(h *reading) []Violation
+}
+
+// checkers are all rules that a history must keep. A later part of the program adds its own.
+var checkers = []checker{
+	{"answers", answers}, {"bookings", bookings}, {"drains", drains}, {"stale", stale}, {"linearizable", linearizable},
+	{"crashes", crashes}, {"address", address},
+}
+
+// Check reads a history and lists what it breaks, in the order of time.
+func Check(events []Event) (all []Violation) {
+	h := read(events)
+	if h.broken != "" {
+		return []Violation{{"history", 0, h.broken}}
+	}
+	for _, c := range checkers {
+		for _, v := range c.check(h) {
+			v.Rule = c.rule
+			all = append(all, v)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
+// window is a fault while it lasted.
+type window struct {
+	Fault
+	from, to int64
+}
+
+func (w window) covers(at int64) bool { return w.from <= at && at <= w.to }
+
+// on tells whether a fault on gateways concerns one.
+func (w window) on(node int) bool { return w.From == nil || slices.Contains(w.From, node) }
+
+// request is all that a history tells of one id.
+type request struct {
+	asked *Event
+	heard []Event
+	sent  []Event
+	ran   []Event
+}
+
+// reading is a history in the order of time, with what several checkers need.
+type reading struct {
+	events   []Event
+	requests map[string]*request
+	order    []string // ids as they were first seen
+	faults   []window
+	end      int64
+	broken   string // the history makes no sense
+}
+
+func read(events []Event) *reading {
+	h := &reading{events: slices.Clone(events), requests: map[string]*request{}}
+	slices.SortStableFunc(h.events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	open := map[string][]int{}
+	for i := range h.events {
+		e := &h.events[i]
+		h.end = max(h.end, e.At)
+		switch e.Kind {
+		case Begins:
+			f, err := ParseFault(e.What)
+			if err != nil {
+				h.broken = err.Error()
+				return h
+			}
+			open[e.What] = append(open[e.What], len(h.faults))
+			h.faults = append(h.faults, window{f, e.At, math.MaxInt64})
+		case Ends:
+			list := open[e.What]
+			if len(list) == 0 {
+				h.broken = fmt.Sprintf("%q ends and never began", e.What)
+				return h
+			}
+			h.faults[list[0]].to, open[e.What] = e.At, list[1:]
+		case Asked, Heard, Sent, Ran:
+			r := h.requests[e.ID]
+			if r == nil {
+				r = &request{}
+				h.requests[e.ID] = r
+				h.order = append(h.order, e.ID)
+			}
+			switch e.Kind {
+			case Asked:
+				r.asked = e
+			case Heard:
+				r.heard = append(r.heard, *e)
+			case Sent:
+				r.sent = append(r.sent, *e)
+			default:
+				r.ran = append(r.ran, *e)
+			}
+		}
+	}
+	return h
+}
+
+// during finds a fault of one of these verbs on a gateway at any moment of a span.
+func (h *reading) during(node int, from, to int64, verbs ...string) (window, bool) {
+	for _, w := range h.faults {
+		if slices.Contains(verbs, w.Verb) && w.on(node) && w.from <= to && w.to >= from {
+			return w, true
+		}
+	}
+	return window{}, false
+}
+
+// died tells whether a gateway's process ended within a span.
+func (h *reading) died(node int, from, to int64) bool {
+	return slices.ContainsFunc(h.events, func(e Event) bool {
+		return e.Kind == Process && e.What == "ended" && e.Node == node && e.At >= from && e.At <= to
+	})
+}
+
+// The slacks of the checkers, in microseconds: the protocol page's 50 ms on every limit, and what a busy machine may take to
+// note something.
+const (
+	pageSlack = 50_000
+	rigSlack  = 150_000
+)
+
+// leaves is how long a gateway may take to end once it was told to.
+const leaves = 5_000_000
+
+// answers: each request that was taken has exactly one final answer, and what is served was made for it. A connection that
+// ends without one is a lost request, unless the gateway died or stood still, or was leaving and had not read it.
+func answers(h *reading) (out []Violation) {
+	for _, id := range h.order {
+		r := h.requests[id]
+		switch {
+		case r.asked == nil:
+			out = append(out, Violation{At: first(r), Text: fmt.Sprintf("%s was sent or answered, and nobody asked", id)})
+			continue
+		case len(r.heard) == 0 && r.asked.At+r.asked.Within*2 < h.end:
+			out = append(out, Violation{At: r.asked.At, Text: fmt.Sprintf("%s never ended", id)})
+			continue
+		case len(r.heard) > 1:
+			out = append(out, Violation{At: r.heard[1].At, Text: fmt.Sprintf("%s ended twice, as %s and %s", id, r.heard[0].What, r.heard[1].What)})
+			continue
+		case len(r.heard) == 0:
+			continue
+		}
+		node, from, x := r.asked.Node, r.asked.At, r.heard[0]
+		switch x.What {
+		case EndServed:
+			if x.Value != id+There && x.Value != id+Absent && !strings.HasPrefix(x.Value, id+" ") {
+				out = append(out, Violation{At: x.At, Text: fmt.Sprintf("%s was served %q", id, x.Value)})
+			}
+		case EndClosed, EndReset:
+			if h.died(node, from, x.At+rigSlack) {
+				continue
+			}
+			if _, leaving := h.during(node, from, x.At, "term"); leaving && len(r.sent) == 0 && h.died(node, x.At, x.At+leaves) {
+				continue // the close and the request crossed
+			}
+			out = append(out, Violation{At: x.At, Text: fmt.Sprintf("%s to gateway %d is lost: its connection was %s", id, node, x.What)})
+		case EndTimeout:
+			if _, slow := h.during(node, from, x.At, "stop", "starve"); slow || h.died(node, from, x.At+rigSlack) {
+				continue
+			}
+			out = append(out, Violation{At: x.At, Text: fmt.Sprintf("%s to gateway %d is lost: no answer within its time", id, node)})
+		}
+	}
+	return out
+}
+
+func first(r *request) int64 {
+	at := int64(math.MaxInt64)
+	for _, list := range [][]Event{r.heard, r.sent, r.ran} {
+		if len(list) > 0 {
+			at = min(at, list[0].At)
+		}
+	}
+	return at
+}
+
+// bookings: nothing that a client means runs twice; what was served has run, and what was refused has not.
+func bookings(h *reading) (out []Violation) {
+	ran := map[string][]Event{}
+	for _, id := range h.order {
+		r := h.requests[id]
+		for _, e := range r.ran {
+			if e.Class == ClassBooking {
+				ran[e.Key] = append(ran[e.Key], e)
+			}
+		}
+		if r.asked == nil || r.asked.Class != ClassBooking || len(r.heard) == 0 {
+			continue
+		}
+		switch end := r.heard[0]; {
+		case end.What == EndServed && len(r.ran) != 1:
+			out = append(out, Violation{At: end.At, Text: fmt.Sprintf("%s was served and ran %d times", id, len(r.ran))})
+		case end.What == EndRefused && len(r.ran) > 0:
+			out = append(out, Violation{At: end.At, Text: fmt.Sprintf("%s was refused and ran", id)})
+		}
+	}
+	for key, list := range ran {
+		if len(list) > 1 {
+			out = append(out, Violation{At: list[1].At, Text: fmt.Sprintf("%s ran %d times, as %s and %s", key, len(list), list[0].ID, list[1].ID)})
+		}
+	}
+	return out
+}
+
+// drains: nothing new goes to a server once its drain was told for as long as the settings allow. What a gateway cannot hear,
+// or cannot act on because it does not run, it is told when it can.
+func drains(h *reading) (out []Violation) {
+	type link struct {
+		node   int
+		server string
+	}
+	told := map[link]int64{}
+	for _, e := range h.events {
+		at := link{e.Node, e.Server}
+		switch e.Kind {
+		case Told:
+			if delete(told, at); e.What != "ready" {
+				told[at] = h.heardBy(e.Node, e.At)
+			}
+		case Sent:
+			if by, ok := told[at]; ok && e.At > by {
+				out = append(out, Violation{At: e.At, Text: fmt.Sprintf(
+					"gateway %d sent %s to %s, %.0f ms after it had to stop", e.Node, e.ID, e.Server, float64(e.At-by)/1000)})
+			}
+		}
+	}
+	return out
+}
+
+// heardBy is when a gateway must act on what discovery wrote at a time.
+func (h *reading) heardBy(node int, at int64) int64 {
+	allowed := stopSending.Microseconds() + pageSlack + rigSlack
+	for moved := true; moved; {
+		moved = false
+		for _, w := range h.faults {
+			away := w.Verb == "stop" || w.Verb == "starve" || w.Verb == "kill" || w.Verb == "term" ||
+				w.Verb == "sever" && w.Name == Discovery
+			if away && w.on(node) && w.from <= at+allowed && w.to > at {
+				if w.to == math.MaxInt64 {
+					return w.to
+				}
+				// The call to discovery may have to be made anew.
+				at, moved, allowed = w.to, true, max(allowed, askWithin.Microseconds())
+			}
+		}
+	}
+	return at + allowed
+}
+
+// stale: a view's data are no older than its bound when the gateway has sent the request, and a seat is looked for at a
+// primary.
+func stale(h *reading) (out []Violation) {
+	for _, id := range h.order {
+		r := h.requests[id]
+		for _, e := range r.ran {
+			sent := e.At
+			for _, s := range r.sent {
+				if s.Server == e.Server && s.At <= e.At {
+					sent = s.At
+				}
+			}
+			switch age := e.Age - (e.At - sent); {
+			case e.Class == ClassView && age > ViewBound.Microseconds()+pageSlack:
+				out = append(out, Violation{At: e.At, Text: fmt.Sprintf(
+					"%s ran at %s, whose data were %.0f ms old when gateway %d had sent it", id, e.Server, float64(age)/1000, e.Node)})
+			case e.Class == ClassSeat && e.Server != primaryName:
+				out = append(out, Violation{At: e.At, Text: fmt.Sprintf("%s must be current and ran at %s", id, e.Server)})
+			}
+		}
+	}
+	return out
+}
+
+// primaryName is the primary's id on the list.
+const primaryName = "p"
+
+// seat is one operation on one key, for porcupine.
+type seat struct {
+	key   string
+	write bool
+}
+
+// seats is a key that a booking puts there, once and for all.
+var seats = porcupine.Model{
+	Init: func() any { return false },
+	Step: func(there, in, out any) (bool, any) {
+		if in.(seat).write {
+			return true, true
+		}
+		return out == there, there
+	},
+	Partition: func(all []porcupine.Operation) (parts [][]porcupine.Operation) {
+		by := map[string]int{}
+		for _, o := range all {
+			i, known := by[o.Input.(seat).key]
+			if !known {
+				i = len(parts)
+				by[o.Input.(seat).key], parts = i, append(parts, nil)
+			}
+			parts[i] = append(parts[i], o)
+		}
+		return parts
+	},
+}
+
+// checkFor bounds the search for an order; a history that takes longer counts as broken, for it proves nothing.
+const checkFor = 30 * time.Second
+
+// linearizable: bookings and looks for seats have an order that explains all answers. A booking whose end is not known may
+// take effect at any time, or never.
+func linearizable(h *reading) []Violation {
+	var all []porcupine.Operation
+	clients := map[string]int{}
+	for _, id := range h.order {
+		r := h.requests[id]
+		if r.asked == nil || r.asked.Class != ClassBooking && r.asked.Class != ClassSeat {
+			continue
+		}
+		if _, ok := clients[r.asked.Client]; !ok {
+			clients[r.asked.Client] = len(clients)
+		}
+		op := porcupine.Operation{
+			ClientId: clients[r.asked.Client], Input: seat{r.asked.Key, r.asked.Class == ClassBooking}, Call: r.asked.At,
+			Output: true, Return: math.MaxInt64,
+		}
+		served := len(r.heard) == 1 && r.heard[0].What == EndServed
+		switch {
+		case served:
+			op.Output, op.Return = strings.HasSuffix(r.heard[0].Value, There), r.heard[0].At
+		case r.asked.Class != ClassBooking || len(r.heard) == 1 && r.heard[0].What == EndRefused || len(r.ran) == 0:
+			continue
+		}
+		all = append(all, op)
+	}
+	switch porcupine.CheckOperationsTimeout(seats, all, checkFor) {
+	case porcupine.Illegal:
+		return []Violation{{At: 0, Text: "no order of bookings and looks for seats explains the answers"}}
+	case porcupine.Unknown:
+		return []Violation{{At: 0, Text: fmt.Sprintf("no order was found within %v", checkFor)}}
+	}
+	return nil
+}
+
+// crashes: no process ends unless it was told or made to.
+func crashes(h *reading) (out []Violation) {
+	for _, e := range h.events {
+		if e.Kind != Process || e.What != "ended" {
+			continue
+		}
+		if w, made := h.during(e.Node, e.At-leaves, e.At, "kill", "term"); !made || w.Verb == "term" && e.Text != "exit status 0" {
+			if _, killed := h.during(e.Node, e.At-leaves, e.At, "kill"); !killed {
+				out = append(out, Violation{At: e.At, Text: fmt.Sprintf("gateway %d ended with %s", e.Node, e.Text)})
+			}
+		}
+	}
+	return out
+}
+
+// address: once everything is whole again, exactly one gateway believes to hold the floating address.
+func address(h *reading) []Violation {
+	settled := slices.IndexFunc(h.events, func(e Event) bool { return e.Kind == Phase && e.What == "settled" })
+	if settled < 0 {
+		return nil
+	}
+	if held := holding(h.events[:settled]); len(held) != 1 {
+		return []Violation{{At: h.events[settled].At, Text: fmt.Sprintf("%d gateways hold it", len(held))}}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/check_test.go
@@ -0,0 +1,163 @@
+package rig
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// story is a history in short: a time in milliseconds, then an event.
+type story []Event
+
+func at(ms int64, e Event) Event {
+	e.At = ms * 1000
+	return e
+}
+
+// booked is one booking by way of gateway 1 that runs at the primary and ends as told.
+func booked(ms int64, id, key, end string) story {
+	value := ""
+	if end == EndServed {
+		value = id + There
+	}
+	return story{
+		at(ms, Event{Kind: Asked, Node: 1, ID: id, Client: "c", Class: ClassBooking, Key: key, Within: 1_000_000}),
+		at(ms+1, Event{Kind: Sent, Node: 1, ID: id, Server: "p"}),
+		at(ms+2, Event{Kind: Ran, Node: 1, ID: id, Class: ClassBooking, Key: key, Server: "p"}),
+		at(ms+9, Event{Kind: Heard, Node: 1, ID: id, Client: "c", Class: ClassBooking, Key: key, What: end, Value: value}),
+	}
+}
+
+// viewed is a read of some class at a server whose data are so old.
+func viewed(ms int64, id, class, server, value string, ageMS int64) story {
+	return story{
+		at(ms, Event{Kind: Asked, Node: 1, ID: id, Client: "v", Class: class, Key: "k", Within: 1_000_000}),
+		at(ms+1, Event{Kind: Sent, Node: 1, ID: id, Server: server}),
+		at(ms+2, Event{Kind: Ran, Node: 1, ID: id, Class: class, Key: "k", Server: server, Age: ageMS * 1000}),
+		at(ms+9, Event{Kind: Heard, Node: 1, ID: id, Client: "v", Class: class, Key: "k", What: EndServed, Value: id + value}),
+	}
+}
+
+func fault(from, to int64, line string) story {
+	return story{at(from, Event{Kind: Begins, What: line}), at(to, Event{Kind: Ends, What: line})}
+}
+
+func ended(ms int64, how string) Event {
+	return at(ms, Event{Kind: Process, Node: 1, What: "ended", Text: how})
+}
+
+func told(ms int64, server, state string) Event {
+	return at(ms, Event{Kind: Told, Node: 1, Server: server, What: state})
+}
+
+func belief(ms int64, node int, state string) Event {
+	return at(ms, Event{Kind: Belief, Node: node, What: "vrrp counters", Text: state})
+}
+
+func join(parts ...story) (out story) {
+	for _, p := range parts {
+		out = append(out, p...)
+	}
+	return append(out, at(9000, Event{Kind: Phase, What: "done"}))
+}
+
+// without drops the events of a kind.
+func without(s story, kind Kind) (out story) {
+	for _, e := range s {
+		if e.Kind != kind {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Each checker sees what it is there for, in a history made for it, and nothing in one that is nearly the same and sound.
+func TestCheckersBite(t *testing.T) {
+	lost := booked(100, "a", "k", EndReset)
+	unsent := without(without(lost, Sent), Ran)
+	slow := booked(100, "a", "k", EndTimeout)
+	for _, c := range []struct {
+		name string
+		rule string // empty: sound
+		h    story
+	}{
+		{"a booking", "", join(booked(100, "a", "k", EndServed))},
+		{"an answer that never came", "answers", join(without(booked(100, "a", "k", EndServed), Heard))},
+		{"two answers", "answers", join(booked(100, "a", "k", EndServed), story{at(150, Event{Kind: Heard, Node: 1, ID: "a", What: EndFailed})})},
+		{"an answer that nobody asked for", "answers", join(without(booked(100, "a", "k", EndServed), Asked))},
+		{"another's value", "answers", join(viewed(100, "a", ClassView, "r1", "b"+There, 1))},
+		{"a connection reset", "answers", join(lost)},
+		{"reset by the gateway's death", "", join(lost, fault(105, 300, "at 1s kill 1"), story{ended(107, "signal: killed")})},
+		{"reset, and another died", "answers", join(lost, fault(105, 300, "at 1s kill 2"))},
+		{"closed by a gateway that leaves, unread", "", join(unsent, fault(90, 300, "at 1s term 1"), story{ended(300, "exit status 0")})},
+		{"closed by a gateway that leaves, sent", "answers", join(lost, fault(90, 300, "at 1s term 1"), story{ended(900, "exit status 0")})},
+		{"silence", "answers", join(slow)},
+		{"silence of one that stands still", "", join(slow, fault(50, 3000, "at 1s stop 1"))},
+		{"silence while another stands still", "answers", join(slow, fault(50, 3000, "at 1s stop 2"))},
+		{"twice by one request", "bookings", join(booked(100, "a", "k", EndFailed), story{at(105, Event{Kind: Ran, Node: 1, ID: "a", Class: ClassBooking, Key: "k", Server: "p"})})},
+		{"twice by two requests", "bookings", join(booked(100, "a", "k", EndFailed), booked(200, "b", "k", EndServed))},
+		{"served, and never ran", "bookings", join(without(booked(100, "a", "k", EndServed), Ran))},
+		{"refused, and ran", "bookings", join(booked(100, "a", "k", EndRefused))},
+		{"refused, then booked", "", join(without(booked(100, "a", "k", EndRefused), Ran), booked(200, "b", "k", EndServed))},
+		{"sent to a drained server", "drains", join(story{told(100, "r1", "draining")}, viewed(700, "a", ClassView, "r1", Absent, 1))},
+		{"sent within its time", "", join(story{told(100, "r1", "draining")}, viewed(300, "a", ClassView, "r1", Absent, 1))},
+		{"sent once it was ready again", "", join(story{told(100, "r1", "draining"), told(500, "r1", "ready")}, viewed(700, "a", ClassView, "r1", Absent, 1))},
+		{"sent elsewhere", "", join(story{told(100, "r1", "draining")}, viewed(700, "a", ClassView, "r2", Absent, 1))},
+		{"sent by one that could not hear", "", join(story{told(100, "r1", "draining")}, fault(50, 800, "at 1s sever 1 -> discovery"), viewed(700, "a", ClassView, "r1", Absent, 1))},
+		{"sent long after it could hear again", "drains", join(story{told(100, "r1", "draining")}, fault(50, 800, "at 1s sever 1 -> discovery"), viewed(6000, "a", ClassView, "r1", Absent, 1))},
+		{"old data", "stale", join(viewed(100, "a", ClassView, "r1", Absent, 900))},
+		{"data within the bound", "", join(viewed(100, "a", ClassView, "r1", Absent, 840))},
+		{"a seat at a replica", "stale", join(viewed(100, "a", ClassSeat, "r1", Absent, 1))},
+		{"a booked seat that is not seen", "linearizable", join(booked(100, "a", "k", EndServed), viewed(200, "b", ClassSeat, "p", Absent, 0))},
+		{"a seat seen and then not", "linearizable", join(booked(100, "a", "k", EndFailed), viewed(103, "b", ClassSeat, "p", There, 0), viewed(200, "c", ClassSeat, "p", Absent, 0))},
+		{"a booking in doubt that takes effect later", "", join(booked(100, "a", "k", EndFailed), viewed(200, "b", ClassSeat, "p", Absent, 0), viewed(300, "c", ClassSeat, "p", There, 0))},
+		{"a crash", "crashes", join(story{ended(100, "exit status 2")})},
+		{"a crash while it was told to end", "crashes", join(fault(90, 300, "at 1s term 1"), story{ended(200, "exit status 2")})},
+		{"an end that was asked for", "", join(fault(90, 300, "at 1s term 1"), story{ended(200, "exit status 0")})},
+		{"two hold the address", "address", join(story{belief(1, 1, "active"), belief(2, 2, "active"), at(500, Event{Kind: Phase, What: "settled"})})},
+		{"one holds the address", "", join(story{belief(1, 1, "active"), belief(2, 2, "active"), belief(3, 1, "backup"), at(500, Event{Kind: Phase, What: "settled"})})},
+		{"a fault that is none", "history", join(story{at(1, Event{Kind: Begins, What: "at 1s sing 1"})})},
+		{"an end without a beginning", "history", join(story{at(1, Event{Kind: Ends, What: "at 1s kill 1"})})},
+	} {
+		var rules []string
+		for _, v := range Check(c.h) {
+			rules = append(rules, v.Rule)
+		}
+		if got := strings.Join(rules, ","); got != c.rule {
+			t.Errorf("%s: %q broken, want %q", c.name, got, c.rule)
+		}
+	}
+}
+
+// What is written is read back to the same, and a hole in it is told.
+func TestHistoryIsKept(t *testing.T) {
+	var b bytes.Buffer
+	h := NewHistory(&b)
+	for _, e := range join(booked(100, "a", "k", EndServed), viewed(200, "b", ClassView, "r1", There, 7), fault(1, 2, `at 1s split 1,2 | 3 for 2s`)) {
+		h.Add(e)
+	}
+	got, err := ReadHistory(bytes.NewReader(b.Bytes()))
+	if err != nil || !reflect.DeepEqual(got, h.Events()) || len(got) != 11 {
+		t.Errorf("%v\n%+v\n%+v", err, got, h.Events())
+	}
+	for _, bad := range []string{"{", `{"at":1,"kind":"ran","colour":"red"}`} {
+		if _, err := ReadHistory(strings.NewReader(b.String() + bad)); err == nil {
+			t.Errorf("%s is read", bad)
+		}
+	}
+	full := NewHistory(failing{})
+	full.Add(Event{Kind: Phase})
+	if full.Err() == nil {
+		t.Error("a history that could not be written is whole")
+	}
+	if err := h.Await("what never comes", time.Millisecond, func([]Event) bool { return false }); err == nil {
+		t.Error("it came")
+	}
+}
+
+type failing struct{}
+
+func (failing) Write([]byte) (int, error) { return 0, errors.New("no space") }
--- /dev/null
+++ b/internal/rig/cluster.go
@@ -0,0 +1,175 @@
+package rig
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"sync"
+	"time"
+
+	"marblespan/internal/standin"
+)
+
+// Group is the number of the one group of servers that a fleet has.
+const Group = 7
+
+// The classes that clients use.
+const (
+	ClassBooking = "booking" // a write that must not run twice
+	ClassView    = "view"    // a read that may be behind by ViewBound
+	ClassSeat    = "seat"    // a read that must be current
+)
+
+// ViewBound is how far behind a view's data may be.
+const ViewBound = 800 * time.Millisecond
+
+// There and Absent end the value of a read: whether the server had the key. The request's id stands before them.
+const (
+	There  = " there"
+	Absent = " absent"
+)
+
+// cluster is a primary and its replicas, which share a log of commits. A position is a Unix time in milliseconds: the data
+// of a server at position x hold what was committed up to then.
+type cluster struct {
+	history *History
+	node    func(ip string) int // the gateway behind a connection
+	work    time.Duration
+
+	mu      sync.Mutex
+	commits map[string]int64 // by key, the position of its commit
+	servers []*server
+}
+
+// server is one database server.
+type server struct {
+	*standin.Server
+	name    string
+	primary bool
+	lag     time.Duration
+	applied int64 // a position never goes back
+	state   string
+}
+
+// newCluster starts a primary "p" and replicas "r1", "r2" and so on, each at an address of its own.
+func newCluster(h *History, replicas int, work time.Duration, node func(string) int) (*cluster, error) {
+	c := &cluster{history: h, node: node, work: work, commits: map[string]int64{}}
+	for i := range replicas + 1 {
+		s := &server{name: "p", primary: i == 0, state: "ready"}
+		role := "primary"
+		if i > 0 {
+			s.name, role = fmt.Sprint("r", i), "replica"
+		}
+		var err error
+		if s.Server, err = standin.NewServer(role); err != nil {
+			c.close()
+			return nil, err
+		}
+		c.servers = append(c.servers, s)
+		s.SetProbe(func(*standin.Query) bool {
+			s.Position.Store(c.position(s))
+			return false
+		})
+		s.SetHandle(func(q *standin.Query) { c.run(s, q) })
+	}
+	return c, nil
+}
+
+func (c *cluster) find(name string) *server {
+	for _, s := range c.servers {
+		if s.name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// position is up to where a server has applied the log.
+func (c *cluster) position(s *server) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.positionLocked(s)
+}
+
+func (c *cluster) positionLocked(s *server) int64 {
+	s.applied = max(s.applied, time.Now().Add(-s.lag).UnixMilli())
+	return s.applied
+}
+
+// keyOf is the key that a statement names.
+var keyOf = regexp.MustCompile(`(?:name = |VALUES \()'([^']*)'`)
+
+// run runs one request and notes it.
+func (c *cluster) run(s *server, q *standin.Query) {
+	key := ""
+	if m := keyOf.FindStringSubmatch(q.SQL); m != nil {
+		key = m[1]
+	}
+	write := strings.Contains(q.SQL, "INSERT ")
+	if write && !s.primary {
+		s.Position.Store(c.position(s))
+		q.Fail("25006")
+		return
+	}
+	c.mu.Lock()
+	at := c.positionLocked(s)
+	commit, there := c.commits[key]
+	there = there && commit <= at
+	if write {
+		there = true
+		c.commits[key] = at
+	}
+	c.mu.Unlock()
+	// The very moment counts, not the position's grain: a primary is never behind.
+	age := int64(0)
+	if !s.primary {
+		age = time.Since(time.UnixMilli(at)).Microseconds()
+	}
+	c.history.Add(Event{
+		Kind: Ran, Node: c.node(q.From()), ID: q.ID(), Class: q.Field("c"), Key: key, Server: s.name, Age: age,
+	})
+	time.Sleep(c.work)
+	value := q.ID() + Absent
+	if there {
+		value = q.ID() + There
+	}
+	s.Position.Store(at)
+	q.Serve([]byte(value))
+}
+
+// setLag lets a replica fall behind: it stands where it is until it lags by so much, then goes on at that distance.
+func (c *cluster) setLag(s *server, lag time.Duration) {
+	c.mu.Lock()
+	c.positionLocked(s)
+	s.lag = lag
+	c.mu.Unlock()
+}
+
+// setState tells whether the state is another one than before.
+func (c *cluster) setState(s *server, state string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := s.state != state
+	s.state = state
+	return changed
+}
+
+// target is a server's entry on the list that a gateway gets, which reaches it at an address of its own.
+func (c *cluster) target(s *server, endpoint string) standin.Target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := standin.Target{UID: s.name, Endpoint: endpoint, Zone: "here", Group: Group, State: s.state, Weight: 1, Role: "replica"}
+	if s.primary {
+		t.Role = "primary"
+	}
+	return t
+}
+
+func (c *cluster) close() {
+	for _, s := range c.servers {
+		s.Close()
+	}
+}
+
+// requestID is the id in a statement's comment.
+var requestID = regexp.MustCompile(`/\* id=([^, ]+)`)
--- /dev/null
+++ b/internal/rig/faults.go
@@ -0,0 +1,250 @@
+package rig
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"marblespan/internal/standin"
+)
+
+// Play brings faults about at their times and puts each right after its span; then it puts right all that is left. It
+// returns early, with all put right, when quit is closed.
+func (f *Fleet) Play(faults []Fault, quit <-chan struct{}) error {
+	for _, x := range faults {
+		if err := f.fits(x); err != nil {
+			return err
+		}
+	}
+	begin := time.Now()
+	var ends sync.WaitGroup
+	errs := make(chan error, len(faults))
+	over := make(chan struct{})
+	wait := func(at time.Time) bool {
+		select {
+		case <-time.After(time.Until(at)):
+			return true
+		case <-over:
+			return false
+		case <-quit:
+			return false
+		}
+	}
+	for _, x := range faults {
+		if !wait(begin.Add(x.At)) {
+			break
+		}
+		f.History.Add(Event{Kind: Begins, What: x.String()})
+		undo, err := f.Begin(x)
+		if err != nil {
+			errs <- err
+			break
+		}
+		if undo == nil {
+			continue
+		}
+		ends.Add(1)
+		go func() {
+			defer ends.Done()
+			if x.For > 0 {
+				wait(time.Now().Add(x.For))
+			} else {
+				select {
+				case <-over:
+				case <-quit:
+				}
+			}
+			if err := undo(); err != nil {
+				errs <- err
+			}
+			f.History.Add(Event{Kind: Ends, What: x.String()})
+		}()
+	}
+	last := begin
+	for _, x := range faults {
+		if end := begin.Add(x.At + x.For); end.After(last) {
+			last = end
+		}
+	}
+	wait(last)
+	close(over)
+	ends.Wait()
+	close(errs)
+	return <-errs
+}
+
+// fits tells whether a fault can be brought about in this fleet.
+func (f *Fleet) fits(x Fault) error {
+	for _, n := range slices.Concat(x.From, x.To) {
+		if n > len(f.Nodes) {
+			return fmt.Errorf("%q: there is no gateway %d", x, n)
+		}
+	}
+	if x.Name == "" || x.Verb == "disk" || x.Verb == "sever" && x.Name == Discovery {
+		return nil
+	}
+	if s := f.cluster.find(x.Name); s == nil || x.Verb != "sever" && s.primary {
+		return fmt.Errorf("%q: there is no such server, or not for this", x)
+	}
+	return nil
+}
+
+// concerned lists the gateways that a fault is done to.
+func (f *Fleet) concerned(x Fault) (list []*Node) {
+	for _, n := range f.Nodes {
+		if x.From == nil || slices.Contains(x.From, n.Number) {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// Begin brings a fault about. The function that it returns puts it right; none where there is nothing to put right.
+func (f *Fleet) Begin(x Fault) (undo func() error, err error) {
+	if verbs[x.Verb].shape == onNodes {
+		return f.beginOnNodes(x)
+	}
+	if x.Verb == "reset" {
+		for _, a := range f.Nodes {
+			for _, b := range f.Nodes {
+				if x.spoils(a.Number, b.Number) {
+					f.Path.Reset(a.Number-1, b.Number-1)
+				}
+			}
+		}
+		return nil, nil
+	}
+	f.change(func() { f.active = append(f.active, x) })
+	return func() error {
+		f.change(func() {
+			i := slices.IndexFunc(f.active, func(y Fault) bool { return y.String() == x.String() })
+			f.active = slices.Delete(f.active, i, i+1)
+		})
+		return nil
+	}, nil
+}
+
+func (f *Fleet) beginOnNodes(x Fault) (undo func() error, err error) {
+	list := f.concerned(x)
+	lives := make([]*process, len(list))
+	for i, n := range list {
+		lives[i] = n.current()
+	}
+	each := func(do func(i int, n *Node) error) error {
+		for i, n := range list {
+			if err := do(i, n); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	switch x.Verb {
+	case "disk":
+		return nil, each(func(_ int, n *Node) error { return n.disk(x.Name) })
+	case "kill", "term":
+		sig := map[string]syscall.Signal{"kill": syscall.SIGKILL, "term": syscall.SIGTERM}[x.Verb]
+		each(func(i int, _ *Node) error { return lives[i].signal(sig) })
+		return func() error {
+			return each(func(i int, n *Node) error {
+				<-lives[i].ended
+				return n.startAfter(lives[i])
+			})
+		}, nil
+	case "starve":
+		quit := make(chan struct{})
+		var done sync.WaitGroup
+		for i, n := range list {
+			done.Add(1)
+			go func() { defer done.Done(); n.starve(lives[i], x.Num, quit) }()
+		}
+		return func() error { close(quit); done.Wait(); return nil }, nil
+	}
+	each(func(i int, n *Node) error { n.still(lives[i], true); return nil })
+	for _, p := range lives {
+		for !p.over() && !p.standsStill() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return func() error {
+		return each(func(i int, n *Node) error { n.still(lives[i], false); return nil })
+	}, nil
+}
+
+// change changes the faults at work, and sets anew all that follows from them: each way's fate, who reaches which server, and
+// how the servers are.
+func (f *Fleet) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+	for _, a := range f.Nodes {
+		for _, b := range f.Nodes {
+			if a != b {
+				f.Path.Set(a.Number-1, b.Number-1, fate(f.active, a.Number, b.Number))
+			}
+		}
+		severed := func(name string) standin.Fate {
+			return standin.Fate{Drop: slices.ContainsFunc(f.active, func(x Fault) bool {
+				return x.Verb == "sever" && x.Name == name && (x.From == nil || slices.Contains(x.From, a.Number))
+			})}
+		}
+		for name, r := range a.servers {
+			r.Set(severed(name), severed(name))
+		}
+		a.reach.Set(severed(Discovery), severed(Discovery))
+	}
+	for _, s := range f.cluster.servers {
+		lag, state := time.Duration(0), "ready"
+		for _, x := range f.active {
+			switch {
+			case x.Name != s.name:
+			case x.Verb == "lag":
+				lag = max(lag, x.Span)
+			case x.Verb == "drain":
+				state = "draining"
+			}
+		}
+		f.cluster.setLag(s, lag)
+		f.list(s, state)
+	}
+}
+
+// fate is what all faults at work come to on one way.
+func fate(active []Fault, from, to int) (out standin.Fate) {
+	for _, x := range active {
+		if !x.spoils(from, to) {
+			continue
+		}
+		switch x.Verb {
+		case "cut", "split":
+			out.Drop = true
+		case "stall":
+			out.Stall = true
+		case "loss":
+			out.Loss = 1 - (1-out.Loss)*(1-x.Num)
+		case "delay":
+			out.Delay, out.Jitter = out.Delay+x.Span, out.Jitter+x.More
+		case "duplicate":
+			out.Copies += int(x.Num)
+		case "reorder":
+			out.Swap = true
+		case "slow":
+			if rate := int(x.Num); out.Rate == 0 || rate < out.Rate {
+				out.Rate = rate
+			}
+		}
+	}
+	return out
+}
+
+// list has discovery tell every gateway of a server's state, if that has changed.
+func (f *Fleet) list(s *server, state string) {
+	if !f.cluster.setState(s, state) {
+		return
+	}
+	for _, n := range f.Nodes {
+		n.discovery.Push(f.cluster.target(s, n.servers[s.name].Addr()))
+		f.History.Add(Event{Kind: Told, Node: n.Number, Server: s.name, What: state})
+	}
+}
--- /dev/null
+++ b/internal/rig/fleet.go
@@ -0,0 +1,489 @@
+package rig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"marblespan/internal/standin"
+)
+
+// MostNodes is how many gateways a fleet may have.
+const MostNodes = 32
+
+// Discovery is discovery's name where faults name servers.
+const Discovery = "discovery"
+
+// secret signs the fleet's messages.
+const secret = "the secret of this experiment"
+
+// The ports of every gateway, each at an address of its own.
+const (
+	portClients  = 6433
+	portFloating = 6434
+	portVRRP     = 1112
+)
+
+// Bounds of the rules, as the fleet's settings have them.
+const (
+	stopSending = 250 * time.Millisecond // after a drain was told
+	askWithin   = 4 * time.Second        // after which a list counts as told though nobody has heard it
+	patience    = time.Second            // of a request
+)
+
+// settings are the platform's. Servers check nothing: how old a read may be is the gateways' own duty.
+const settings = `{"balancers": %d, "ordinal": %d,
+ "classes": [
+  {"name": "booking", "aim_ms": 750, "give_up_ms": 1000, "effect": "single_shot", "points": 3, "late_worth": 0.5},
+  {"name": "view", "aim_ms": 500, "give_up_ms": 1000, "effect": "free", "points": 1, "late_worth": 0.5},
+  {"name": "seat", "aim_ms": 500, "give_up_ms": 1000, "effect": "free", "points": 1, "late_worth": 0.5}],
+ "family_info": {"answers_stamped": true, "checks": "none", "wait_ms": 50, "freshness": ["mutate", "lag_bound", "strong"],
+  "oldest_data_ms": [0, 800, 0], "write_marks": "brought"},
+ "granularity_ms": 5, "membership_mode": "subscribe", "locality": "here",
+ "policy_limits": {"cancelling": true, "connect_timeout_ms": 250, "most_tries": 4, "probing": true, "keepalive_ms": 30000},
+ "report": {"how": "probe", "fields": ["x0", "x1", "cpu_share"]},
+ "rules": {"ask_within_ms": 4000, "cold_from": 0.26, "fall_ms": 3000, "grace_to_answer_ms": 20, "overload_factor": 4,
+  "ramp_time_ms": 16000, "stop_sending_within_ms": 250}}`
+
+// Options say what a fleet is made of.
+type Options struct {
+	Binary   string // of the gateway
+	Nodes    int
+	Replicas int
+	Seed     uint64
+	Dir      string    // for logs and data directories; empty: a temporary one, removed by Close
+	History  io.Writer // where the history goes too; may be nil
+
+	Work       time.Duration // of a request at its server
+	Interval   time.Duration // between VRRP advertisements
+	Priorities []int         // of each gateway; nil: falling from 200
+	CutOnMove  bool          // the switch resets flows when the floating address moves
+}
+
+// Defaults are sizes that suit one machine.
+func Defaults() Options {
+	return Options{
+		Binary: "bin/marblespan", Nodes: 3, Replicas: 2, Seed: 1, Work: 3 * time.Millisecond, Interval: 100 * time.Millisecond,
+	}
+}
+
+// Fleet is several gateways and all that is around them.
+type Fleet struct {
+	Options
+	History *History
+	Switch  *standin.Switch
+	Path    *standin.Path // of the gateways' messages for the floating address
+	Nodes   []*Node       // number 1 first
+
+	cluster   *cluster
+	temporary bool
+
+	mu     sync.Mutex
+	active []Fault // at work now
+}
+
+// Node is one gateway, in all its lives.
+type Node struct {
+	Number   int
+	IP       net.IP
+	Listen   string
+	Floating string
+
+	f         *Fleet
+	dir       string
+	discovery *standin.Discovery
+	reach     *standin.Relay            // of discovery
+	servers   map[string]*standin.Relay // of each server
+	told      sync.WaitGroup
+
+	mu      sync.Mutex
+	process *process // of this life; nil: none yet
+	stops   int      // faults that have it stand still now
+	lives   int
+}
+
+// fleets tells the networks of one process's fleets apart.
+var fleets atomic.Int64
+
+// network is a /24 of the loopback range that no other fleet on this machine is likely to use.
+func network() net.IP {
+	n := os.Getpid() + int(fleets.Add(1))<<10
+	return net.IPv4(127, byte(64+n>>8%128), byte(n), 0).To4()
+}
+
+// New starts a fleet and waits until each gateway serves.
+func New(o Options) (f *Fleet, err error) {
+	if o.Nodes < 1 || o.Nodes > MostNodes || o.Replicas < 1 {
+		return nil, fmt.Errorf("a fleet has 1 to %d gateways and a replica at least", MostNodes)
+	}
+	f = &Fleet{Options: o, History: NewHistory(o.History)}
+	defer func() {
+		if err != nil {
+			f.Close()
+			f = nil
+		}
+	}()
+	if f.Dir == "" {
+		f.temporary = true
+		if f.Dir, err = os.MkdirTemp("", "rig"); err != nil {
+			return f, err
+		}
+	}
+	if f.Switch, err = standin.NewSwitch(secret); err != nil {
+		return f, err
+	}
+	f.Switch.CutOnMove = o.CutOnMove
+	if f.cluster, err = newCluster(f.History, o.Replicas, o.Work, f.at); err != nil {
+		return f, err
+	}
+	base := network()
+	var ends []*net.UDPAddr
+	for i := range o.Nodes {
+		n, err := f.newNode(i+1, net.IPv4(base[0], base[1], base[2], byte(i+1)).To4())
+		if err != nil {
+			return f, err
+		}
+		ends = append(ends, &net.UDPAddr{IP: n.IP, Port: portVRRP})
+	}
+	if f.Path, err = standin.NewPath(ends...); err != nil {
+		return f, err
+	}
+	for _, n := range f.Nodes {
+		if err := n.configure(); err != nil {
+			return f, err
+		}
+		if err := n.Start(); err != nil {
+			return f, err
+		}
+	}
+	return f, f.AwaitReady(settleBy)
+}
+
+// settleBy is how long a fleet may take to come to rest. Tests wait for what they look for, never for a fixed span; this is
+// when they give up.
+const settleBy = 30 * time.Second
+
+// newNode makes what stands between one gateway and the rest.
+func (f *Fleet) newNode(number int, ip net.IP) (*Node, error) {
+	n := &Node{Number: number, IP: ip, f: f, dir: filepath.Join(f.Dir, fmt.Sprint("n", number)), servers: map[string]*standin.Relay{}}
+	n.Listen, n.Floating = fmt.Sprintf("%v:%d", ip, portClients), fmt.Sprintf("%v:%d", ip, portFloating)
+	f.Nodes = append(f.Nodes, n)
+	var targets []standin.Target
+	for _, s := range f.cluster.servers {
+		r, err := standin.NewRelay("127.0.0.1:0", s.Addr(), ip)
+		if err != nil {
+			return nil, err
+		}
+		r.Seen = func(chunk []byte) { n.sent(s.name, chunk) }
+		n.servers[s.name] = r
+		targets = append(targets, f.cluster.target(s, r.Addr()))
+	}
+	var err error
+	if n.discovery, err = standin.NewDiscovery(targets...); err != nil {
+		return nil, err
+	}
+	n.told.Add(1)
+	go func() { // nobody waits for the calls that are told
+		defer n.told.Done()
+		for range n.discovery.Asked {
+		}
+	}()
+	n.reach, err = standin.NewRelay("127.0.0.1:0", n.discovery.Addr(), nil)
+	return n, err
+}
+
+// at is the gateway behind an IP; 0: none.
+func (f *Fleet) at(ip string) int {
+	for _, n := range f.Nodes {
+		if n.IP.String() == ip {
+			return n.Number
+		}
+	}
+	return 0
+}
+
+// Via is the gateway behind a listener's address; 0: none.
+func (f *Fleet) Via(addr string) int {
+	host, _, _ := net.SplitHostPort(addr)
+	return f.at(host)
+}
+
+// sent notes a request as its first byte leaves for a server.
+func (n *Node) sent(server string, chunk []byte) {
+	for _, m := range requestID.FindAllSubmatch(chunk, -1) {
+		n.f.History.Add(Event{Kind: Sent, Node: n.Number, ID: string(m[1]), Server: server})
+	}
+}
+
+// configure writes a gateway's two files.
+func (n *Node) configure() error {
+	f := n.f
+	if err := os.MkdirAll(filepath.Join(n.dir, "data"), 0o755); err != nil {
+		return err
+	}
+	priority := 201 - n.Number
+	if f.Priorities != nil {
+		priority = f.Priorities[n.Number-1]
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "vrrp\n node %d\n bind %v:%d\n announce %s\n key 1 \"%s\"\n", n.Number, n.IP, portVRRP, f.Switch.Announced(), secret)
+	for _, other := range f.Nodes {
+		if other != n && len(f.Nodes) <= mostPeers+1 {
+			fmt.Fprintf(&b, " peer %d %s\n", other.Number, f.Path.Peer(n.Number-1, other.Number-1))
+		}
+	}
+	fmt.Fprintf(&b, "group counters\n vrid 51\n address 192.0.2.10\n listen %s\n priority %d\n interval %v\n damp 0s 0s 0s\n",
+		n.Floating, priority, f.Interval)
+	conf := b.String()
+	if n.Number > mostPeers+1 || len(f.Nodes) > mostPeers+1 && n.Number > 1 {
+		conf = "" // VRRP names its peers, sixteen at most: in larger fleets the first one has the address alone
+	}
+	if err := os.WriteFile(filepath.Join(n.dir, "conf"), []byte(conf), 0o600); err != nil {
+		return err
+	}
+	var known []standin.Target
+	for _, s := range f.cluster.servers {
+		known = append(known, f.cluster.target(s, n.servers[s.name].Addr()))
+	}
+	raw, err := json.Marshal(map[string]any{
+		"name": fmt.Sprint("n", n.Number), "listen": n.Listen, "discovery": n.reach.Addr(),
+		"seed":     fmt.Sprintf("%x", f.Seed+uint64(n.Number)),
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"rev": 1, "all": true, "targets": known},
+		"settings": json.RawMessage(fmt.Sprintf(settings, len(f.Nodes), n.Number-1)),
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(n.dir, "json"), raw, 0o600)
+}
+
+// mostPeers is how many peers a gateway's VRRP may have.
+const mostPeers = 16
+
+// Start starts a gateway's next life. The last one must have ended.
+func (n *Node) Start() error { return n.startAfter(n.current()) }
+
+// startAfter starts the life after a given one, unless that has been done: two faults may have taken a gateway away.
+func (n *Node) startAfter(last *process) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != last {
+		return nil
+	}
+	n.lives++
+	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(n.f.Binary, "--conf", filepath.Join(n.dir, "conf"))
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+filepath.Join(n.dir, "json"))
+	life := n.lives
+	n.f.History.Add(Event{Kind: Process, Node: n.Number, What: "started", Text: fmt.Sprint("life ", life)})
+	n.process, err = launch(cmd, log, n.line, func(how string) {
+		log.Close()
+		n.f.History.Add(Event{Kind: Process, Node: n.Number, What: "ended", Text: how})
+	})
+	if err != nil {
+		log.Close()
+		return fmt.Errorf("gateway %d: %w", n.Number, err)
+	}
+	n.stops = 0
+	go n.awaitServing(n.process)
+	return nil
+}
+
+// line takes what a gateway believes out of its log.
+func (n *Node) line(text string) {
+	if !strings.Contains(text, `"message":"vrrp"`) {
+		return
+	}
+	var line struct {
+		Time                   time.Time
+		Group, From, To, Cause string
+	}
+	if json.Unmarshal([]byte(text), &line) == nil {
+		n.f.History.Add(Event{
+			At: n.f.History.At(line.Time), Kind: Belief, Node: n.Number, What: "vrrp " + line.Group, Text: line.To, Value: line.Cause,
+		})
+	}
+}
+
+// awaitServing notes when a life answers its first question, as a front does.
+func (n *Node) awaitServing(p *process) {
+	for !p.over() {
+		if standin.Serves(n.Listen, time.Second) {
+			n.f.History.Add(Event{Kind: Process, Node: n.Number, What: "ready"})
+			return
+		}
+		select {
+		case <-p.ended:
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// Signal sends a signal to the life that runs.
+func (n *Node) Signal(s syscall.Signal) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil {
+		return errors.New("it was never started")
+	}
+	return n.process.signal(s)
+}
+
+// current is the life that runs, or the last one.
+func (n *Node) current() *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
+}
+
+// Wait waits for the end of a life that was told to end.
+func (n *Node) Wait() { <-n.current().ended }
+
+// still has a life of a gateway stand still, or run on once nothing else has it stand still.
+func (n *Node) still(p *process, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != p {
+		return // it is another life's time now
+	}
+	if on {
+		n.stops++
+		p.signal(syscall.SIGSTOP)
+	} else if n.stops--; n.stops == 0 {
+		p.signal(syscall.SIGCONT)
+	}
+}
+
+// slice is how long a starved process is stopped and run in turn, together: well below any interval that the gateways use
+// among themselves, so that it is slow and not away.
+const slice = 20 * time.Millisecond
+
+// starve keeps a life from running for a share of the time, until quit is closed.
+func (n *Node) starve(p *process, share float64, quit <-chan struct{}) {
+	off := time.Duration(share * float64(slice))
+	for {
+		n.still(p, true)
+		time.Sleep(off)
+		n.still(p, false)
+		select {
+		case <-quit:
+			return
+		case <-p.ended:
+			return
+		case <-time.After(slice - off):
+		}
+	}
+}
+
+// disk does something to the data directory.
+func (n *Node) disk(what string) error {
+	data, saved := filepath.Join(n.dir, "data"), filepath.Join(n.dir, "saved")
+	replace := func(at, with string) error {
+		if err := os.RemoveAll(at); err != nil {
+			return err
+		}
+		if with == "" {
+			return os.MkdirAll(at, 0o755)
+		}
+		return os.CopyFS(at, os.DirFS(with))
+	}
+	switch what {
+	case "save":
+		return replace(saved, data)
+	case "old":
+		return replace(data, saved)
+	}
+	return replace(data, "")
+}
+
+// AwaitReady waits until each gateway's present life serves.
+func (f *Fleet) AwaitReady(bound time.Duration) error {
+	return f.History.Await("every gateway serves", bound, func(all []Event) bool {
+		last := map[int]string{}
+		for _, e := range all {
+			if e.Kind == Process {
+				last[e.Node] = e.What
+			}
+		}
+		for _, n := range f.Nodes {
+			if last[n.Number] != "ready" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// AwaitHolder waits until one gateway, the one of that number or any for 0, believes that it holds the floating address, and
+// the switch leads there.
+func (f *Fleet) AwaitHolder(number int, bound time.Duration) error {
+	return f.History.Await(fmt.Sprintf("gateway %d holds the address alone", number), bound, func(all []Event) bool {
+		holders := slices.Collect(maps.Keys(holding(all)))
+		at, _ := f.Switch.Holder()
+		return len(holders) == 1 && (number == 0 || number == holders[0]) && at == f.Nodes[holders[0]-1].Floating
+	})
+}
+
+// holding lists who believes to hold the floating address at the end of a history.
+func holding(all []Event) map[int]bool {
+	active := map[int]bool{}
+	for _, e := range all {
+		switch {
+		case e.Kind == Belief && strings.HasPrefix(e.What, "vrrp "):
+			if delete(active, e.Node); e.Text == "active" {
+				active[e.Node] = true
+			}
+		case e.Kind == Process && e.What == "ended":
+			delete(active, e.Node)
+		}
+	}
+	return active
+}
+
+// Close ends everything, and removes a temporary directory.
+func (f *Fleet) Close() {
+	for _, n := range f.Nodes {
+		if p := n.current(); p != nil {
+			p.end()
+		}
+		for _, r := range n.servers {
+			r.Close()
+		}
+		if n.reach != nil {
+			n.reach.Close()
+		}
+		if n.discovery != nil {
+			n.discovery.Close()
+			close(n.discovery.Asked)
+			n.told.Wait()
+		}
+	}
+	if f.Path != nil {
+		f.Path.Close()
+	}
+	if f.Switch != nil {
+		f.Switch.Close()
+	}
+	if f.cluster != nil {
+		f.cluster.close()
+	}
+	if f.temporary {
+		os.RemoveAll(f.Dir)
+	}
+}
--- /dev/null
+++ b/internal/rig/history.go
@@ -0,0 +1,180 @@
+// Package rig runs several real processes of the gateway with stand-ins around them, puts faults between them by a script,
+// keeps what happened as a history on one clock, and checks that history. See docs/rig.md.
+package rig
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Kind says what an event tells.
+type Kind string
+
+// The kinds of events.
+const (
+	Begins  Kind = "begins"  // a fault, from now on; What is its line in the script
+	Ends    Kind = "ends"    // the same fault is over
+	Process Kind = "process" // a gateway's process: What is "started", "ready" or "ended", Text how it ended
+	Belief  Kind = "belief"  // what a gateway believes: What is the matter, Text its state
+	Told    Kind = "told"    // discovery wrote a change of the list to a gateway: Server, and What its state
+	Asked   Kind = "asked"   // a client wrote a request whole
+	Heard   Kind = "heard"   // its end, as the client saw it: What is one of the ends below
+	Sent    Kind = "sent"    // a gateway began to send a request to a server
+	Ran     Kind = "ran"     // a server ran a request
+	Phase   Kind = "phase"   // the run's own steps: What is "load", "healed", "settled" or "done"
+)
+
+// How a request ends for its client.
+const (
+	EndServed  = "served"
+	EndRefused = "refused" // 53300 or 57P03: it has not run
+	EndFailed  = "failed"  // any other error: it may have run
+	EndClosed  = "closed"  // the connection was closed in an orderly way without an answer
+	EndReset   = "reset"
+	EndTimeout = "timeout"
+)
+
+// Event is one line of a history. Which fields are set depends on its kind.
+type Event struct {
+	At     int64  `json:"at"` // microseconds since the history began
+	Kind   Kind   `json:"kind"`
+	Node   int    `json:"node,omitempty"` // the gateway, from 1; 0: none
+	What   string `json:"what,omitempty"`
+	Text   string `json:"text,omitempty"`
+	ID     string `json:"id,omitempty"` // of the request; each try has its own
+	Client string `json:"client,omitempty"`
+	Class  string `json:"class,omitempty"`
+	Key    string `json:"key,omitempty"`    // what the client means; tries of one booking share it
+	Server string `json:"server,omitempty"` // by its id on the list
+	Value  string `json:"value,omitempty"`  // as the server gave it, or as the client heard it
+	Within int64  `json:"within,omitempty"` // microseconds that the client gives the request
+	Age    int64  `json:"age,omitempty"`    // microseconds by which the server's data were behind when it ran
+}
+
+// History keeps what happens, on one clock. It is safe for use by several goroutines.
+type History struct {
+	start time.Time
+	log   zerolog.Logger
+
+	mu      sync.Mutex
+	events  []Event
+	changed chan struct{} // closed, and made anew, at each event
+	failed  error         // of the writer
+}
+
+// NewHistory begins a history. Events also go to w, as JSON Lines; nil for nowhere.
+func NewHistory(w io.Writer) *History {
+	h := &History{start: time.Now(), changed: make(chan struct{})}
+	if w == nil {
+		w = io.Discard
+	}
+	h.log = zerolog.New(writer{h, w})
+	return h
+}
+
+// writer notes the first failure, for a history with a hole in it must not pass for a whole one.
+type writer struct {
+	h *History
+	w io.Writer
+}
+
+func (w writer) Write(b []byte) (int, error) {
+	n, err := w.w.Write(b)
+	if err != nil && w.h.failed == nil {
+		w.h.failed = err
+	}
+	return n, err
+}
+
+// Now is the history's time, in microseconds.
+func (h *History) Now() int64 { return time.Since(h.start).Microseconds() }
+
+// At is the history's time of a wall time, for what others have stamped on this machine.
+func (h *History) At(t time.Time) int64 { return t.Sub(h.start).Microseconds() }
+
+// Add notes an event, now unless it has a time of its own.
+func (h *History) Add(e Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e.At == 0 {
+		e.At = h.Now()
+	}
+	h.events = append(h.events, e)
+	line := h.log.Log().Int64("at", e.At).Str("kind", string(e.Kind))
+	for _, f := range []struct{ name, value string }{
+		{"what", e.What}, {"text", e.Text}, {"id", e.ID}, {"client", e.Client}, {"class", e.Class}, {"key", e.Key},
+		{"server", e.Server}, {"value", e.Value},
+	} {
+		if f.value != "" {
+			line.Str(f.name, f.value)
+		}
+	}
+	if e.Node != 0 {
+		line.Int("node", e.Node)
+	}
+	if e.Within != 0 {
+		line.Int64("within", e.Within)
+	}
+	if e.Age != 0 {
+		line.Int64("age", e.Age)
+	}
+	line.Send()
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Events lists what has happened so far, in the order in which it was noted.
+func (h *History) Events() []Event {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Event(nil), h.events...)
+}
+
+// Err tells whether the history could not be written whole.
+func (h *History) Err() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failed
+}
+
+// Await waits until the history holds what is looked for, and fails after a generous bound. seen is called with all events
+// up to now.
+func (h *History) Await(what string, bound time.Duration, seen func([]Event) bool) error {
+	late := time.After(bound)
+	for {
+		h.mu.Lock()
+		events, changed := h.events[:len(h.events):len(h.events)], h.changed
+		h.mu.Unlock()
+		if seen(events) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-late:
+			return fmt.Errorf("%s: not seen within %v", what, bound)
+		}
+	}
+}
+
+// ReadHistory reads what was written.
+func ReadHistory(r io.Reader) (events []Event, err error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for n := 1; lines.Scan(); n++ {
+		var e Event
+		d := json.NewDecoder(bytes.NewReader(lines.Bytes()))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&e); err != nil {
+			return events, fmt.Errorf("line %d: %w", n, err)
+		}
+		events = append(events, e)
+	}
+	return events, lines.Err()
+}
--- /dev/null
+++ b/internal/rig/load.go
@@ -0,0 +1,205 @@
+package rig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"marblespan/internal/standin"
+)
+
+// Load is clients that book, view and look for seats until it is stopped. Each tells the history of every request.
+type Load struct {
+	f      *Fleet
+	quit   chan struct{}
+	once   sync.Once
+	done   sync.WaitGroup
+	ledger standin.Ledger
+}
+
+// LoadOptions say how many clients there are of each kind, and how long each pauses between two things.
+type LoadOptions struct {
+	Bookers  int // of the gateways' own listeners
+	Floating int // that book at the floating address
+	Viewers  int
+	Seats    int // that look for what was booked, and must see it
+	Think    time.Duration
+}
+
+// DefaultLoad is a light load.
+func DefaultLoad() LoadOptions {
+	return LoadOptions{Bookers: 4, Floating: 2, Viewers: 4, Seats: 2, Think: 10 * time.Millisecond}
+}
+
+// classes is how many classes are asked for.
+func (o LoadOptions) classes() (n int) {
+	for _, clients := range []int{o.Bookers + o.Floating, o.Viewers, o.Seats} {
+		n += min(clients, 1)
+	}
+	return n
+}
+
+// clientWait is a client's pause after a refusal or where it could not connect.
+const clientWait = 10 * time.Millisecond
+
+// seatsKept is how many of the last booked keys are looked for.
+const seatsKept = 32
+
+// Load starts clients.
+func (f *Fleet) Load(o LoadOptions) *Load {
+	l := &Load{f: f, quit: make(chan struct{})}
+	var mu sync.Mutex
+	var booked []string
+	recent := func(add string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if add != "" {
+			if booked = append(booked, add); len(booked) > seatsKept {
+				booked = booked[1:]
+			}
+		}
+		if len(booked) == 0 {
+			return "nothing"
+		}
+		return booked[rand.IntN(len(booked))]
+	}
+	book := func(b *standin.Booker, n int) {
+		key := fmt.Sprintf("%s-%d", b.Name, n)
+		recent(key) // others look for it while it is being booked, too
+		b.Book(key)
+	}
+	look := func(b *standin.Booker, _ int) { b.Read(recent("")) }
+	l.clients("b", ClassBooking, o.Bookers, o.Think, book, false)
+	l.clients("f", ClassBooking, o.Floating, o.Think, book, true)
+	l.clients("v", ClassView, o.Viewers, o.Think, look, false)
+	l.clients("s", ClassSeat, o.Seats, o.Think, look, false)
+	return l
+}
+
+// clients starts clients of one kind. Each keeps to a gateway for as long as its connection lasts, and goes to the next one
+// when it must connect anew, as a front would have it.
+func (l *Load) clients(kind, class string, count int, think time.Duration, do func(*standin.Booker, int), floating bool) {
+	f := l.f
+	for i := range count {
+		turn := i
+		b := &standin.Booker{
+			Name: fmt.Sprint(kind, i), Class: class, Group: Group, Patience: patience, Tries: 20, Wait: clientWait, Ledger: &l.ledger,
+			Addr: func() string { turn++; return f.Nodes[turn%len(f.Nodes)].Listen }, Tell: l.tell,
+		}
+		if floating {
+			b.Addr, b.Via = f.Switch.Addr, f.Switch.Led
+		}
+		l.done.Add(1)
+		go func() {
+			defer l.done.Done()
+			defer b.Close()
+			for n := 0; ; n++ {
+				select {
+				case <-l.quit:
+					return
+				case <-time.After(think + time.Duration(rand.Int64N(int64(think)+1))):
+				}
+				do(b, n)
+			}
+		}()
+	}
+}
+
+// tell writes a client's exchange into the history.
+func (l *Load) tell(x standin.Exchange) {
+	e := Event{
+		At: l.f.History.At(x.At), Kind: Asked, Node: l.f.Via(x.Via), ID: x.ID, Client: x.Client, Class: x.Class, Key: x.Meaning,
+		Within: patience.Microseconds(),
+	}
+	if x.Reused {
+		e.Text = reused
+	}
+	if x.End != "" {
+		e.Kind, e.What, e.Value = Heard, x.End, x.Value
+	}
+	l.f.History.Add(e)
+}
+
+// reused marks a request on a connection that has served another one before: one that crosses with the connection's close was
+// never read.
+const reused = "reused"
+
+// Stop has every client finish what it is at, and waits for it.
+func (l *Load) Stop() {
+	l.once.Do(func() { close(l.quit) })
+	l.done.Wait()
+}
+
+// Totals sums up what became of all that clients meant.
+func (l *Load) Totals() standin.Totals { return l.ledger.Totals() }
+
+// Outcome is what a run came to.
+type Outcome struct {
+	Faults  []Fault
+	Events  []Event
+	Broken  []Violation
+	Err     error // the rig itself failed
+	Totals  standin.Totals
+	Settled time.Duration // from the last fault's end until the fleet was at rest again
+}
+
+// Failed tells whether a rule or an invariant was broken, or the run could not be made.
+func (o Outcome) Failed() bool { return o.Err != nil || len(o.Broken) > 0 }
+
+// Run starts a fleet, puts it under load, plays faults, waits until it has come to rest, and checks the history.
+func Run(o Options, load LoadOptions, faults []Fault, quit <-chan struct{}) (out Outcome) {
+	out.Faults = faults
+	f, err := New(o)
+	if err != nil {
+		out.Err = err
+		return out
+	}
+	defer f.Close()
+	if out.Err = f.AwaitHolder(0, settleBy); out.Err != nil {
+		return out
+	}
+	l := f.Load(load)
+	f.History.Add(Event{Kind: Phase, What: "load"})
+	out.Err = f.Play(faults, quit)
+	f.History.Add(Event{Kind: Phase, What: "healed"})
+	healed := time.Now()
+	if out.Err == nil {
+		out.Err = f.settles(load.classes())
+	}
+	out.Settled = time.Since(healed)
+	f.History.Add(Event{Kind: Phase, What: "settled"})
+	l.Stop()
+	f.History.Add(Event{Kind: Phase, What: "done"})
+	out.Totals = l.Totals()
+	out.Events = f.History.Events()
+	if out.Err == nil {
+		out.Err = f.History.Err()
+	}
+	out.Broken = Check(out.Events)
+	return out
+}
+
+// settles waits until every gateway serves, one holds the address, and requests of so many classes have been served since.
+func (f *Fleet) settles(classes int) error {
+	if err := f.AwaitReady(settleBy); err != nil {
+		return err
+	}
+	if err := f.AwaitHolder(0, settleBy); err != nil {
+		return err
+	}
+	from := f.History.Now()
+	return f.History.Await("every class is served again", settleBy, func(all []Event) bool {
+		var served []string
+		for i := len(all) - 1; i >= 0 && len(served) < classes; i-- {
+			if e := all[i]; e.Kind == Heard && e.What == EndServed && e.At > from && !slices.Contains(served, e.Class) {
+				served = append(served, e.Class)
+			}
+			if all[i].Kind == Phase {
+				break
+			}
+		}
+		return len(served) == classes
+	})
+}
--- /dev/null
+++ b/internal/rig/process.go
@@ -0,0 +1,102 @@
+package rig
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+)
+
+// starts hands commands to the one thread that starts processes. The kernel ends a child for its parent's death
+// (PR_SET_PDEATHSIG) when the thread that started it ends, so that thread must last as long as this process.
+var starts = sync.OnceValue(func() chan func() {
+	todo := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for do := range todo {
+			do()
+		}
+	}()
+	return todo
+})
+
+// start starts a command that the kernel kills when this process ends, however that comes about.
+func start(cmd *exec.Cmd) error {
+	if cmd.SysProcAttr == nil {
+		cmd.SysProcAttr = &syscall.SysProcAttr{}
+	}
+	cmd.SysProcAttr.Pdeathsig = syscall.SIGKILL
+	done := make(chan error)
+	starts() <- func() { done <- cmd.Start() }
+	return <-done
+}
+
+// process is one life of a program whose standard error is its log.
+type process struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+	how   string // once ended
+}
+
+// launch starts a program. line is called with each line of its log, end once it is over.
+func launch(cmd *exec.Cmd, log io.Writer, line func(string), end func(how string)) (*process, error) {
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := start(cmd); err != nil {
+		return nil, err
+	}
+	p := &process{cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		lines := bufio.NewScanner(out)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			fmt.Fprintln(log, lines.Text())
+			line(lines.Text())
+		}
+		io.Copy(io.Discard, out) // a line beyond the bound must not block the program
+		cmd.Wait()
+		p.how = cmd.ProcessState.String()
+		end(p.how)
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+func (p *process) signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// over tells whether the process has ended.
+func (p *process) over() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// end kills the process, also one that stands still, and waits.
+func (p *process) end() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// standsStill tells whether every thread of a process has stopped: a signal is sent, but threads on other cores run on for
+// a moment.
+func (p *process) standsStill() bool {
+	stats, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	for _, name := range stats {
+		raw, err := os.ReadFile(name)
+		if _, rest, _ := strings.Cut(string(raw), ") "); err != nil || !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,176 @@
+package rig
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// binary is the gateway, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asRig) != "" { // it is to be killed, and would leave what it builds
+		os.Exit(m.Run())
+	}
+	dir, err := os.MkdirTemp("", "rig-binary")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "marblespan")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/marblespan").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func options() Options {
+	o := Defaults()
+	o.Binary = binary
+	return o
+}
+
+// Real processes under load, and every kind of fault among them: no rule is broken, and the fleet comes to rest.
+func TestRun(t *testing.T) {
+	for _, c := range []struct{ name, script string }{
+		{"calm", ""},
+		{"processes", "at 300ms kill 1 for 500ms\nat 1s term 2 for 100ms\nat 1500ms stop 3 for 1s\nat 2s starve 1 60% for 500ms"},
+		{"ways", "at 200ms cut 1 -> 2,3 for 800ms\nat 1s split 1 | 2,3 for 500ms\nat 1500ms loss all -> all 30% for 1s\n" +
+			"at 1600ms delay all -> all 50ms..200ms for 600ms\nat 1700ms duplicate 1 <-> 2 2 for 500ms\nat 1800ms reorder 2 -> 3 for 500ms"},
+		{"servers", "at 200ms lag r1 2s for 2s\nat 400ms stop 1 for 1s\nat 700ms sever 2 -> p for 600ms\nat 800ms sever 3 -> discovery for 1s\n" +
+			"at 1s drain r2 for 1s\nat 1200ms sever 1 -> r1 for 1s"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			faults, err := ParseScript(c.name, c.script)
+			if err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			out := Run(options(), DefaultLoad(), faults, nil)
+			if out.Err != nil {
+				t.Error(out.Err)
+			}
+			for _, v := range out.Broken {
+				t.Error(v)
+			}
+			t.Logf("%d events, %+v, settled after %v, all in %v", len(out.Events), out.Totals, out.Settled, time.Since(start))
+		})
+	}
+}
+
+// asRig makes the test's own binary start a fleet and then stand there to be killed.
+const asRig = "MARBLESPAN_TEST_RIG"
+
+// A rig that is killed outright takes its processes with it, also one that stands still.
+func TestNothingOutlivesTheRig(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self, "-test.run", "^TestRigToKill$")
+	cmd.Env = append(os.Environ(), asRig+"="+binary)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	var pids [3]int
+	if _, err := fmt.Fscanf(out, "pids %d %d %d\n", &pids[0], &pids[1], &pids[2]); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Kill()
+	cmd.Wait()
+	for _, pid := range pids {
+		for late := time.Now().Add(settleBy); ; time.Sleep(time.Millisecond) {
+			if stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err != nil || strings.Contains(string(stat), ") Z ") {
+				break // gone, or dead and not yet buried by whoever inherited it
+			}
+			if time.Now().After(late) {
+				t.Fatalf("process %d is left", pid)
+			}
+		}
+	}
+}
+
+func TestRigToKill(t *testing.T) {
+	if binary = os.Getenv(asRig); binary == "" {
+		t.Skip("only for TestNothingOutlivesTheRig")
+	}
+	f, err := New(options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Begin(Fault{Verb: "stop", From: []int{2}}); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Print("pids")
+	for _, n := range f.Nodes {
+		fmt.Printf(" %d", n.current().cmd.Process.Pid)
+	}
+	fmt.Println()
+	os.RemoveAll(f.Dir)
+	select {}
+}
+
+// A data directory is emptied, saved and put back.
+func TestDisk(t *testing.T) {
+	n := &Node{dir: t.TempDir()}
+	file := filepath.Join(n.dir, "data", "sub", "x")
+	write := func(text string) {
+		if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range []struct{ do, want string }{{"save", "1"}, {"empty", ""}, {"old", "1"}, {"", "2"}, {"old", "1"}, {"empty", ""}} {
+		if c.do == "" || c.do == "save" {
+			write(c.want)
+		}
+		if c.do != "" {
+			if err := n.disk(c.do); err != nil {
+				t.Fatal(err)
+			}
+		}
+		got, _ := os.ReadFile(file)
+		if string(got) != c.want {
+			t.Errorf("%s: %q, want %q", c.do, got, c.want)
+		}
+	}
+}
+
+// What cannot be brought about is told before anything is.
+func TestFits(t *testing.T) {
+	f := &Fleet{Nodes: make([]*Node, 3), cluster: &cluster{servers: []*server{{name: "p", primary: true}, {name: "r1"}}}}
+	for line, fits := range map[string]bool{
+		"at 1s kill 3": true, "at 1s kill 4": false, "at 1s cut 1 -> 4": false, "at 1s lag r1 1s": true, "at 1s lag r2 1s": false,
+		"at 1s drain p": false, "at 1s sever 1 -> p": true, "at 1s sever 1 -> discovery": true, "at 1s sever 1 -> x": false,
+	} {
+		x, err := ParseFault(line)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.fits(x); (err == nil) != fits {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+	if err := f.Play([]Fault{{Verb: "kill", From: []int{9}}}, nil); err == nil {
+		t.Error("it was played")
+	}
+	if _, err := New(Options{Nodes: MostNodes + 1, Replicas: 1}); err == nil {
+		t.Error("33 gateways")
+	}
+}
--- /dev/null
+++ b/internal/rig/script.go
@@ -0,0 +1,375 @@
+package rig
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"marblespan/internal/config/lines"
+)
+
+// Fault is one line of a script: something that goes wrong at a time, and that is put right after a span.
+type Fault struct {
+	At   time.Duration
+	Verb string
+	From []int // gateways, from 1: those that a fault is done to, or whose sending it spoils; nil: all
+	To   []int // those that no longer hear; nil: all
+	Both bool  // the way back is spoilt too
+	Name string
+	Num  float64       // a share, a number of copies, bytes a second
+	Span time.Duration // a delay or a lag
+	More time.Duration // a delay's jitter
+	For  time.Duration // 0: to the end of the run
+}
+
+// shape says what a verb takes behind it.
+type shape uint8
+
+const (
+	onNodes   shape = iota // stop 1,2
+	onWays                 // cut 1 -> 2, cut 1 <-> all
+	onParts                // split 1,2 | 3,4
+	onServer               // sever 1 -> p
+	onlyNamed              // lag r1
+)
+
+// verb is one kind of fault.
+type verb struct {
+	shape shape
+	value func(f *Fault, word string) bool // its last word; nil: it takes none
+	print func(f Fault) string
+	once  bool // it has no span
+	what  string
+}
+
+func percent(f *Fault, word string) bool {
+	n, err := strconv.ParseFloat(strings.TrimSuffix(word, "%"), 64)
+	f.Num = n / 100
+	return err == nil && strings.HasSuffix(word, "%") && n >= 0 && n <= 100
+}
+
+func printPercent(f Fault) string { return strconv.FormatFloat(f.Num*100, 'f', -1, 64) + "%" }
+
+func whole(f *Fault, word string) bool {
+	n, err := strconv.Atoi(word)
+	f.Num = float64(n)
+	return err == nil && n > 0
+}
+
+func printWhole(f Fault) string { return strconv.Itoa(int(f.Num)) }
+
+func span(f *Fault, word string) bool {
+	least, most, jitters := strings.Cut(word, "..")
+	var err, err2 error
+	if f.Span, err = time.ParseDuration(least); jitters {
+		f.More, err2 = time.ParseDuration(most)
+		f.More -= f.Span
+	}
+	return err == nil && err2 == nil && f.Span >= 0 && f.More >= 0
+}
+
+func printSpan(f Fault) string {
+	if f.More > 0 {
+		return f.Span.String() + ".." + (f.Span + f.More).String()
+	}
+	return f.Span.String()
+}
+
+func disk(f *Fault, word string) bool {
+	f.Name = word
+	return slices.Contains(disks, word)
+}
+
+func printName(f Fault) string { return f.Name }
+
+// disks is what can be done to a data directory. A gateway should be away meanwhile.
+var disks = []string{"empty", "save", "old"}
+
+// verbs are all kinds of faults.
+var verbs = map[string]verb{
+	"kill":      {shape: onNodes, what: "SIGKILL; started again after its span"},
+	"term":      {shape: onNodes, what: "SIGTERM; started again after its span, once it has ended"},
+	"stop":      {shape: onNodes, what: "SIGSTOP, and SIGCONT after its span"},
+	"starve":    {shape: onNodes, value: percent, print: printPercent, what: "stopped for a share of the time, in slices of 20 ms"},
+	"disk":      {shape: onNodes, value: disk, print: printName, once: true, what: "the data directory: empty, save (keep a copy), old (put the copy back)"},
+	"cut":       {shape: onWays, what: "nothing arrives; streams stand still"},
+	"stall":     {shape: onWays, what: "streams stand still, datagrams pass"},
+	"reset":     {shape: onWays, once: true, what: "open streams are reset"},
+	"loss":      {shape: onWays, value: percent, print: printPercent, what: "a share of the datagrams is lost; streams are late"},
+	"delay":     {shape: onWays, value: span, print: printSpan, what: "everything takes longer: 200ms, or 100ms..1s"},
+	"duplicate": {shape: onWays, value: whole, print: printWhole, what: "so many further copies of each datagram"},
+	"reorder":   {shape: onWays, what: "datagrams arrive in the other order, two by two"},
+	"slow":      {shape: onWays, value: whole, print: printWhole, what: "streams pass so many bytes a second"},
+	"split":     {shape: onParts, what: "the two parts hear nothing of each other"},
+	"sever":     {shape: onServer, what: "a gateway is cut from a server, or from discovery"},
+	"lag":       {shape: onlyNamed, value: span, print: printSpan, what: "a replica falls behind by so much"},
+	"drain":     {shape: onlyNamed, what: "the list says that a server drains"},
+}
+
+// nodes writes a list of gateways.
+func nodes(list []int) string {
+	if list == nil {
+		return "all"
+	}
+	words := make([]string, len(list))
+	for i, n := range list {
+		words[i] = strconv.Itoa(n)
+	}
+	return strings.Join(words, ",")
+}
+
+// String is the fault's line in a script.
+func (f Fault) String() string {
+	v := verbs[f.Verb]
+	words := []string{"at", f.At.String(), f.Verb}
+	arrow := "->"
+	if f.Both {
+		arrow = "<->"
+	}
+	switch v.shape {
+	case onNodes:
+		words = append(words, nodes(f.From))
+	case onWays:
+		words = append(words, nodes(f.From), arrow, nodes(f.To))
+	case onParts:
+		words = append(words, nodes(f.From), "|", nodes(f.To))
+	case onServer:
+		words = append(words, nodes(f.From), "->", f.Name)
+	case onlyNamed:
+		words = append(words, f.Name)
+	}
+	if v.value != nil {
+		words = append(words, v.print(f))
+	}
+	if f.For > 0 {
+		words = append(words, "for", f.For.String())
+	}
+	return strings.Join(words, " ")
+}
+
+// ParseFault reads a fault's line.
+func ParseFault(line string) (Fault, error) {
+	all, err := ParseScript("fault", line)
+	if err != nil {
+		return Fault{}, err
+	}
+	if len(all) != 1 {
+		return Fault{}, fmt.Errorf("%q is not one fault", line)
+	}
+	return all[0], nil
+}
+
+// ParseScript reads a script: a fault a line, in the form of the operators' file, in any order. All that is wrong with it is
+// told at once.
+func ParseScript(file, text string) ([]Fault, error) {
+	directives, faults := lines.Parse(file, text)
+	var out []Fault
+	for _, d := range directives {
+		f, wrong := parseFault(d)
+		if wrong != "" {
+			faults = append(faults, lines.Fault{File: file, Line: d.Line, Directive: d.Name, Text: wrong})
+			continue
+		}
+		out = append(out, f)
+	}
+	if len(faults) > 0 {
+		slices.SortStableFunc(faults, func(a, b lines.Fault) int { return a.Line - b.Line })
+		return nil, faults
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return out, nil
+}
+
+// words takes a directive's values one by one.
+type words []string
+
+func (w *words) next() string {
+	if len(*w) == 0 {
+		return ""
+	}
+	first := (*w)[0]
+	*w = (*w)[1:]
+	return first
+}
+
+func parseFault(d lines.Directive) (f Fault, wrong string) {
+	if d.Name != "at" {
+		return f, "is not known here; there is at"
+	}
+	rest := words(d.Values)
+	when := rest.next()
+	var err error
+	if f.At, err = time.ParseDuration(when); err != nil || f.At < 0 {
+		return f, fmt.Sprintf("%q is no time since the run began, such as 3s", when)
+	}
+	f.Verb = rest.next()
+	v, ok := verbs[f.Verb]
+	if !ok {
+		known := make([]string, 0, len(verbs))
+		for name := range verbs {
+			known = append(known, name)
+		}
+		slices.Sort(known)
+		return f, fmt.Sprintf("%q is no fault; there is %s", f.Verb, strings.Join(known, ", "))
+	}
+	if wrong = f.target(v.shape, &rest); wrong != "" {
+		return f, wrong
+	}
+	if v.value != nil {
+		if word := rest.next(); !v.value(&f, word) {
+			return f, fmt.Sprintf("%q does not fit %s: %s", word, f.Verb, v.what)
+		}
+	}
+	if word := rest.next(); word != "" {
+		long := rest.next()
+		if f.For, err = time.ParseDuration(long); word != "for" || err != nil || f.For <= 0 || v.once || len(rest) > 0 {
+			return f, fmt.Sprintf("%q is not understood behind %s", strings.Join(append([]string{word, long}, rest...), " "), f.Verb)
+		}
+	}
+	return f, ""
+}
+
+// target reads whom a fault concerns.
+func (f *Fault) target(s shape, rest *words) (wrong string) {
+	list := func(into *[]int) {
+		word := rest.next()
+		if word == "all" || wrong != "" {
+			return
+		}
+		for _, x := range strings.Split(word, ",") {
+			n, err := strconv.Atoi(x)
+			if err != nil || n < 1 || n > MostNodes {
+				wrong = fmt.Sprintf("%q names no gateways, such as 1,2 or all", word)
+				return
+			}
+			*into = append(*into, n)
+		}
+	}
+	between := func(signs ...string) {
+		if sign := rest.next(); wrong == "" && !slices.Contains(signs, sign) {
+			wrong = fmt.Sprintf("%q stands where %s belongs", sign, strings.Join(signs, " or "))
+		} else {
+			f.Both = sign == "<->"
+		}
+	}
+	switch s {
+	case onNodes:
+		list(&f.From)
+	case onWays:
+		list(&f.From)
+		between("->", "<->")
+		list(&f.To)
+	case onParts:
+		list(&f.From)
+		between("|")
+		list(&f.To)
+	case onServer:
+		list(&f.From)
+		between("->")
+		f.Name = rest.next()
+	case onlyNamed:
+		f.Name = rest.next()
+	}
+	if wrong == "" && (s == onServer || s == onlyNamed) && f.Name == "" {
+		wrong = "names no server"
+	}
+	return wrong
+}
+
+// Script writes faults so that ParseScript reads them back.
+func Script(faults []Fault) string {
+	var b strings.Builder
+	for _, f := range faults {
+		b.WriteString(f.String())
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// spoils tells whether a fault of ways or parts is at work from one gateway to another.
+func (f Fault) spoils(from, to int) bool {
+	in := func(list []int, n int) bool { return list == nil || slices.Contains(list, n) }
+	there := in(f.From, from) && in(f.To, to)
+	back := in(f.From, to) && in(f.To, from)
+	return from != to && (there || (f.Both || f.Verb == "split") && back)
+}
+
+// Draw makes a schedule of faults for a fleet from a seed: about one a second, each put right well before the end. Every
+// kind has its turn before one comes again.
+func Draw(seed uint64, gateways, replicas int, length time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, uint64(gateways)))
+	var bag []string
+	var out []Fault
+	last := length * 4 / 5
+	for at := 500 * time.Millisecond; at < last; at += time.Duration(500+rng.IntN(1000)) * time.Millisecond {
+		if len(bag) == 0 {
+			for name, v := range verbs {
+				if !v.once || name == "reset" {
+					bag = append(bag, name)
+				}
+			}
+			slices.Sort(bag)
+			rng.Shuffle(len(bag), func(i, j int) { bag[i], bag[j] = bag[j], bag[i] })
+		}
+		f := Fault{At: at, Verb: bag[0]}
+		bag = bag[1:]
+		if f.draw(rng, gateways, replicas); f.At+f.For < last {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// draw fills in a fault's particulars.
+func (f *Fault) draw(rng *rand.Rand, gateways, replicas int) {
+	some := func(most int) (list []int) {
+		all := rng.Perm(gateways)
+		for _, n := range all[:1+rng.IntN(max(1, min(most, gateways-1)))] {
+			list = append(list, n+1)
+		}
+		slices.Sort(list)
+		return list
+	}
+	step := 100 * time.Millisecond
+	f.For = step * time.Duration(5+rng.IntN(25))
+	third := max(1, gateways/3)
+	switch f.Verb {
+	case "kill", "term":
+		f.From = some(third)
+	case "stop":
+		f.From, f.For = some(third), step*time.Duration(3+rng.IntN(47))
+	case "starve":
+		f.From, f.Num = some(third), float64(30+rng.IntN(60))/100
+	case "split":
+		f.From = some(gateways - 1)
+		for n := 1; n <= gateways; n++ {
+			if !slices.Contains(f.From, n) {
+				f.To = append(f.To, n)
+			}
+		}
+	case "cut", "stall", "reset", "reorder":
+		f.From, f.To, f.Both = some(third), some(gateways), rng.IntN(2) == 0
+	case "loss":
+		f.Num = float64(5+rng.IntN(30)) / 100
+	case "delay":
+		f.Span, f.More = step*time.Duration(rng.IntN(3)), step*time.Duration(1+rng.IntN(9))
+	case "duplicate":
+		f.Num = float64(1 + rng.IntN(3))
+	case "slow":
+		f.From, f.Num = some(third), float64(1000*(1+rng.IntN(20)))
+	case "sever":
+		f.From = some(third)
+		f.Name = [...]string{"p", "r1", Discovery}[rng.IntN(3)]
+	case "lag":
+		f.Name, f.Span = fmt.Sprint("r", 1+rng.IntN(replicas)), step*time.Duration(2+rng.IntN(30))
+	case "drain":
+		f.Name = fmt.Sprint("r", 1+rng.IntN(replicas))
+	}
+	if verbs[f.Verb].once {
+		f.For = 0
+	}
+}
--- /dev/null
+++ b/internal/rig/shrink.go
@@ -0,0 +1,37 @@
+package rig
+
+// Shrink looks for the fewest of some faults with which a run still fails, by leaving out halves, then quarters and so on
+// (delta debugging, Zeller and Hildebrandt 2002), in at most so many runs. A run that depends on luck may pass where it could
+// have failed; what is left then has a fault too many, never one too few.
+func Shrink(faults []Fault, runs int, fails func([]Fault) bool) []Fault {
+	tried := map[string]bool{Script(faults): false}
+	try := func(some []Fault) bool {
+		key := Script(some)
+		if _, done := tried[key]; done || runs == 0 {
+			return false
+		}
+		runs--
+		tried[key] = fails(some)
+		return tried[key]
+	}
+	for parts := 2; len(faults) > 0; {
+		size := (len(faults) + parts - 1) / parts
+		smaller := false
+		for from := 0; from < len(faults) && !smaller; from += size {
+			to := min(from+size, len(faults))
+			without := append(append([]Fault(nil), faults[:from]...), faults[to:]...)
+			if try(without) {
+				faults, smaller = without, true
+			}
+		}
+		switch {
+		case smaller:
+			parts = max(parts-1, 2)
+		case size == 1:
+			return faults
+		default:
+			parts = min(2*parts, len(faults))
+		}
+	}
+	return faults
+}
--- a/internal/standin/booker.go
+++ b/internal/standin/booker.go
@@ -136,8 +136,21 @@
 	return runs, faults
 }
 
-// Booker is one client that books, a thing at a time. It tries again after a refusal, and where nothing was written; what
-// may have run it never sends again.
+// Exchange is one request that a client wrote whole, and its end.
+type Exchange struct {
+	At      time.Time // just before it was written, or when its end was seen
+	Client  string
+	ID      string
+	Class   string
+	Meaning string
+	Via     string // as Booker.Via tells it, or else the address connected to
+	Reused  bool   // the connection had served another request before
+	End     string // empty at the beginning; "served", "refused", "failed", or how the connection ended without an answer
+	Value   string // served
+}
+
+// Booker is one client that books or reads, a thing at a time. It tries again after a refusal, and where nothing was written;
+// what may have run it never sends again.
 type Booker struct {
 	Name     string
 	Addr     func() string             // where to connect now
@@ -148,19 +161,30 @@
 	Tries    int
 	Wait     time.Duration // after a refusal or a connection that did not come up, half as much again at random
 	Ledger   *Ledger
+	Tell     func(Exchange) // is told of each request and of each end; may be nil
 
-	conn *net.TCPConn
-	via  string
-	end  string
+	conn   *net.TCPConn
+	via    string
+	end    string
+	reused bool
 }
 
 var ids atomic.Int64
 
 // Book does one thing that is meant and notes what became of it.
 func (b *Booker) Book(meaning string) Outcome {
+	return b.do(meaning, fmt.Sprintf(`INSERT INTO kv (name, content) VALUES ('%s', '\x01') RETURNING content`, meaning))
+}
+
+// Read reads a key.
+func (b *Booker) Read(key string) Outcome {
+	return b.do(key, fmt.Sprintf("SELECT content FROM kv WHERE name = '%s'", key))
+}
+
+func (b *Booker) do(meaning, statement string) Outcome {
 	o := Refused
 	for range b.Tries {
-		again, out := b.try(meaning)
+		again, out := b.try(meaning, statement)
 		if o = out; !again {
 			break
 		}
@@ -179,7 +203,7 @@
 }
 
 // try makes one try and tells whether another may follow.
-func (b *Booker) try(meaning string) (again bool, o Outcome) {
+func (b *Booker) try(meaning, statement string) (again bool, o Outcome) {
 	if b.conn != nil && !quiet(b.conn) { // it was closed, or told to go, while idle
 		b.Close()
 	}
@@ -189,15 +213,32 @@
 	}
 	b.conn.SetDeadline(time.Now().Add(b.Patience + b.Patience/4))
 	b.Ledger.add(&b.Ledger.tries)
-	sql := fmt.Sprintf("/* id=b%d,c=%s,d=%d,cluster=%d */ INSERT INTO kv (name, content) VALUES ('%s', '\\x01') RETURNING content\x00",
-		ids.Add(1), b.Class, b.Patience.Milliseconds(), b.Group, meaning)
+	x := Exchange{
+		At: time.Now(), Client: b.Name, ID: fmt.Sprint("b", ids.Add(1)), Class: b.Class, Meaning: meaning, Via: b.via, Reused: b.reused,
+	}
+	sql := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d */ %s\x00", x.ID, b.Class, b.Patience.Milliseconds(), b.Group, statement)
 	if _, err := b.conn.Write(frame('Q', []byte(sql)...)); err != nil {
 		b.Close()
 		b.end = ending(err)
 		return false, Unknown
 	}
+	b.reused = true
+	b.tell(x)
 	o = Unknown
 	code := ""
+	defer func() {
+		switch x.At = time.Now(); {
+		case o == Refused:
+			x.End = "refused"
+		case code != "":
+			x.End = "failed"
+		case o == Served:
+			x.End = "served"
+		default:
+			x.End = b.end
+		}
+		b.tell(x)
+	}()
 	for {
 		kind, body, err := readFrame(b.conn)
 		if err != nil {
@@ -212,6 +253,8 @@
 			code = field(body, 'C')
 		case kind == 'C':
 			o = Served
+		case kind == 'D' && len(body) > 6:
+			x.Value = string(body[6:])
 		}
 		if kind == 'Z' {
 			break
@@ -230,6 +273,12 @@
 	return false, o
 }
 
+func (b *Booker) tell(x Exchange) {
+	if b.Tell != nil {
+		b.Tell(x)
+	}
+}
+
 // ending names how a connection ended.
 func ending(err error) string {
 	switch {
@@ -242,13 +291,13 @@
 }
 
 func (b *Booker) connect() bool {
-	c, err := net.DialTimeout("tcp", b.Addr(), time.Second)
+	b.via, b.reused = b.Addr(), false
+	c, err := net.DialTimeout("tcp", b.via, time.Second)
 	if err != nil {
 		return false
 	}
 	c.SetDeadline(time.Now().Add(time.Second))
-	hello := append([]byte{0, 3, 0, 0}, "user\x00backend\x00database\x00store\x00\x00"...)
-	c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(4+len(hello))), hello...))
+	c.Write(hello())
 	for {
 		kind, _, err := readFrame(c)
 		if err != nil || kind == 'E' {
@@ -303,3 +352,29 @@
 	}
 	return ""
 }
+
+// Serves asks a gateway an empty query, as a front does before it admits one, and tells whether it answers.
+func Serves(addr string, patience time.Duration) bool {
+	c, err := net.DialTimeout("tcp", addr, patience)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	c.Write(append(hello(), frame('Q', 0)...))
+	for {
+		kind, _, err := readFrame(c)
+		if err != nil || kind == 'E' {
+			return false
+		}
+		if kind == 'I' {
+			return true
+		}
+	}
+}
+
+// hello is a client's startup message.
+func hello() []byte {
+	b := append([]byte{0, 3, 0, 0}, "user\x00backend\x00database\x00store\x00\x00"...)
+	return append(binary.BigEndian.AppendUint32(nil, uint32(4+len(b))), b...)
+}
--- a/internal/standin/path.go
+++ b/internal/standin/path.go
@@ -1,22 +1,35 @@
 package standin
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 )
 
-// Fate is what becomes of datagrams from one node to another.
+// Fate is what becomes of what one node sends to another.
 type Fate struct {
-	Drop   bool
-	Delay  time.Duration
-	Copies int  // further copies of each
-	Swap   bool // each pair arrives in the other order
+	Drop   bool          // nothing arrives; a stream stands still
+	Loss   float64       // the share of datagrams that is lost; of a stream's chunks, that comes late
+	Delay  time.Duration // of each
+	Jitter time.Duration // up to so much more, at random, so that datagrams overtake each other
+	Copies int           // further copies of each datagram
+	Swap   bool          // each pair of datagrams arrives in the other order
+	Stall  bool          // streams stand still, datagrams pass
+	Rate   int           // of a stream, in bytes a second; 0: no bound
 }
 
-// Path carries datagrams between nodes, numbered from 0, and does to them what it is told. Each ordered pair has a socket
-// where one node sends to the other; the other sees them come from the socket of the way back, which has the sender's
-// address.
+// span is how long something takes.
+func (f Fate) span() time.Duration {
+	if f.Jitter > 0 {
+		return f.Delay + time.Duration(rand.Int64N(int64(f.Jitter)))
+	}
+	return f.Delay
+}
+
+// Path carries datagrams, and streams where asked for, between nodes, numbered from 0, and does to them what it is told.
+// Each ordered pair has an address where one node sends to the other; the other sees datagrams come from the address of the
+// way back, which has the sender's IP.
 type Path struct {
 	mu     sync.Mutex
 	nodes  []*net.UDPAddr // where each is bound
@@ -28,6 +41,7 @@
 
 type way struct {
 	conn   *net.UDPConn
+	relay  *Relay // of streams; may be nil
 	fate   Fate
 	held   []byte
 	passed int
@@ -65,11 +79,40 @@
 // Peer is the address under which node j is known to node i.
 func (p *Path) Peer(i, j int) string { return p.ways[i][j].conn.LocalAddr().String() }
 
+// Streams carries streams too, at the same addresses: i reaches j's listener, which has the address of j's socket.
+func (p *Path) Streams() error {
+	for i, ways := range p.ways {
+		for j, w := range ways {
+			if w == nil {
+				continue
+			}
+			r, err := NewRelay(w.conn.LocalAddr().String(), p.nodes[j].String(), p.nodes[i].IP)
+			if err != nil {
+				return err
+			}
+			w.relay = r
+		}
+	}
+	return nil
+}
+
 // Set decides the fate of what i sends to j from now on.
 func (p *Path) Set(i, j int, f Fate) {
 	p.mu.Lock()
 	p.ways[i][j].fate, p.ways[i][j].held = f, nil
+	back := p.ways[j][i].fate
 	p.mu.Unlock()
+	if r := p.ways[i][j].relay; r != nil {
+		r.Set(f, back)
+		p.ways[j][i].relay.Set(back, f)
+	}
+}
+
+// Reset resets the streams that i has opened to j.
+func (p *Path) Reset(i, j int) {
+	if r := p.ways[i][j].relay; r != nil {
+		r.Reset()
+	}
 }
 
 // SetAll decides it for every pair.
@@ -122,7 +165,7 @@
 	defer p.mu.Unlock()
 	w := p.ways[i][j]
 	f := w.fate
-	if f.Drop || p.closed {
+	if f.Drop || p.closed || f.Loss > 0 && rand.Float64() < f.Loss {
 		return
 	}
 	send := [][]byte{b}
@@ -142,12 +185,12 @@
 			p.Inject(i, j, x)
 		}
 	}
-	if f.Delay == 0 {
+	if f.Delay == 0 && f.Jitter == 0 {
 		deliver()
 		return
 	}
 	p.timers.Add(1)
-	time.AfterFunc(f.Delay, func() {
+	time.AfterFunc(f.span(), func() {
 		defer p.timers.Done()
 		deliver()
 	})
@@ -161,8 +204,12 @@
 	p.timers.Wait()
 	for _, ways := range p.ways {
 		for _, w := range ways {
-			if w != nil {
-				w.conn.Close()
+			if w == nil {
+				continue
+			}
+			w.conn.Close()
+			if w.relay != nil {
+				w.relay.Close()
 			}
 		}
 	}
--- a/internal/standin/postgres.go
+++ b/internal/standin/postgres.go
@@ -36,6 +36,9 @@
 	return m[1]
 }
 
+// From is the IP that the query came from.
+func (q *Query) From() string { return q.nc.RemoteAddr().(*net.TCPAddr).IP.String() }
+
 // Server is a database server. Each query goes to its handler, on the connection's goroutine.
 type Server struct {
 	Handle func(*Query)
@@ -55,8 +58,11 @@
 }
 
 // NewServer starts a server on loopback whose answers, unless the handler gives others, are the key it was asked for.
-func NewServer(role string) (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewServer(role string) (*Server, error) { return NewServerAt("127.0.0.1:0", role) }
+
+// NewServerAt starts a server at an address.
+func NewServerAt(at, role string) (*Server, error) {
+	l, err := net.Listen("tcp", at)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/standin/relay_test.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo answers every connection with what it gets.
+func echo(t *testing.T, at string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp4", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { io.Copy(c, c); c.(*net.TCPConn).CloseWrite() }()
+		}
+	}()
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// Streams between nodes are carried whole, stand still while a way is cut or stalled, and go on with nothing lost; a reset
+// ends them; a bound on the rate holds.
+func TestStreams(t *testing.T) {
+	var nodes []*net.UDPAddr
+	for i := range 2 {
+		u, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 77, 1, byte(1+i))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer u.Close()
+		nodes = append(nodes, u.LocalAddr().(*net.UDPAddr))
+		echo(t, u.LocalAddr().String())
+	}
+	p, err := NewPath(nodes...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	if err := p.Streams(); err != nil {
+		t.Fatal(err)
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp4", p.Peer(0, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	said := bytes.Repeat([]byte("0123456789abcdef"), 8<<10)
+	says := func(c net.Conn) bool {
+		go c.Write(said)
+		got := make([]byte, len(said))
+		_, err := io.ReadFull(c, got)
+		return err == nil && bytes.Equal(got, said)
+	}
+	c := dial()
+	if !says(c) {
+		t.Fatal("not carried")
+	}
+	for _, f := range []Fate{{Drop: true}, {Stall: true}} {
+		for _, way := range [][2]int{{0, 1}, {1, 0}} {
+			p.Set(way[0], way[1], f)
+			answer := make(chan bool, 2)
+			late := dial()
+			go func() { answer <- says(c) }()
+			go func() { answer <- says(late) }()
+			select {
+			case ok := <-answer:
+				t.Fatalf("%+v from %d: it was answered, %v", f, way[0], ok)
+			case <-time.After(50 * time.Millisecond):
+			}
+			p.Set(way[0], way[1], Fate{})
+			if !<-answer || !<-answer {
+				t.Fatalf("%+v from %d: something was lost", f, way[0])
+			}
+		}
+	}
+	p.Set(0, 1, Fate{Delay: 10 * time.Millisecond, Jitter: 10 * time.Millisecond, Loss: 0.01})
+	if !says(c) {
+		t.Error("a slow way loses something")
+	}
+	p.Set(0, 1, Fate{Rate: 1 << 20})
+	if start := time.Now(); !says(c) || time.Since(start) < 100*time.Millisecond {
+		t.Errorf("128 KiB took %v at 1 MiB a second", time.Since(start))
+	}
+	p.Set(0, 1, Fate{})
+	c.(*net.TCPConn).CloseWrite()
+	if n, err := c.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("an orderly end came as %v", err)
+	}
+	c = dial()
+	if !says(c) {
+		t.Fatal("no new stream")
+	}
+	p.Reset(0, 1)
+	if _, err := c.Read(make([]byte, 1)); err == nil || err == io.EOF {
+		t.Errorf("a reset came as %v", err)
+	}
+}
