marblelab chaos and demo; failover measures with the rig

Need: the fleet of the failover experiment was a second rig, and a newcomer's first query met no server.

`marblelab chaos` plays a script or a seed, checks the history, draws a time line and shrinks what fails by delta debugging; `marblelab demo` shows three gateways with a floating address on loopback, with one fault if asked for. A run is at rest only once the gateway that takes the address from all others has it: before, a take-over under way counted as rest and the address checker saw nobody. What the rig does to tidy up is no part of the history. A gateway that ends of itself fails the run at once instead of after 30 s.

--- a/cmd/marblelab/main.go
+++ b/cmd/marblelab/main.go
@@ -4,10 +4,17 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"marblespan/internal/lab/chaos"
+	"marblespan/internal/lab/demo"
 	"marblespan/internal/lab/failover"
+	"marblespan/internal/rig"
 )
 
 func main() {
@@ -15,13 +22,87 @@
 		Use: "marblelab", Short: "Measurements and experiments with marblespan", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(failoverCommand())
+	root.AddCommand(demoCommand(), chaosCommand(), failoverCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "marblelab:", err)
 		os.Exit(1)
 	}
 }
 
+// beside is the gateway's program where none is named: the one that was built together with this one.
+func beside() string {
+	self, err := os.Executable()
+	if err != nil {
+		return rig.Defaults().Binary
+	}
+	return filepath.Join(filepath.Dir(self), "marblespan")
+}
+
+// interrupted is closed at Ctrl-C or SIGTERM. A second one ends the program at once, and the kernel what it has started.
+func interrupted() <-chan struct{} {
+	signals, quit := make(chan os.Signal, 1), make(chan struct{})
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		signal.Stop(signals)
+		close(quit)
+	}()
+	return quit
+}
+
+func demoCommand() *cobra.Command {
+	o, fault, length := rig.Defaults(), "", time.Duration(0)
+	cmd := &cobra.Command{
+		Use: "demo", Short: "Show three gateways with a floating address under a light load", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return demo.Run(o, fault, length, cmd.OutOrStdout(), interrupted())
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&o.Binary, "binary", beside(), "the gateway's program")
+	flags.StringVar(&fault, "fault", "", "show one of "+fmt.Sprint(demo.Names()))
+	flags.DurationVar(&length, "for", 0, "how long; 0: until Ctrl-C")
+	return cmd
+}
+
+func chaosCommand() *cobra.Command {
+	o := chaos.Defaults()
+	quiet := false
+	cmd := &cobra.Command{
+		Use: "chaos", Short: "Run gateways under load and faults, and check what happened", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if !quiet {
+				o.Progress = cmd.ErrOrStderr()
+			}
+			all, err := chaos.Run(o, interrupted())
+			if err != nil {
+				return err
+			}
+			if err := chaos.Write(cmd.OutOrStdout(), o, all); err != nil {
+				return err
+			}
+			for _, r := range all {
+				if r.Failed() {
+					return fmt.Errorf("%s failed", r.Name)
+				}
+			}
+			return nil
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&o.Rig.Binary, "binary", beside(), "the gateway's program")
+	flags.IntVar(&o.Rig.Nodes, "nodes", o.Rig.Nodes, "gateways")
+	flags.IntVar(&o.Rig.Replicas, "replicas", o.Rig.Replicas, "replicas of the one group of servers")
+	flags.StringVar(&o.Script, "script", "", "a file of faults; without one they are drawn")
+	flags.Uint64Var(&o.Seed, "seed", o.Seed, "of what is drawn")
+	flags.DurationVar(&o.For, "for", o.For, "length of what is drawn")
+	flags.IntVar(&o.Runs, "runs", o.Runs, "how many, with seeds that follow each other")
+	flags.IntVar(&o.Shrink, "shrink", o.Shrink, "runs spent on finding the fewest faults of one that fails")
+	flags.StringVar(&o.Out, "out", "", "a folder for histories, scripts, logs and charts")
+	flags.BoolVar(&quiet, "quiet", false, "no progress on standard error")
+	return cmd
+}
+
 func failoverCommand() *cobra.Command {
 	o, out, quiet := failover.Defaults(), "", false
 	cmd := &cobra.Command{
--- a/cmd/marblelab/main_test.go
+++ b/cmd/marblelab/main_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -8,19 +10,118 @@
 	"testing"
 	"time"
 
+	"marblespan/internal/cli"
+	"marblespan/internal/lab/chaos"
+	"marblespan/internal/lab/demo"
 	"marblespan/internal/lab/failover"
+	"marblespan/internal/rig"
 	"marblespan/internal/standin"
 )
 
+// asBroken makes the test's own binary run as a gateway that ends of itself.
+const asBroken = "MARBLELAB_TEST_BROKEN"
+
+// binary is the gateway, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	if after, err := time.ParseDuration(os.Getenv(asBroken)); err == nil {
+		time.AfterFunc(after, func() { os.Exit(3) })
+		os.Exit(cli.Main(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
+	}
+	dir, err := os.MkdirTemp("", "marblelab")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "marblespan")
+	if out, err := exec.Command("go", "build", "-o", binary, "../marblespan").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// A script is played, what happened is kept, and what is kept is read back to the same verdict.
+func TestChaos(t *testing.T) {
+	o := chaos.Defaults()
+	o.Rig.Binary, o.Out, o.Script = binary, t.TempDir(), filepath.Join(t.TempDir(), "two.script")
+	if err := os.WriteFile(o.Script, []byte("at 200ms kill 1 for 300ms\nat 300ms cut 2 <-> 3 for 500ms\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	all, err := chaos.Run(o, nil)
+	if err != nil || len(all) != 1 || all[0].Failed() {
+		t.Fatalf("%v %v", err, all[0].Broken)
+	}
+	raw, err := os.ReadFile(filepath.Join(all[0].Kept, "history.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	events, err := rig.ReadHistory(bytes.NewReader(raw))
+	if err != nil || len(events) != len(all[0].Events) || len(rig.Check(events)) > 0 {
+		t.Errorf("%v, %d events of %d, %v", err, len(events), len(all[0].Events), rig.Check(events))
+	}
+	svg, err := os.ReadFile(filepath.Join(all[0].Kept, "timeline.svg"))
+	if err != nil || !strings.Contains(string(svg), "Answers a second, two-1") {
+		t.Errorf("the chart: %v, %d bytes", err, len(svg))
+	}
+	var b strings.Builder
+	if err := chaos.Write(&b, o, all); err != nil || !strings.Contains(b.String(), "| two-1 | 2 ") || !strings.Contains(b.String(), "| kept ") {
+		t.Errorf("%v\n%s", err, &b)
+	}
+}
+
+// Gateways that end of themselves fail the run, whatever the faults beside; these are shrunk away, and all is kept.
+func TestChaosFindsACrash(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(asBroken, "1s")
+	o := chaos.Defaults()
+	o.Rig.Binary, o.Rig.Nodes, o.Out, o.Script = self, 2, t.TempDir(), filepath.Join(t.TempDir(), "calm.script")
+	if err := os.WriteFile(o.Script, []byte("at 100ms cut 1 -> 2 for 100ms\nat 1500ms reorder 1 -> 2 for 100ms\nat 1600ms reset 1 -> 2\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	all, err := chaos.Run(o, nil)
+	if err != nil || len(all) != 1 || len(all[0].Broken) == 0 || all[0].Broken[0].Rule != "crashes" {
+		t.Fatalf("%v %v", err, all[0].Broken)
+	}
+	fewest, err := os.ReadFile(filepath.Join(all[0].Kept, "fewest.script"))
+	if err != nil || strings.Count(string(fewest), "\n") > 1 { // one may be left: it makes the run last
+		t.Errorf("%v, what is left: %s", err, fewest)
+	}
+	var b strings.Builder
+	if err := chaos.Write(&b, o, all); err != nil || !strings.Contains(b.String(), "ended with exit status 3") {
+		t.Errorf("%v\n%s", err, &b)
+	}
+}
+
+// A newcomer is told how to ask, and sees who serves.
+func TestDemo(t *testing.T) {
+	o := rig.Defaults()
+	o.Binary = binary
+	var b strings.Builder
+	if err := demo.Run(o, "split", time.Second, &b, nil); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`psql "host=127.0.0.1 port=`, "c=view,d=900,cluster=7", "  1s", "*gateway 1: ", " served", " p, "} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("%q is not in\n%s", want, &b)
+		}
+	}
+	if err := demo.Run(o, "flood", 0, &b, nil); err == nil || !strings.Contains(err.Error(), "cut, kill, split, stop") {
+		t.Error(err)
+	}
+}
+
 // Real processes: the holder is killed, told to stop, frozen, cut off and split off under load. Nothing is lost, nothing
 // runs twice, and the table and chart are written.
 func TestFailover(t *testing.T) {
 	dir := t.TempDir()
 	o := failover.Defaults()
-	o.Binary, o.Trials, o.Interval, o.Notice, o.Clients = filepath.Join(dir, "marblespan"), 1, 60*time.Millisecond, 400*time.Millisecond, 4
-	if out, err := exec.Command("go", "build", "-o", o.Binary, "../marblespan").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	o.Binary, o.Trials, o.Interval, o.Notice, o.Clients = binary, 1, 60*time.Millisecond, 400*time.Millisecond, 4
 	results, err := failover.Run(o)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/lab/demo/demo.go
@@ -0,0 +1,137 @@
+// Package demo shows a newcomer a small fleet: stand-in servers, discovery and gateways with a floating address on loopback,
+// under a light load, and one fault if asked for.
+package demo
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"marblespan/internal/rig"
+)
+
+// Faults are the faults that can be shown, by name, and what each is.
+var Faults = map[string]struct{ Script, What string }{
+	"kill":  {"at 4s kill 1 for 4s", "gateway 1 is killed, and started again after 4 s"},
+	"stop":  {"at 4s stop 1 for 4s", "gateway 1 stands still for 4 s"},
+	"cut":   {"at 4s cut all -> 1 for 4s", "gateway 1 hears nobody for 4 s, but is heard"},
+	"split": {"at 4s split 1 | 2,3 for 4s", "gateway 1 and the others hear nothing of each other for 4 s"},
+}
+
+// Names lists the faults.
+func Names() (all []string) {
+	for name := range Faults {
+		all = append(all, name)
+	}
+	sort.Strings(all)
+	return all
+}
+
+// Run shows the fleet until quit is closed, or for a span if that is not 0.
+func Run(o rig.Options, fault string, length time.Duration, w io.Writer, quit <-chan struct{}) error {
+	shown, known := Faults[fault]
+	if fault != "" && !known {
+		return fmt.Errorf("fault %q is not known; there is %s", fault, strings.Join(Names(), ", "))
+	}
+	faults, err := rig.ParseScript("demo", shown.Script)
+	if err != nil {
+		return err
+	}
+	f, err := rig.New(o)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.AwaitHolder(0, 10*time.Second); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "%d gateways with one floating address, a primary and %d replicas; all of it stand-ins but the gateways. Ask:\n\n", o.Nodes, o.Replicas)
+	fmt.Fprintf(w, "    psql \"host=%s port=%s user=backend dbname=store sslmode=disable\" \\\n", host(f.Switch.Addr()), port(f.Switch.Addr()))
+	fmt.Fprintf(w, "      -c \"/* id=1,c=%s,d=900,cluster=%d */ SELECT content FROM kv WHERE name = 'a'\"\n\n", rig.ClassView, rig.Group)
+	for _, n := range f.Nodes {
+		fmt.Fprintf(w, "gateway %d itself: host=%s port=%s\n", n.Number, host(n.Listen), port(n.Listen))
+	}
+	if known {
+		fmt.Fprintf(w, "\nAfter 4 s: %s.\n", shown.What)
+	}
+	fmt.Fprintf(w, "\nAnswers a second by gateway (* holds the floating address), then what ran at each server. Ctrl-C ends all of it.\n\n")
+	l := f.Load(rig.DefaultLoad())
+	defer l.Stop()
+	played := make(chan error, 1)
+	over := make(chan struct{})
+	go func() { played <- f.Play(faults, over) }()
+	defer func() { close(over); <-played }()
+	return watch(f, length, w, quit)
+}
+
+// watch prints a line a second.
+func watch(f *rig.Fleet, length time.Duration, w io.Writer, quit <-chan struct{}) error {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	seen, second := 0, 0
+	for end := time.Duration(0); ; {
+		select {
+		case <-quit:
+			return nil
+		case <-tick.C:
+		}
+		second++
+		if end += time.Second; length > 0 && end > length {
+			return nil
+		}
+		events := f.History.Events()
+		fmt.Fprintln(w, line(f, second, events, seen))
+		seen = len(events)
+	}
+}
+
+// line sums up a second.
+func line(f *rig.Fleet, second int, events []rig.Event, from int) string {
+	heard, ran := map[int]map[string]int{}, map[string]int{}
+	var news []string
+	for _, e := range events[from:] {
+		switch e.Kind {
+		case rig.Heard:
+			if heard[e.Node] == nil {
+				heard[e.Node] = map[string]int{}
+			}
+			heard[e.Node][e.What]++
+		case rig.Ran:
+			ran[e.Server]++
+		case rig.Begins, rig.Ends:
+			news = append(news, string(e.Kind)+" "+strings.TrimPrefix(e.What, "at 4s "))
+		}
+	}
+	held := rig.Holding(events)
+	words := []string{fmt.Sprintf("%3ds", second)}
+	for _, n := range f.Nodes {
+		mark := " "
+		if held[n.Number] {
+			mark = "*"
+		}
+		words = append(words, fmt.Sprintf("%sgateway %d: %-14s", mark, n.Number, counts(heard[n.Number])))
+	}
+	return strings.TrimRight(strings.Join(append(words, "| "+counts(ran), strings.Join(news, "; ")), " "), " ")
+}
+
+func counts(by map[string]int) string {
+	if len(by) == 0 {
+		return "-"
+	}
+	var names []string
+	for name := range by {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var words []string
+	for _, name := range names {
+		words = append(words, fmt.Sprintf("%d %s", by[name], name))
+	}
+	return strings.Join(words, ", ")
+}
+
+func host(addr string) string { return addr[:strings.LastIndex(addr, ":")] }
+
+func port(addr string) string { return addr[strings.LastIndex(addr, ":")+1:] }
--- a/internal/lab/failover/failover.go
+++ b/internal/lab/failover/failover.go
@@ -1,3 +1,5 @@
+// Package failover measures take-overs of a floating address between real gateway processes, with stand-ins around them: how
+// long nobody holds it, how long two do, and what clients see of it, beside clients that a front spreads.
 package failover
 
 import (
@@ -12,6 +14,7 @@
 	"time"
 
 	"marblespan/internal/lab/report"
+	"marblespan/internal/rig"
 	"marblespan/internal/standin"
 )
 
@@ -43,8 +46,8 @@
 type kind struct {
 	name  string
 	what  string
-	fails func(f *fleet, n *node) error
-	heals func(f *fleet, n *node) error
+	fails func(f *rig.Fleet, n *rig.Node) error
+	heals func(f *rig.Fleet, n *rig.Node) error
 	dies  bool // its process has no part in what comes
 	stops bool // it runs on after the fault, but not for clients
 	front bool // clients that a front spreads see it too
@@ -52,39 +55,37 @@
 
 var kinds = []kind{
 	{name: "kill", what: "SIGKILL", dies: true, front: true,
-		fails: func(f *fleet, n *node) error {
-			f.sw.Reset(n.floating) // a dead machine's flows are reset
-			err := f.signal(n, syscall.SIGKILL)
-			f.gone(n, time.Now())
-			return err
+		fails: func(f *rig.Fleet, n *rig.Node) error {
+			f.Switch.Reset(n.Floating) // a dead machine's flows are reset
+			return n.Signal(syscall.SIGKILL)
 		},
 		heals: restart},
 	{name: "term", what: "SIGTERM", front: true,
-		fails: func(f *fleet, n *node) error { return f.signal(n, syscall.SIGTERM) },
+		fails: func(f *rig.Fleet, n *rig.Node) error { return n.Signal(syscall.SIGTERM) },
 		heals: restart},
 	{name: "frozen", what: "SIGSTOP for five intervals past the down interval, then SIGCONT", stops: true, front: true,
-		fails: func(f *fleet, n *node) error { return f.signal(n, syscall.SIGSTOP) },
-		heals: func(f *fleet, n *node) error { return f.signal(n, syscall.SIGCONT) }},
+		fails: func(f *rig.Fleet, n *rig.Node) error { return n.Signal(syscall.SIGSTOP) },
+		heals: func(f *rig.Fleet, n *rig.Node) error { return n.Signal(syscall.SIGCONT) }},
 	{name: "cut", what: "its advertisements, announcements and flows cut off", stops: true,
-		fails: func(f *fleet, n *node) error {
-			f.path.Isolate(n.index, true)
-			f.sw.Cut(n.floating, true)
+		fails: func(f *rig.Fleet, n *rig.Node) error {
+			f.Path.Isolate(n.Number-1, true)
+			f.Switch.Cut(n.Floating, true)
 			return nil
 		},
-		heals: func(f *fleet, n *node) error {
-			f.sw.Cut(n.floating, false)
-			f.path.Isolate(n.index, false)
+		heals: func(f *rig.Fleet, n *rig.Node) error {
+			f.Switch.Cut(n.Floating, false)
+			f.Path.Isolate(n.Number-1, false)
 			return nil
 		}},
 	{name: "split", what: "its advertisements cut off both ways, all else whole",
-		fails: func(f *fleet, n *node) error { f.path.Isolate(n.index, true); return nil },
-		heals: func(f *fleet, n *node) error { f.path.Isolate(n.index, false); return nil }},
+		fails: func(f *rig.Fleet, n *rig.Node) error { f.Path.Isolate(n.Number-1, true); return nil },
+		heals: func(f *rig.Fleet, n *rig.Node) error { f.Path.Isolate(n.Number-1, false); return nil }},
 }
 
 // restart waits for the end of a process and starts it anew.
-func restart(f *fleet, n *node) error {
-	n.wait()
-	return f.start(n)
+func restart(_ *rig.Fleet, n *rig.Node) error {
+	n.Wait()
+	return n.Start()
 }
 
 // Kinds names all kinds.
@@ -145,13 +146,16 @@
 		Kind: k.name, What: k.what, Without: report.NewSpans(), Back: report.NewSpans(), Two: report.NewSpans(),
 		Gap: report.NewSpans(), FrontGap: report.NewSpans(),
 	}
-	f, err := newFleet(o)
+	fleet := rig.Defaults()
+	fleet.Binary, fleet.Nodes, fleet.Seed, fleet.Work = o.Binary, len(o.Priorities), o.Seed, o.Work
+	fleet.Interval, fleet.Priorities = o.Interval, o.Priorities
+	fleet.CutOnMove = true // as where an address moves between machines: its new holder knows no old flow
+	f, err := rig.New(fleet)
 	if err != nil {
 		return r, err
 	}
-	defer f.close()
-	f.sw.CutOnMove = true // as where an address moves between machines: its new holder knows no old flow
-	if err := f.settles(0, settleBy); err != nil {
+	defer f.Close()
+	if err := f.AwaitHolder(1, settleBy); err != nil {
 		return r, err
 	}
 	l := newLoad(o, f)
@@ -167,22 +171,22 @@
 	}
 	l.stop()
 	r.Floating, r.Front = l.floating.Totals(), l.front.Totals()
-	runs, faults := l.floating.Check(f.primary)
-	_, more := l.front.Check(f.primary)
+	runs, faults := l.floating.Check(f.Primary())
+	_, more := l.front.Check(f.Primary())
 	r.Runs, r.Faults = runs, append(faults, more...)
 	return r, nil
 }
 
 // trial brings one fault about, waits for a successor, heals it and waits for the old holder to have the address again.
-func (r *Result) trial(o Options, k kind, f *fleet, l *load) error {
-	n := f.nodes[0]
+func (r *Result) trial(o Options, k kind, f *rig.Fleet, l *load) error {
+	n := f.Nodes[0]
 	down := 4 * o.Interval // over the longest down interval
 	start := time.Now()
-	l.spread.fault(n.index, start, k)
+	l.spread.fault(n.Number, start, k)
 	if err := k.fails(f, n); err != nil {
 		return err
 	}
-	if err := f.succeeded(n.index, settleBy); err != nil {
+	if err := succeeded(f, n, settleBy); err != nil {
 		return err
 	}
 	time.Sleep(down + 5*o.Interval - min(time.Since(start), down))
@@ -193,15 +197,15 @@
 	if err := k.heals(f, n); err != nil {
 		return err
 	}
-	if err := f.settles(0, settleBy); err != nil {
+	if err := f.AwaitHolder(1, settleBy); err != nil {
 		return err
 	}
-	l.spread.healed(n.index)
+	l.spread.healed(n.Number)
 	end := time.Now()
 	time.Sleep(50 * time.Millisecond) // the log's last lines
-	changes := f.since(start.Add(-time.Millisecond))
+	changes := changesSince(f.History, start.Add(-time.Millisecond))
 	out := func(node int, at time.Time) bool { // it runs for nobody
-		return (k.dies || k.stops) && node == n.index && !at.Before(start) && at.Before(healed)
+		return (k.dies || k.stops) && node == n.Number && !at.Before(start) && at.Before(healed)
 	}
 	runs := func(node int, at time.Time) bool { return k.name == "cut" || !out(node, at) }
 	r.Without.Add(spans(changes, start, healed, func(active, running int) bool { return active == 0 }, out, runs))
@@ -212,7 +216,7 @@
 		r.FrontGap.Add(gap(l.front.Served(), start, end))
 	}
 	for _, d := range l.floating.Doubts() {
-		if d.At.After(start) && d.At.Before(end) && d.End != "reset" && !((k.dies || k.stops) && d.Via == n.floating) {
+		if d.At.After(start) && d.At.Before(end) && d.End != "reset" && !((k.dies || k.stops) && d.Via == n.Floating) {
 			r.Lost++
 			r.Losses = append(r.Losses, fmt.Sprintf("trial %d: %s after %v, via %s, %s", r.Trials+1, d.Client, d.At.Sub(start), d.Via, d.End))
 		}
@@ -220,7 +224,24 @@
 	return nil
 }
 
-// spans sums how long something held between two times, in microseconds. Gateway 0 is active at the start of a trial.
+// change is one change of who believes to hold the address.
+type change struct {
+	node   int
+	at     time.Time
+	active bool
+}
+
+// changesSince lists the changes after a time. A process that has ended believes nothing.
+func changesSince(h *rig.History, from time.Time) (out []change) {
+	for _, e := range h.Events() {
+		if e.At >= h.At(from) && (e.Kind == rig.Belief || e.Kind == rig.Process && e.What == "ended") {
+			out = append(out, change{e.Node, h.Time(e.At), e.Kind == rig.Belief && e.Text == "active"})
+		}
+	}
+	return out
+}
+
+// spans sums how long something held between two times, in microseconds. Gateway 1 is active at the start of a trial.
 func spans(changes []change, from, to time.Time, holds func(active, running int) bool, out, runs func(int, time.Time) bool) int64 {
 	sort.SliceStable(changes, func(i, j int) bool { return changes[i].at.Before(changes[j].at) })
 	// The moments at which anything may change; a reachable gateway may change at the ends of the fault too.
@@ -250,7 +271,7 @@
 }
 
 func activeAt(changes []change, at time.Time) map[int]bool {
-	active := map[int]bool{0: true}
+	active := map[int]bool{1: true}
 	for _, c := range changes {
 		if !c.at.After(at) {
 			active[c.node] = c.active
@@ -279,13 +300,10 @@
 }
 
 // succeeded waits until another gateway holds the address and the switch leads there.
-func (f *fleet) succeeded(old int, by time.Duration) error {
+func succeeded(f *rig.Fleet, old *rig.Node, by time.Duration) error {
 	for end := time.Now().Add(by); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		at, _ := f.sw.Holder()
-		for _, n := range f.nodes {
-			if n.index != old && n.floating == at {
-				return nil
-			}
+		if at, _ := f.Switch.Holder(); at != old.Floating {
+			return nil
 		}
 	}
 	return errors.New("nobody took over")
@@ -294,7 +312,7 @@
 // front spreads clients over the gateways' own listeners. Each keeps to its gateway until the front knows that it is away.
 type front struct {
 	mu     sync.Mutex
-	nodes  []*node
+	nodes  []*rig.Node
 	away   map[int]time.Time // from when on the front knows it
 	notice time.Duration
 }
@@ -324,8 +342,8 @@
 	defer f.mu.Unlock()
 	var here []string
 	for _, n := range f.nodes {
-		if at, away := f.away[n.index]; !away || time.Now().Before(at) {
-			here = append(here, n.listen)
+		if at, away := f.away[n.Number]; !away || time.Now().Before(at) {
+			here = append(here, n.Listen)
 		}
 	}
 	return here[client%len(here)]
@@ -340,12 +358,12 @@
 	done            sync.WaitGroup
 }
 
-func newLoad(o Options, f *fleet) *load {
-	l := &load{quit: make(chan struct{}), spread: &front{nodes: f.nodes, away: map[int]time.Time{}, notice: o.Notice}}
+func newLoad(o Options, f *rig.Fleet) *load {
+	l := &load{quit: make(chan struct{}), spread: &front{nodes: f.Nodes, away: map[int]time.Time{}, notice: o.Notice}}
 	for c := range 2 * o.Clients {
 		b := &standin.Booker{
-			Name: fmt.Sprint("c", c), Class: "booking", Group: group, Patience: time.Second, Tries: 1000, Wait: 5 * time.Millisecond,
-			Addr: f.sw.Addr, Ledger: &l.floating, Via: f.sw.Led,
+			Name: fmt.Sprint("c", c), Class: rig.ClassBooking, Group: rig.Group, Patience: time.Second, Tries: 1000, Wait: 5 * time.Millisecond,
+			Addr: f.Switch.Addr, Ledger: &l.floating, Via: f.Switch.Led,
 		}
 		if c >= o.Clients {
 			b.Ledger, b.Via = &l.front, nil
--- a/internal/lab/failover/failover_test.go
+++ b/internal/lab/failover/failover_test.go
@@ -12,10 +12,10 @@
 
 func at(ms int) time.Time { return origin.Add(time.Duration(ms) * time.Millisecond) }
 
-// The sums of a time line drawn by hand: gateway 0 dies at 100, 1 takes over at 400, 0 is back and active at 900, and 1
+// The sums of a time line drawn by hand: gateway 1 dies at 100, 2 takes over at 400, 1 is back and active at 900, and 2
 // gives way at 905.
 func TestSpans(t *testing.T) {
-	changes := []change{{0, at(900), true, ""}, {1, at(905), false, ""}, {0, at(100), false, "gone"}, {1, at(400), true, ""}}
+	changes := []change{{1, at(900), true}, {2, at(905), false}, {1, at(100), false}, {2, at(400), true}}
 	never := func(int, time.Time) bool { return false }
 	always := func(int, time.Time) bool { return true }
 	nobody := func(active, _ int) bool { return active == 0 }
@@ -30,8 +30,8 @@
 		{"nobody", 100, 1000, nobody, never, always, 300_000},
 		{"two", 100, 1000, two, never, always, 5_000},
 		{"nobody after all", 400, 1000, nobody, never, always, 0},
-		{"one is out of reach", 100, 500, nobody, func(n int, x time.Time) bool { return n == 1 && x.Before(at(500)) }, always, 400_000},
-		{"one does not run", 100, 1000, two, never, func(n int, _ time.Time) bool { return n == 1 }, 0},
+		{"one is out of reach", 100, 500, nobody, func(n int, x time.Time) bool { return n == 2 && x.Before(at(500)) }, always, 400_000},
+		{"one does not run", 100, 1000, two, never, func(n int, _ time.Time) bool { return n == 2 }, 0},
 	} {
 		if got := spans(changes, at(c.from), at(c.to), c.holds, c.out, c.runs); got != c.want {
 			t.Errorf("%s: %d us, want %d", c.name, got, c.want)
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -76,6 +76,35 @@
 	if err != nil {
 		return err
 	}
+	return write(path, p)
+}
+
+// Lines is a chart of lines over common labels.
+type Lines struct {
+	Title, Note string
+	Labels      []string
+	Series      []string
+	Values      [][]float64 // by series, then label
+}
+
+// Write draws the chart into an SVG file.
+func (l Lines) Write(path string) error {
+	p, err := charts.LineRender(l.Values,
+		charts.TitleTextOptionFunc(l.Title, l.Note), charts.XAxisLabelsOptionFunc(l.Labels),
+		charts.LegendOptionFunc(charts.LegendOption{
+			SeriesNames: l.Series, Offset: charts.OffsetStr{Left: charts.PositionRight},
+		}),
+		charts.DimensionsOptionFunc(1100, 420), charts.SVGOutputOptionFunc(),
+		func(o *charts.ChartOption) { o.Symbol.Shape = charts.SymbolNone },
+	)
+	if err != nil {
+		return err
+	}
+	return write(path, p)
+}
+
+// write puts a drawn chart into a file.
+func write(path string, p *charts.Painter) error {
 	raw, err := p.Bytes()
 	if err != nil {
 		return err
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -46,8 +46,10 @@
 	"internal/standin":      {},
 	"internal/rig":          {"internal/config/lines", "internal/standin"},
 	"internal/lab/report":   {},
-	"internal/lab/failover": {"internal/lab/report", "internal/standin"},
-	"cmd/marblelab":         {"internal/lab/failover"},
+	"internal/lab/failover": {"internal/lab/report", "internal/rig", "internal/standin"},
+	"internal/lab/chaos":    {"internal/lab/report", "internal/rig"},
+	"internal/lab/demo":     {"internal/rig"},
+	"cmd/marblelab":         {"internal/lab/chaos", "internal/lab/demo", "internal/lab/failover", "internal/rig"},
 	"cmd/marblespan":        {"internal/cli"},
 	"cmd/simhost":           {"internal/simhost"},
 }
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -391,7 +391,7 @@
 	if settled < 0 {
 		return nil
 	}
-	if held := holding(h.events[:settled]); len(held) != 1 {
+	if held := Holding(h.events[:settled]); len(held) != 1 {
 		return []Violation{{At: h.events[settled].At, Text: fmt.Sprintf("%d gateways hold it", len(held))}}
 	}
 	return nil
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -214,6 +214,9 @@
 	return 0
 }
 
+// Primary is the primary of the servers.
+func (f *Fleet) Primary() *standin.Server { return f.cluster.servers[0].Server }
+
 // Via is the gateway behind a listener's address; 0: none.
 func (f *Fleet) Via(addr string) int {
 	host, _, _ := net.SplitHostPort(addr)
@@ -412,36 +415,52 @@
 	return replace(data, "")
 }
 
-// AwaitReady waits until each gateway's present life serves.
-func (f *Fleet) AwaitReady(bound time.Duration) error {
-	return f.History.Await("every gateway serves", bound, func(all []Event) bool {
-		last := map[int]string{}
+// AwaitReady waits until each gateway's present life serves. One that has ended will not, unless a fault is to bring it back:
+// that is told at once.
+func (f *Fleet) AwaitReady(bound time.Duration) (err error) {
+	late := f.History.Await("every gateway serves", bound, func(all []Event) bool {
+		last := map[int]Event{}
 		for _, e := range all {
 			if e.Kind == Process {
-				last[e.Node] = e.What
+				last[e.Node] = e
 			}
 		}
+		whole := true
 		for _, n := range f.Nodes {
-			if last[n.Number] != "ready" {
-				return false
+			switch e := last[n.Number]; e.What {
+			case "ended":
+				err = fmt.Errorf("gateway %d ended: %s", n.Number, e.Text)
+				return true
+			case "ready":
+			default:
+				whole = false
 			}
 		}
-		return true
+		return whole
 	})
+	return errors.Join(late, err)
+}
+
+// first is the gateway that takes the floating address from all others.
+func (f *Fleet) first() int {
+	if f.Priorities == nil {
+		return 1
+	}
+	return 1 + slices.Index(f.Priorities, slices.Max(f.Priorities))
 }
 
 // AwaitHolder waits until one gateway, the one of that number or any for 0, believes that it holds the floating address, and
 // the switch leads there.
 func (f *Fleet) AwaitHolder(number int, bound time.Duration) error {
 	return f.History.Await(fmt.Sprintf("gateway %d holds the address alone", number), bound, func(all []Event) bool {
-		holders := slices.Collect(maps.Keys(holding(all)))
+		holders := slices.Collect(maps.Keys(Holding(all)))
 		at, _ := f.Switch.Holder()
 		return len(holders) == 1 && (number == 0 || number == holders[0]) && at == f.Nodes[holders[0]-1].Floating
 	})
 }
 
-// holding lists who believes to hold the floating address at the end of a history.
-func holding(all []Event) map[int]bool {
+// Holding lists who believes to hold the floating address at the end of a history.
+func Holding(all []Event) map[int]bool {
 	active := map[int]bool{}
 	for _, e := range all {
 		switch {
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -65,6 +65,7 @@
 
 	mu      sync.Mutex
 	events  []Event
+	over    bool
 	changed chan struct{} // closed, and made anew, at each event
 	failed  error         // of the writer
 }
@@ -99,10 +100,16 @@
 // At is the history's time of a wall time, for what others have stamped on this machine.
 func (h *History) At(t time.Time) int64 { return t.Sub(h.start).Microseconds() }
 
+// Time is the wall time of a history's time.
+func (h *History) Time(at int64) time.Time { return h.start.Add(time.Duration(at) * time.Microsecond) }
+
 // Add notes an event, now unless it has a time of its own.
 func (h *History) Add(e Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.over {
+		return
+	}
 	if e.At == 0 {
 		e.At = h.Now()
 	}
@@ -130,6 +137,13 @@
 	h.changed = make(chan struct{})
 }
 
+// End ends the history: what the rig does to tidy up is no part of it.
+func (h *History) End() {
+	h.mu.Lock()
+	h.over = true
+	h.mu.Unlock()
+}
+
 // Events lists what has happened so far, in the order in which it was noted.
 func (h *History) Events() []Event {
 	h.mu.Lock()
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -157,7 +157,7 @@
 		return out
 	}
 	defer f.Close()
-	if out.Err = f.AwaitHolder(0, settleBy); out.Err != nil {
+	if out.Err = f.AwaitHolder(f.first(), settleBy); out.Err != nil {
 		return out
 	}
 	l := f.Load(load)
@@ -165,28 +165,32 @@
 	out.Err = f.Play(faults, quit)
 	f.History.Add(Event{Kind: Phase, What: "healed"})
 	healed := time.Now()
+	var restless error
 	if out.Err == nil {
-		out.Err = f.settles(load.classes())
+		restless = f.settles(load.classes())
 	}
 	out.Settled = time.Since(healed)
 	f.History.Add(Event{Kind: Phase, What: "settled"})
 	l.Stop()
 	f.History.Add(Event{Kind: Phase, What: "done"})
+	f.History.End()
 	out.Totals = l.Totals()
 	out.Events = f.History.Events()
 	if out.Err == nil {
 		out.Err = f.History.Err()
 	}
-	out.Broken = Check(out.Events)
+	if out.Broken = Check(out.Events); restless != nil {
+		out.Broken = append(out.Broken, Violation{"rest", f.History.At(healed), restless.Error()})
+	}
 	return out
 }
 
-// settles waits until every gateway serves, one holds the address, and requests of so many classes have been served since.
+// settles waits until every gateway serves, the first one holds the address, and requests of so many classes have been served since.
 func (f *Fleet) settles(classes int) error {
 	if err := f.AwaitReady(settleBy); err != nil {
 		return err
 	}
-	if err := f.AwaitHolder(0, settleBy); err != nil {
+	if err := f.AwaitHolder(f.first(), settleBy); err != nil {
 		return err
 	}
 	from := f.History.Now()
