Keys, signatures and the order of messages stand once, for all datagrams

Need: membership's messages travel in the signed trailer that VRRP has, and have to be told from replays as VRRP's are.

Change: internal/protocol/sealed holds the key ring, the trailer, the signature by purpose, and the order of a sender's messages, now by any kind of name and, where asked for, with a window for messages that were overtaken.

--- a/internal/floating/floating.go
+++ b/internal/floating/floating.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"marblespan/internal/protocol/sealed"
 	codec "marblespan/internal/protocol/vrrp"
 	"marblespan/internal/vrrp"
 )
@@ -81,7 +82,7 @@
 	log      zerolog.Logger
 
 	conn    *net.UDPConn
-	origins *vrrp.Origins
+	origins *sealed.Order[uint8]
 	groups  []*group
 	last    vrrp.Health
 	limit   *rate.Limiter
@@ -122,7 +123,7 @@
 	}
 	sp := &Speaker{
 		settings: s, clock: clock, address: address, health: health, log: log, conn: conn,
-		origins: vrrp.NewOrigins(start), limit: rate.NewLimiter(dropsLogged, dropsBurst), tasks: make(chan func(), taskQueue),
+		origins: sealed.NewOrder[uint8](start, 0), limit: rate.NewLimiter(dropsLogged, dropsBurst), tasks: make(chan func(), taskQueue),
 		done: make(chan struct{}), buffer: make([]byte, codec.MostSize+1),
 	}
 	for _, g := range s.Groups {
@@ -321,7 +322,7 @@
 	if m.Sender != peer.Node || m.Receiver != s.settings.Node {
 		return nil, none, codec.WrongPeer
 	}
-	fresh, moved := s.origins.Take(m.Sender, vrrp.Origin{Start: m.Start, Sequence: m.Sequence}, m.Known)
+	fresh, moved := s.origins.Take(m.Sender, sealed.Origin{Start: m.Start, Sequence: m.Sequence}, m.Known)
 	if moved {
 		s.Counts.Moved.Add(1)
 		s.log.Warn().Uint8("peer", m.Sender).Msg("peers know a later start of this gateway: its clock was set back; moved past it")
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -17,7 +17,11 @@
 	"internal/settings":           {"brain"},
 	"internal/protocol/postgres":  {},
 	"internal/protocol/discovery": {},
-	"internal/protocol/vrrp":      {},
+	"internal/protocol/sealed":    {},
+	"internal/protocol/vrrp":      {"internal/protocol/sealed"},
+	"internal/protocol/members":   {"internal/membership", "internal/protocol/sealed"},
+	"internal/membership":         {},
+	"api":                         {},
 	"internal/protocol/notices":   {},
 	"internal/vrrp":               {},
 	"internal/explore":            {},
@@ -35,7 +39,7 @@
 		"internal/routing", "internal/transport",
 	},
 	"internal/control":  {},
-	"internal/floating": {"internal/protocol/vrrp", "internal/vrrp"},
+	"internal/floating": {"internal/protocol/sealed", "internal/protocol/vrrp", "internal/vrrp"},
 	"internal/program": {
 		"brain", "internal/config", "internal/control", "internal/floating", "internal/protocol/vrrp", "internal/routing",
 		"internal/session", "internal/settings", "internal/transport", "internal/vrrp",
@@ -56,11 +60,12 @@
 
 // forbidden are packages that must not be used where the prefix says.
 var forbidden = map[string][]string{
-	"":                  {"net/http", "github.com/jackc/pgx/v5", "database/sql"},
-	"brain":             {"time", "net", "os", "io", "sync", "math/rand"},
-	"internal/protocol": {"sync", "os", "time", "io", "bufio"},
-	"internal/routing":  {"net", "os", "bufio"},
-	"internal/vrrp":     {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
+	"":                    {"net/http", "github.com/jackc/pgx/v5", "database/sql"},
+	"brain":               {"time", "net", "os", "io", "sync", "math/rand"},
+	"internal/protocol":   {"sync", "os", "time", "io", "bufio"},
+	"internal/routing":    {"net", "os", "bufio"},
+	"internal/vrrp":       {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
+	"internal/membership": {"time", "net", "os", "io", "sync", "math/rand"},
 }
 
 func TestImportsPointDown(t *testing.T) {
--- a/internal/protocol/vrrp/announce.go
+++ b/internal/protocol/vrrp/announce.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/binary"
 	"net/netip"
+
+	"marblespan/internal/protocol/sealed"
 )
 
 // Announcement tells whoever leads connections of floating addresses, a switch or a helper with the right to change
@@ -40,7 +42,7 @@
 	for _, x := range a.Addresses {
 		b = append16(b, x)
 	}
-	return append(b, key.sum(b[start:])...), nil
+	return append(b, key.Sum(purpose, b[start:])...), nil
 }
 
 func append16(b []byte, a netip.Addr) []byte {
@@ -64,8 +66,8 @@
 	if len(b) != announceHead+16*n+macSize {
 		return a, BadLength
 	}
-	if fault := verify(b, b[5], keys); fault != Sound {
-		return a, fault
+	if v := sealed.Verify(purpose, b, b[5], keys); v != sealed.Sound {
+		return a, verdicts[v]
 	}
 	a = Announcement{
 		VRID: b[4], Key: b[5], Sender: b[6], Start: binary.BigEndian.Uint64(b[8:]), Sequence: binary.BigEndian.Uint64(b[16:]),
--- a/internal/protocol/vrrp/message.go
+++ b/internal/protocol/vrrp/message.go
@@ -8,26 +8,33 @@
 	"encoding/binary"
 	"errors"
 	"net/netip"
+
+	"marblespan/internal/protocol/sealed"
 )
 
 // Sizes of the message's parts in bytes.
 const (
 	headSize    = 8
-	trailerSize = 28
-	macSize     = 32
+	trailerSize = sealed.TrailerSize
+	macSize     = sealed.MACSize
 	// MostAddresses is how many addresses a group may have here; the RFC's field allows 255.
 	MostAddresses = 16
 	// MostSize is the size of the largest message.
 	MostSize = headSize + 16*MostAddresses + trailerSize + macSize
 )
 
-// The values of RFC 9568, 5.2.1 and 5.2.2, and of the trailer's layout.
+// The values of RFC 9568, 5.2.1 and 5.2.2.
 const (
-	version        = 3
-	typeAdvert     = 1
-	trailerVersion = 1
+	version    = 3
+	typeAdvert = 1
 )
 
+// purpose is what signatures are made for here.
+const purpose = "marblespan vrrp 1\x00"
+
+// Key is a shared secret.
+type Key = sealed.Key
+
 // centisecond is the unit of the interval's field, in microseconds; the field has 12 bits.
 const (
 	centisecond  = 10_000
@@ -44,14 +51,7 @@
 }
 
 // Trailer is what the project adds behind the RFC's message.
-type Trailer struct {
-	Key      uint8  // which of the keys signs it
-	Sender   uint8  // the sender's number among the gateways
-	Receiver uint8  // whom it is for
-	Start    uint64 // when the sender started, microseconds of Unix time
-	Sequence uint64 // of the sender's messages since then
-	Known    uint64 // the receiver's start as its sender knows it; 0: never heard
-}
+type Trailer = sealed.Trailer
 
 // Fault is why a message is dropped.
 type Fault uint8
@@ -82,6 +82,11 @@
 	"source", "peer", "replayed", "vrid", "address",
 }
 
+// verdicts are the faults that a signature has.
+var verdicts = map[sealed.Verdict]Fault{
+	sealed.Sound: Sound, sealed.UnknownKey: UnknownKey, sealed.BadMAC: BadMAC, sealed.BadVersion: BadVersion,
+}
+
 // Error makes a fault an error.
 func (f Fault) Error() string { return "message dropped: " + FaultNames[f] }
 
@@ -112,12 +117,7 @@
 		b = append(b, a.AsSlice()...)
 	}
 	binary.BigEndian.PutUint16(b[start+6:], checksum(b[start:], m.Addresses[0].Is4(), from, to))
-	t := m.Trailer
-	b = append(b, trailerVersion, key.Number, t.Sender, t.Receiver)
-	b = binary.BigEndian.AppendUint64(b, t.Start)
-	b = binary.BigEndian.AppendUint64(b, t.Sequence)
-	b = binary.BigEndian.AppendUint64(b, t.Known)
-	return append(b, key.sum(b[start:])...), nil
+	return sealed.Append(b, start, m.Trailer, purpose, key), nil
 }
 
 // Parse reads a message of an IPv4 or IPv6 group and checks all that can be told without the settings, its signature among
@@ -155,20 +155,11 @@
 	if checksum(b[:body], four, from, to) != 0 {
 		return m, BadChecksum
 	}
-	t := b[body : body+trailerSize]
-	if t[0] != trailerVersion {
-		return m, BadVersion
-	}
-	if fault := verify(b, t[1], keys); fault != Sound {
-		return m, fault
-	}
-	m = Message{
-		VRID: b[1], Priority: b[2], Interval: int64(interval) * centisecond,
-		Trailer: Trailer{
-			Key: t[1], Sender: t[2], Receiver: t[3], Start: binary.BigEndian.Uint64(t[4:]),
-			Sequence: binary.BigEndian.Uint64(t[12:]), Known: binary.BigEndian.Uint64(t[20:]),
-		},
+	t, verdict := sealed.Parse(b, purpose, keys)
+	if verdict != sealed.Sound {
+		return m, verdicts[verdict]
 	}
+	m = Message{VRID: b[1], Priority: b[2], Interval: int64(interval) * centisecond, Trailer: t}
 	for i := range n {
 		a, _ := netip.AddrFromSlice(b[headSize+i*size : headSize+(i+1)*size])
 		m.Addresses = append(m.Addresses, a)
--- a/internal/protocol/vrrp/message_test.go
+++ b/internal/protocol/vrrp/message_test.go
@@ -13,8 +13,8 @@
 
 var (
 	from4, to4 = netip.MustParseAddr("127.0.0.2"), netip.MustParseAddr("127.0.0.3")
-	key1       = Key{1, []byte("a secret of sixteen or more")}
-	key2       = Key{2, []byte("another secret, also long enough")}
+	key1       = Key{Number: 1, Secret: []byte("a secret of sixteen or more")}
+	key2       = Key{Number: 2, Secret: []byte("another secret, also long enough")}
 )
 
 func sample() Message {
@@ -79,7 +79,7 @@
 	b[6], b[7] = 0, 0
 	sum := checksum(b[:body], true, from4, to4)
 	b[6], b[7] = byte(sum>>8), byte(sum)
-	copy(b[len(b)-macSize:], key1.sum(b[:len(b)-macSize]))
+	copy(b[len(b)-macSize:], key1.Sum(purpose, b[:len(b)-macSize]))
 	return b
 }
 
--- a/internal/vrrp/machine_test.go
+++ b/internal/vrrp/machine_test.go
@@ -320,33 +320,6 @@
 	b.is(Backup)
 }
 
-func TestOrigins(t *testing.T) {
-	o := NewOrigins(100)
-	take := func(start, seq, known uint64, fresh, moved bool) {
-		t.Helper()
-		if f, m := o.Take(2, Origin{start, seq}, known); f != fresh || m != moved {
-			t.Errorf("%d/%d: %v %v", start, seq, f, m)
-		}
-	}
-	take(50, 1, 0, true, false)
-	take(50, 1, 0, false, false) // doubled
-	take(50, 3, 100, true, false)
-	take(50, 2, 100, false, false) // overtaken
-	take(40, 9, 100, false, false) // of an earlier life
-	take(51, 1, 100, true, false)  // started again
-	if o.Known(2) != 51 || o.Known(3) != 0 {
-		t.Errorf("known %d, %d", o.Known(2), o.Known(3))
-	}
-	// They know a later life of this gateway: its clock was set back. It moves past that, once.
-	take(51, 2, 900, true, true)
-	if n := o.Next(); n.Start != 901 || n.Sequence != 1 {
-		t.Errorf("%+v", n)
-	}
-	take(51, 3, 900, true, false)
-	o.Forget(func(s uint8) bool { return s != 2 })
-	take(1, 1, 0, true, false)
-}
-
 // Whatever comes in whatever order: take and release alternate, tenures grow, an advertisement is never sent by one that
 // does not hold the address but to release it, nobody holds it unready, and the lease covers active times only.
 func TestProperties(t *testing.T) {
