Who is there: the SWIM machine with its extensions, its messages, and a made-up world of them

Need: copies, bookings in doubt and maintenance stand on knowing who is there, through pauses, losses and one-sided cuts.

Seen and mended on the way: two halves that hold each other dead told each other so and neither listened (hear returned before merging; 1,800 beliefs stayed wrong); a member that leaves asked to be woken in its own past; news of thousands of cut paths were sorted for each message.

--- /dev/null
+++ b/internal/lab/members/members_test.go
@@ -0,0 +1,108 @@
+package members
+
+import "testing"
+
+// gather starts gateways within a second and waits until everybody knows everybody.
+func gather(t *testing.T, n int, seed uint64) *World {
+	t.Helper()
+	w := NewWorld(n, seed, SWIM(Second/5, false))
+	for i := range n {
+		w.At(Micros(w.rng.Int64N(int64(Second))), func() { w.Start(i) })
+	}
+	if w.RunTo(8 * Second); wrong(w) > 0 {
+		t.Fatalf("%d beliefs are wrong 7 s after the last start", wrong(w))
+	}
+	return w
+}
+
+// wrong counts the beliefs of those who run that are not so.
+func wrong(w *World) (n int) {
+	for i := range w.nodes {
+		for j := range w.nodes {
+			if w.Up(i) && w.nodes[i].alive(j) != w.Up(j) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (w *World) split(parts func(i int) int) {
+	w.Cut = func(a, b int) bool { return parts(a)&parts(b) == 0 }
+}
+
+// The hard cases among many: false deaths, how soon all is known, and that in the end everybody knows everybody.
+func TestHardCases(t *testing.T) {
+	const n = 60
+	for _, c := range []struct {
+		name  string
+		do    func(w *World)
+		for_  Micros // how long the trouble lasts
+		after Micros // how long until all is known; it is looked at then
+		dies  bool   // lives are ended that were not, for good reason
+	}{
+		{"nothing", func(w *World) {}, 0, 0, false},
+		{"one killed", func(w *World) { w.Kill(7) }, 0, 2 * Second, false},
+		{"46 % killed", func(w *World) {
+			for i := range n * 46 / 100 {
+				w.Kill(i * 2)
+			}
+		}, 0, 4 * Second, false},
+		{"killed and started again at once", func(w *World) { w.Kill(7); w.Start(7) }, 0, 2 * Second, false},
+		{"pauses of 1 s of a third together", func(w *World) {
+			for i := range n / 3 {
+				w.Pause(i, Second)
+			}
+		}, Second, Second, false},
+		{"a pause of 5 s", func(w *World) { w.Pause(3, 5*Second) }, 5 * Second, 3 * Second, true},
+		{"a starved fifth", func(w *World) {
+			for i := range n / 5 {
+				w.Starve(i*5, 0.9)
+			}
+		}, 20 * Second, 0, false},
+		{"30 % lost", func(w *World) { w.Network.Loss = 0.3 }, 30 * Second, Second, false},
+		{"a delay of up to 1 s and 30 % lost", func(w *World) { w.Network.Loss, w.Network.More = 0.3, Second }, 6 * Second, 10 * Second, true},
+		{"one-way cuts of a twentieth of the pairs", func(w *World) {
+			w.Cut = func(a, b int) bool { return (a*31+b*17)%20 == 0 && a < b }
+		}, 20 * Second, 0, false},
+		{"one that nobody hears", func(w *World) { w.Cut = func(a, b int) bool { return a == 4 } }, 6 * Second, 6 * Second, true},
+		{"one that hears nobody", func(w *World) { w.Cut = func(a, b int) bool { return b == 4 } }, 6 * Second, 6 * Second, true},
+		{"two halves", func(w *World) { w.split(func(i int) int { return 1 << (i % 2) }) }, 60 * Second, 12 * Second, true},
+		{"three parts, and one that sees two", func(w *World) {
+			w.split(func(i int) int {
+				if i == 0 {
+					return 3
+				}
+				return 1 << (i % 3)
+			})
+		}, 20 * Second, 12 * Second, true},
+		{"one joins and leaves in a loop", func(w *World) {
+			for k := range Micros(10) {
+				w.At(w.Now+2*k*Second, func() { w.run(9, leave, 0) })
+				w.At(w.Now+(2*k+1)*Second, func() { w.Start(9) })
+			}
+		}, 20 * Second, 3 * Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := gather(t, n, 5)
+			died := 0
+			w.changed = func(who, about int, alive bool) {
+				if !alive && w.Up(about) && w.nodes[who].peer.(*swim).dead(about) {
+					died++
+				}
+			}
+			c.do(w)
+			w.RunTo(w.Now + c.for_)
+			w.Network, w.Cut = NewWorld(0, 0, Kind{}).Network, nil
+			w.RunTo(w.Now + c.after)
+			if n := wrong(w); n > 0 {
+				t.Errorf("%d beliefs are wrong", n)
+			}
+			if died > 0 && !c.dies {
+				t.Errorf("%d false deaths", died)
+			}
+			t.Logf("%d false deaths", died)
+		})
+	}
+}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -50,6 +50,7 @@
 	"internal/standin":      {},
 	"internal/rig":          {"internal/config/lines", "internal/standin"},
 	"internal/lab/report":   {},
+	"internal/lab/members":  {"internal/membership", "internal/protocol/members", "internal/protocol/sealed"},
 	"internal/lab/failover": {"internal/lab/report", "internal/rig", "internal/standin"},
 	"internal/lab/chaos":    {"internal/lab/report", "internal/rig"},
 	"internal/lab/demo":     {"internal/rig"},
--- /dev/null
+++ b/internal/membership/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package membership
+
+const fewer = 1
--- /dev/null
+++ b/internal/protocol/members/members_test.go
@@ -0,0 +1,138 @@
+package members
+
+import (
+	"bytes"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"marblespan/api"
+	"marblespan/internal/membership"
+	"marblespan/internal/protocol/sealed"
+)
+
+var (
+	key1 = sealed.Key{Number: 1, Secret: []byte("a secret of sixteen or more")}
+	key2 = sealed.Key{Number: 2, Secret: []byte("another secret, also long enough")}
+	at4  = netip.MustParseAddrPort("127.0.0.2:7946")
+	at6  = netip.MustParseAddrPort("[2001:db8::1]:7946")
+)
+
+func full() membership.Message {
+	return membership.Message{
+		Kind: membership.PingFor, From: "gw-1", Life: 1_790_000_000_000_000, Incarnation: 3, To: "gw-2", ToLife: 1_790_000_000_000_001,
+		Number: 77, Target: "gw-3", TargetAt: at6, Origin: "gw-4", OriginNumber: 9, Direct: true, Digest: 0xfeedfacecafebeef,
+		Records: []membership.Record{
+			{Name: "gw-3", At: at4, Life: 5, Incarnation: 1, State: membership.Suspect, By: "gw-1", Meta: membership.Meta{
+				Zone: "a", Weight: 7, Version: "0.3.0", Settings: 12, Flags: membership.Draining | membership.NoDisk}},
+			{Name: "gw-5", At: at6, Life: 6, State: membership.Left},
+		},
+		Cuts: []membership.Cut{{By: "gw-1", Peer: "gw-3", Life: 8, Number: 2, Unheard: true}, {By: "gw-1", Peer: "gw-5", Life: 8, Number: 2, Deaf: true}},
+	}
+}
+
+// The generated code of api/members.proto reads what is written here, and writes what is read here.
+func TestSameAsGenerated(t *testing.T) {
+	for _, m := range []membership.Message{full(), {Kind: membership.Ping, From: "a", Life: 1}} {
+		b := AppendMessage(nil, m)
+		var g api.Message
+		if err := proto.Unmarshal(b, &g); err != nil {
+			t.Fatal(err)
+		}
+		if len(g.ProtoReflect().GetUnknown()) > 0 || g.GetFrom() != m.From || g.GetDigest() != m.Digest || len(g.GetRecords()) != len(m.Records) {
+			t.Errorf("%v", &g)
+		}
+		again, err := proto.MarshalOptions{Deterministic: true}.Marshal(&g)
+		if err != nil || !bytes.Equal(again, b) {
+			t.Errorf("%v\n%x\n%x", err, b, again)
+		}
+		if got, fault := ParseMessage(again); fault != Sound || !reflect.DeepEqual(got, m) {
+			t.Errorf("%v\n%+v\n%+v", fault, got, m)
+		}
+	}
+}
+
+func TestFaults(t *testing.T) {
+	good, err := Append(nil, full(), sealed.Trailer{Start: 1, Sequence: 2, Known: 3}, "here", key1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, tr, f := Parse(good, "here", []sealed.Key{key2, key1}); f != Sound || !reflect.DeepEqual(m, full()) || tr.Known != 3 {
+		t.Fatalf("%v %+v %+v", f, m, tr)
+	}
+	change := func(do func(*membership.Message)) []byte {
+		m := full()
+		do(&m)
+		b, _ := Append(nil, m, sealed.Trailer{}, "here", key1)
+		return b
+	}
+	raw := func(b []byte) []byte { return sealed.Append(b, 0, sealed.Trailer{}, purpose+"here\x00", key1) }
+	set := func(b []byte, i int, v byte) []byte { b = bytes.Clone(b); b[i] = v; return b }
+	for _, c := range []struct {
+		name string
+		b    []byte
+		want Fault
+	}{
+		{"nothing", nil, BadLength},
+		{"a trailer only", good[len(good)-sealed.Size:], BadLength},
+		{"far too long", make([]byte, 9000), BadLength},
+		{"another trailer", set(good, len(good)-sealed.Size, 2), BadVersion},
+		{"unknown key", set(good, len(good)-sealed.Size+1, 3), UnknownKey},
+		{"another key's number", set(good, len(good)-sealed.Size+1, 2), BadMAC},
+		{"changed", set(good, 5, good[5]^1), BadMAC},
+		{"no message", raw([]byte{0xff, 0xff, 0xff}), BadMessage},
+		{"a field of another type", raw(protowire.AppendVarint(protowire.AppendTag(nil, fieldFrom, protowire.VarintType), 1)), BadMessage},
+		{"cut off", raw(AppendMessage(nil, full())[:30]), BadMessage},
+		{"a later kind", change(func(m *membership.Message) { m.Kind = 99 }), BadKind},
+		{"no kind", change(func(m *membership.Message) { m.Kind = 0 }), BadKind},
+		{"no sender", change(func(m *membership.Message) { m.From = "" }), BadValue},
+		{"a long name", change(func(m *membership.Message) { m.From = strings.Repeat("x", 41) }), BadValue},
+		{"a name with a line break", change(func(m *membership.Message) { m.From = "a\nb" }), BadValue},
+		{"no life", change(func(m *membership.Message) { m.Life = 0 }), BadValue},
+		{"nobody to ask", change(func(m *membership.Message) { m.Target = "" }), BadValue},
+		{"a record without a name", change(func(m *membership.Message) { m.Records[0].Name = "" }), BadValue},
+		{"a record from nowhere", change(func(m *membership.Message) { m.Records[0].At = netip.AddrPort{} }), BadValue},
+		{"a port of 0", change(func(m *membership.Message) { m.Records[0].At = netip.AddrPortFrom(at4.Addr(), 0) }), BadValue},
+		{"a state that is none", change(func(m *membership.Message) { m.Records[0].State = 4 }), BadValue},
+		{"accused by nobody", change(func(m *membership.Message) { m.Records[0].By = "" }), BadValue},
+		{"a path from nobody", change(func(m *membership.Message) { m.Cuts[0].By = "" }), BadValue},
+	} {
+		if m, _, f := Parse(c.b, "here", []sealed.Key{key1, key2}); f != c.want || m.From != "" {
+			t.Errorf("%s: %v, want %v", c.name, f, c.want)
+		}
+	}
+	if _, _, f := Parse(good, "elsewhere", []sealed.Key{key1}); f != BadMAC {
+		t.Errorf("another deployment's: %v", f)
+	}
+	// Fields of a later version are skipped, in the message and in its records.
+	later := protowire.AppendString(protowire.AppendTag(AppendMessage(nil, full()), 99, protowire.BytesType), "news")
+	if m, f := ParseMessage(later); f != Sound || !reflect.DeepEqual(m, full()) {
+		t.Errorf("%v %+v", f, m)
+	}
+	long := full()
+	for range 40 {
+		long.Records = append(long.Records, long.Records[0])
+	}
+	if _, err := Append(nil, long, sealed.Trailer{}, "", key1); err != ErrSize {
+		t.Errorf("%v", err)
+	}
+}
+
+// Whatever is read as sound is written so that it reads the same.
+func FuzzParseMessage(f *testing.F) {
+	f.Add(AppendMessage(nil, full()))
+	f.Add([]byte{8, 1, 18, 1, 'a', 24, 1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, fault := ParseMessage(b)
+		if fault != Sound {
+			return
+		}
+		if again, fault := ParseMessage(AppendMessage(nil, m)); fault != Sound || !reflect.DeepEqual(m, again) {
+			t.Errorf("%v\n%+v\n%+v", fault, m, again)
+		}
+	})
+}
