Gateways know who of them is there: the members section, its adapter and `marblespan members`

Need: the machine of internal/membership joined to the network, in real processes.

The operators' file has a members section (all checked, secrets hidden), SIGHUP changes keys, interval, ways and addresses to join at; SIGTERM tells the others. The rig's gateways have the section, on paths of their own, and its checkers a rule: nobody is held dead without a reason, and a fleet is at rest only once everybody knows everybody.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,11 +17,12 @@
 	"marblespan/internal/config/lines"
 	"marblespan/internal/control"
 	"marblespan/internal/floating"
+	"marblespan/internal/peers"
 	"marblespan/internal/program"
 )
 
-// Version is the program's, as CHANGELOG.md has it.
-const Version = "0.2.0"
+// Version is the program's.
+const Version = program.Version
 
 // The exit codes.
 const (
@@ -88,7 +89,7 @@
 		&cobra.Command{Use: "gateway", Short: "Run the gateway, as without a command", Args: noArguments, RunE: c.gateway},
 		&cobra.Command{Use: "check", Short: "Read both configurations and print what is in force", Args: noArguments, RunE: c.check},
 		&cobra.Command{Use: "version", Short: "Print the version", Args: noArguments, RunE: c.version},
-		c.vrrp(),
+		c.vrrp(), c.members(),
 	)
 	return root
 }
@@ -167,7 +168,8 @@
 	return group
 }
 
-func (c *command) status(socket string, raw bool) error {
+// ask asks a running gateway; without a socket, the one that the operators' file names.
+func (c *command) ask(socket, question string, into any) error {
 	if socket == "" {
 		ops, err := config.LoadOperators(c.operators())
 		if err != nil {
@@ -177,8 +179,64 @@
 			return usageError{errors.New("no control socket: name one with --socket, or a file that has one with --conf")}
 		}
 	}
+	return control.Ask(socket, question, into)
+}
+
+func (c *command) members() *cobra.Command {
+	var socket string
+	var raw bool
+	cmd := &cobra.Command{
+		Use: "members", Short: "Ask a running gateway who of the gateways is there", Args: noArguments,
+		RunE: func(*cobra.Command, []string) error { return c.listMembers(socket, raw) },
+	}
+	cmd.Flags().StringVar(&socket, "socket", "", "the gateway's control socket (default: as the operators' file says)")
+	cmd.Flags().BoolVar(&raw, "json", false, "print the answer as JSON")
+	return cmd
+}
+
+func (c *command) listMembers(socket string, raw bool) error {
+	var s peers.Status
+	if err := c.ask(socket, "members", &s); err != nil {
+		return err
+	}
+	if raw {
+		return writeJSON(c.out, s)
+	}
+	if s.LeftOut {
+		fmt.Fprintf(c.out, "another process has the name %s; this one takes no part\n", s.Node)
+	}
+	if s.Health > 1 {
+		fmt.Fprintf(c.out, "%s misses answers that others get, and waits %d times as long\n", s.Node, s.Health)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tSTATE\tFOR\tSAYS\tLIFE\tAT\tHEARD\tROUND TRIP\tZONE\tWEIGHT\tVERSION\tSETTINGS\tFLAGS\tCUT")
+	for _, m := range s.Members {
+		name, heard, settings := m.Name, "-", "same"
+		if m.Self {
+			name += " (this one)"
+		} else if m.HeardMS >= 0 {
+			heard = millis(m.HeardMS).String()
+		}
+		if m.Differs {
+			settings = "differ"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n", name, m.State, millis(m.ForMS), dash(m.By),
+			time.UnixMicro(int64(m.Life)).UTC().Format("2006-01-02T15:04:05.000"), m.At, heard, trip(m.RTTMicros), dash(m.Zone), m.Weight,
+			dash(m.Version), settings, dash(strings.Join(m.Flags, ",")), dash(strings.Join(m.Cut, ",")))
+	}
+	return w.Flush()
+}
+
+func trip(micros int64) string {
+	if micros <= 0 {
+		return "-"
+	}
+	return (time.Duration(micros) * time.Microsecond).String()
+}
+
+func (c *command) status(socket string, raw bool) error {
 	var all []floating.Status
-	if err := control.Ask(socket, "vrrp status", &all); err != nil {
+	if err := c.ask(socket, "vrrp status", &all); err != nil {
 		return err
 	}
 	if raw {
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -20,13 +20,42 @@
 // Operators is the operators' own file. What it does not name is off; without the file everything in it is.
 type Operators struct {
 	lines.Where
-	Control string  `conf:"control" validate:"max=100"` // a local socket for questions
-	VRRP    *VRRP   `section:"vrrp" validate:"-"`
-	Groups  []Group `section:"group" validate:"-"`
+	Control string   `conf:"control" validate:"max=100"` // a local socket for questions
+	Members *Members `section:"members" validate:"-"`
+	VRRP    *VRRP    `section:"vrrp" validate:"-"`
+	Groups  []Group  `section:"group" validate:"-"`
 
 	file string
 }
 
+// Members is how gateways know who of them is there.
+type Members struct {
+	lines.Where
+	Node       string           `conf:"node" validate:"required,max=40,printascii"`
+	Deployment string           `conf:"deployment" validate:"max=40"`
+	Bind       netip.AddrPort   `conf:"bind" validate:"required"`
+	Advertise  netip.AddrPort   `conf:"advertise"` // where others reach it, if not at bind
+	Join       []netip.AddrPort `conf:"join" validate:"max=64"`
+	Keys       []Key            `conf:"key,secret" validate:"min=1,max=4,unique=Number,dive"`
+	Zone       string           `conf:"zone" validate:"max=20"`
+	Weight     uint32           `conf:"weight"`
+	Interval   time.Duration    `conf:"interval"`
+	Via        []Via            `conf:"via" validate:"max=1024,unique=At"`
+}
+
+// Via is where an address that a member advertises is reached from here.
+type Via struct{ At, Via netip.AddrPort }
+
+// Defaults are what a members section has that it does not name.
+func (m *Members) Defaults() { m.Weight, m.Interval = 1, defaultProbe }
+
+// The span of one probe among members, and its bounds.
+const (
+	defaultProbe = 200 * time.Millisecond
+	leastProbe   = 50 * time.Millisecond
+	mostProbe    = 10 * time.Second
+)
+
 // VRRP is how gateways speak with each other about floating addresses.
 type VRRP struct {
 	lines.Where
@@ -154,6 +183,28 @@
 			at(v.Where, "vrrp", 0, "there is no group to hold an address for")
 		}
 	}
+	if m := o.Members; m != nil {
+		own := m.Advertise
+		if !own.IsValid() {
+			own = m.Bind
+		}
+		if own.Addr().IsUnspecified() || own.Port() == 0 {
+			at(m.Where, "bind", 0, "%v is no address that others could know this gateway by; name one with advertise", own)
+		}
+		if m.Interval < leastProbe || m.Interval > mostProbe {
+			at(m.Where, "interval", 0, "%v is not from %v to %v", m.Interval, leastProbe, mostProbe)
+		}
+		for i, j := range m.Join {
+			if j.Addr().Is4() != m.Bind.Addr().Is4() {
+				at(m.Where, "join", i, "%v is of another family than bind", j)
+			}
+		}
+		for i, v := range m.Via {
+			if v.Via.Addr().Is4() != m.Bind.Addr().Is4() {
+				at(m.Where, "via", i, "%v is of another family than bind", v.Via)
+			}
+		}
+	}
 	vrids, names, listens := map[uint8]string{}, map[string]bool{}, map[netip.AddrPort]string{}
 	for _, g := range o.Groups {
 		if o.VRRP == nil {
@@ -193,6 +244,13 @@
 		}
 	}
 	differ("control", o.Control == next.Control)
+	differ("members", (o.Members == nil) == (next.Members == nil))
+	if m, n := o.Members, next.Members; m != nil && n != nil {
+		differ("members node", m.Node == n.Node)
+		differ("members deployment", m.Deployment == n.Deployment)
+		differ("members bind", m.Bind == n.Bind)
+		differ("members advertise", m.Advertise == n.Advertise)
+	}
 	differ("vrrp", (o.VRRP == nil) == (next.VRRP == nil))
 	if o.VRRP != nil && next.VRRP != nil {
 		differ("vrrp node", o.VRRP.Node == next.VRRP.Node)
@@ -212,6 +270,9 @@
 // Summary names the sections that are on, for the log.
 func (o *Operators) Summary() string {
 	var on []string
+	if o.Members != nil {
+		on = append(on, "members")
+	}
 	if o.VRRP != nil {
 		on = append(on, "vrrp")
 	}
--- a/internal/floating/floating.go
+++ b/internal/floating/floating.go
@@ -3,10 +3,7 @@
 package floating
 
 import (
-	"errors"
-	"net"
 	"net/netip"
-	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -14,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"marblespan/internal/datagrams"
 	"marblespan/internal/protocol/sealed"
 	codec "marblespan/internal/protocol/vrrp"
 	"marblespan/internal/vrrp"
@@ -67,12 +65,6 @@
 	dropsBurst  = 5
 )
 
-// taskQueue is how many requests to the goroutine may wait.
-const taskQueue = 16
-
-// past is a deadline that has been; setting it wakes the reader.
-var past = time.Unix(1, 0)
-
 // Speaker takes part in VRRP for all groups of a gateway.
 type Speaker struct {
 	settings Settings
@@ -81,16 +73,12 @@
 	health   func() vrrp.Health
 	log      zerolog.Logger
 
-	conn    *net.UDPConn
+	loop    *datagrams.Loop
 	origins *sealed.Order[uint8]
 	groups  []*group
 	last    vrrp.Health
 	limit   *rate.Limiter
 	silent  int64 // drops since the last line about one
-	tasks   chan func()
-	done    chan struct{}
-	ending  bool
-	buffer  []byte
 
 	Counts Counts
 }
@@ -113,85 +101,65 @@
 func Start(s Settings, clock Clock, start uint64, address Address, health func() vrrp.Health, log zerolog.Logger) (
 	*Speaker, error,
 ) {
-	network := "udp6"
-	if s.Bind.Addr().Is4() {
-		network = "udp4"
-	}
-	conn, err := net.ListenUDP(network, net.UDPAddrFromAddrPort(s.Bind))
+	loop, err := datagrams.Listen(s.Bind, codec.MostSize)
 	if err != nil {
 		return nil, err
 	}
 	sp := &Speaker{
-		settings: s, clock: clock, address: address, health: health, log: log, conn: conn,
-		origins: sealed.NewOrder[uint8](start, 0), limit: rate.NewLimiter(dropsLogged, dropsBurst), tasks: make(chan func(), taskQueue),
-		done: make(chan struct{}), buffer: make([]byte, codec.MostSize+1),
+		settings: s, clock: clock, address: address, health: health, log: log, loop: loop,
+		origins: sealed.NewOrder[uint8](start, 0), limit: rate.NewLimiter(dropsLogged, dropsBurst),
 	}
 	for _, g := range s.Groups {
 		sp.groups = append(sp.groups, &group{Group: g, machine: vrrp.New(g.Machine)})
 	}
-	go sp.run()
+	go loop.Run((*owner)(sp))
 	return sp, nil
 }
 
 // Addr is where the speaker is heard.
-func (s *Speaker) Addr() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+func (s *Speaker) Addr() netip.AddrPort { return s.loop.Addr() }
+
+// Broken counts errors of the socket that came instead of a datagram.
+func (s *Speaker) Broken() int64 { return s.loop.Broken.Load() }
 
 // ask runs a function on the speaker's goroutine and waits for it. It tells whether it ran.
-func (s *Speaker) ask(do func()) bool {
-	ran := make(chan struct{})
-	select {
-	case s.tasks <- func() { do(); close(ran) }:
-	case <-s.done:
-		return false
-	}
-	s.conn.SetReadDeadline(past)
-	select {
-	case <-ran:
-		return true
-	case <-s.done:
-		return false
-	}
-}
+func (s *Speaker) ask(do func()) bool { return s.loop.Ask(do) }
+
+// owner is the speaker as its loop sees it.
+type owner Speaker
 
-// run reads until Close. The deadline of a read is the next time that a machine wants to look at the clock. It is set
-// before the tasks are looked for, so that a task left later wakes the read.
-func (s *Speaker) run() {
-	defer close(s.done)
+// Begin starts every group.
+func (o *owner) Begin() {
+	s := (*Speaker)(o)
 	s.look()
 	for _, g := range s.groups {
 		s.tell(g, vrrp.Startup{})
 	}
-	for !s.ending {
-		deadline := time.Time{}
-		for _, g := range s.groups {
-			if at, ok := g.machine.Next(); ok {
-				if t := s.clock.Time(at); deadline.IsZero() || t.Before(deadline) {
-					deadline = t
-				}
+}
+
+// Next is the next time that a machine wants to look at the clock.
+func (o *owner) Next() (next time.Time) {
+	for _, g := range o.groups {
+		if at, ok := g.machine.Next(); ok {
+			if t := o.clock.Time(at); next.IsZero() || t.Before(next) {
+				next = t
 			}
 		}
-		s.conn.SetReadDeadline(deadline)
-		select {
-		case do := <-s.tasks:
-			do()
-			continue
-		default:
-		}
-		n, from, err := s.conn.ReadFromUDPAddrPort(s.buffer)
-		switch {
-		case err == nil:
-			s.receive(s.buffer[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
-		case errors.Is(err, net.ErrClosed):
-			return
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			s.Counts.Dropped[codec.BadLength].Add(1) // an error of the socket that came instead of a message
-		}
-		s.look()
-		now := s.clock.Now()
-		for _, g := range s.groups {
-			if at, ok := g.machine.Next(); ok && now >= at {
-				s.tell(g, vrrp.Tick{})
-			}
+	}
+	return next
+}
+
+// Receive takes in one datagram.
+func (o *owner) Receive(b []byte, from netip.AddrPort) { (*Speaker)(o).receive(b, from) }
+
+// Look has the machines look at the clock.
+func (o *owner) Look() {
+	s := (*Speaker)(o)
+	s.look()
+	now := s.clock.Now()
+	for _, g := range s.groups {
+		if at, ok := g.machine.Next(); ok && now >= at {
+			s.tell(g, vrrp.Tick{})
 		}
 	}
 }
@@ -260,7 +228,7 @@
 // send writes one datagram, unless it could not be made, and counts it.
 func (s *Speaker) send(b []byte, err error, to netip.AddrPort, sent *atomic.Int64) {
 	if err == nil {
-		_, err = s.conn.WriteToUDPAddrPort(b, to)
+		err = s.loop.Send(b, to)
 	}
 	if err != nil {
 		sent = &s.Counts.SendFailed
@@ -384,9 +352,7 @@
 // Close releases what is still held and ends the goroutine.
 func (s *Speaker) Close() {
 	s.GiveUp(true)
-	s.ask(func() { s.ending = true })
-	<-s.done
-	s.conn.Close()
+	s.loop.Close()
 }
 
 // Status is how one group stands.
--- a/internal/lab/failover/failover.go
+++ b/internal/lab/failover/failover.go
@@ -149,6 +149,7 @@
 	fleet := rig.Defaults()
 	fleet.Binary, fleet.Nodes, fleet.Seed, fleet.Work = o.Binary, len(o.Priorities), o.Seed, o.Work
 	fleet.Interval, fleet.Priorities = o.Interval, o.Priorities
+	fleet.Probe = 0
 	fleet.CutOnMove = true // as where an address moves between machines: its new holder knows no old flow
 	f, err := rig.New(fleet)
 	if err != nil {
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,409 @@
+// Package peers is what gateways say to each other about who is there: one goroutine and one UDP socket around the machine of
+// internal/membership. It decides nothing. Later parts of the program hear of members from it and own no socket.
+package peers
+
+import (
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"marblespan/internal/datagrams"
+	"marblespan/internal/membership"
+	codec "marblespan/internal/protocol/members"
+	"marblespan/internal/protocol/sealed"
+)
+
+// Settings are those of the operators' file. Node, Bind, Advertise and Deployment stay as they are at the start.
+type Settings struct {
+	Node       string
+	Deployment string
+	Bind       netip.AddrPort
+	Advertise  netip.AddrPort // where others reach it
+	Join       []netip.AddrPort
+	Keys       []sealed.Key // the first one signs
+	Zone       string
+	Weight     uint32
+	Interval   time.Duration
+	// Via is where an advertised address is reached from here, if not there: across a translation of addresses.
+	Via map[netip.AddrPort]netip.AddrPort
+}
+
+// Clock is a clock that never steps back.
+type Clock struct {
+	Now  func() membership.Micros
+	Time func(membership.Micros) time.Time
+}
+
+// Self is what the gateway tells of itself beside its settings.
+type Self struct {
+	Version  string
+	Settings uint64 // digest of its settings
+	Flags    membership.Flags
+}
+
+// dropsLogged and dropsBurst bound the log lines about datagrams that are dropped: a flood of garbage must not become a
+// flood of lines. What is not logged is still counted.
+const (
+	dropsLogged = 1 // a second
+	dropsBurst  = 5
+)
+
+// window is how many messages of a sender may overtake one that still counts: an answer that took longer than the next one
+// is an answer all the same.
+const window = 64
+
+// mostSenders bounds how many senders' order is kept. Only who has a key can fill it.
+const mostSenders = 4 * membership.MostMembers
+
+// sender tells senders apart: two processes may have one name.
+type sender struct {
+	name string
+	at   netip.AddrPort
+}
+
+// Counts are the counters since the start.
+type Counts struct {
+	Sent, SendFailed, Received, SentBytes, Changes, Deaths, Refutations, Cuts atomic.Int64
+	Dropped                                                                   [codec.Faults]atomic.Int64
+	Noticed                                                                   [membership.Notices]atomic.Int64
+}
+
+// Peers takes part in the membership.
+type Peers struct {
+	settings Settings
+	clock    Clock
+	self     func() Self
+	told     Self
+	log      zerolog.Logger
+	loop     *datagrams.Loop
+	machine  *membership.Machine
+	order    *sealed.Order[sender]
+	senders  int
+	limit    *rate.Limiter
+	silent   int64 // drops since the last line about one
+	back     map[netip.AddrPort]netip.AddrPort
+	left     chan struct{}
+	changes  func(membership.Changed)
+
+	Counts Counts
+}
+
+// Start binds the socket and joins. start is the system clock's time, microseconds of Unix time: it tells one life of this
+// gateway from the next. self is asked again whenever the goroutine looks at the clock. changes is told of each change of the
+// view on that goroutine, and must not wait; nil: nobody is.
+func Start(s Settings, clock Clock, start uint64, self func() Self, changes func(membership.Changed), log zerolog.Logger) (*Peers, error) {
+	loop, err := datagrams.Listen(s.Bind, codec.MostSize)
+	if err != nil {
+		return nil, err
+	}
+	p := &Peers{
+		settings: s, clock: clock, self: self, log: log, loop: loop, order: sealed.NewOrder[sender](start, window),
+		limit: rate.NewLimiter(dropsLogged, dropsBurst), left: make(chan struct{}), changes: changes,
+	}
+	p.settings.Advertise = advertised(s, loop.Addr())
+	p.told = self()
+	p.route()
+	p.machine = membership.New(membership.Config{
+		Name: s.Node, At: p.settings.Advertise, Life: start, Interval: micros(s.Interval), Join: s.Join, Seed: start | 1, Meta: p.meta(),
+	})
+	go loop.Run((*owner)(p))
+	return p, nil
+}
+
+func advertised(s Settings, bound netip.AddrPort) netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return s.Advertise
+	}
+	return bound
+}
+
+func micros(d time.Duration) membership.Micros { return membership.Micros(d.Microseconds()) }
+
+// meta is what the machine tells of this gateway.
+func (p *Peers) meta() membership.Meta {
+	return membership.Meta{
+		Zone: p.settings.Zone, Weight: p.settings.Weight, Version: p.told.Version, Settings: p.told.Settings, Flags: p.told.Flags,
+	}
+}
+
+// route makes the way back from the addresses that others are reached at.
+func (p *Peers) route() {
+	p.back = make(map[netip.AddrPort]netip.AddrPort, len(p.settings.Via))
+	for at, via := range p.settings.Via {
+		p.back[via] = at
+	}
+}
+
+// Addr is where the socket is bound.
+func (p *Peers) Addr() netip.AddrPort { return p.loop.Addr() }
+
+// owner is the peers as their loop sees them.
+type owner Peers
+
+// Begin joins.
+func (o *owner) Begin() { (*Peers)(o).tell(membership.Startup{}) }
+
+// Next is when the machine wants to look at the clock.
+func (o *owner) Next() time.Time {
+	if at, ok := o.machine.Next(); ok {
+		return o.clock.Time(at)
+	}
+	return time.Time{}
+}
+
+// Look has the machine look at the clock, and tells it if the gateway tells other things of itself.
+func (o *owner) Look() {
+	p := (*Peers)(o)
+	if now := p.self(); now != p.told {
+		p.told = now
+		p.tell(membership.Tell{Meta: p.meta()})
+	}
+	if at, ok := p.machine.Next(); ok && p.clock.Now() >= at {
+		p.tell(membership.Tick{})
+	}
+}
+
+// Receive checks one datagram and hands it to the machine.
+func (o *owner) Receive(b []byte, from netip.AddrPort) {
+	p := (*Peers)(o)
+	p.Counts.Received.Add(1)
+	m, fault := p.check(b, from)
+	if fault != codec.Sound {
+		p.drop(fault, from)
+		return
+	}
+	if at, known := p.back[from]; known {
+		from = at
+	}
+	p.tell(membership.Heard{Source: from, Message: m})
+}
+
+func (p *Peers) check(b []byte, from netip.AddrPort) (membership.Message, codec.Fault) {
+	m, t, fault := codec.Parse(b, p.settings.Deployment, p.settings.Keys)
+	if fault != codec.Sound {
+		return m, fault
+	}
+	s := sender{m.From, from}
+	if p.order.Known(s) == 0 {
+		if p.senders++; p.senders > mostSenders {
+			p.senders = 0
+			p.order.Forget(func(sender) bool { return false })
+		}
+	}
+	fresh, moved := p.order.Take(s, sealed.Origin{Start: t.Start, Sequence: t.Sequence}, t.Known)
+	if moved {
+		p.log.Warn().Str("peer", m.From).Msg("peers know a later start of this gateway: its clock was set back; moved past it")
+	}
+	if !fresh {
+		return m, codec.Replayed
+	}
+	return m, codec.Sound
+}
+
+func (p *Peers) drop(fault codec.Fault, from netip.AddrPort) {
+	p.Counts.Dropped[fault].Add(1)
+	if !p.limit.Allow() {
+		p.silent++
+		return
+	}
+	p.log.Warn().Str("peer", from.String()).Str("fault", codec.FaultNames[fault]).Int64("not_logged", p.silent).Msg("members message dropped")
+	p.silent = 0
+}
+
+// tell hands an event to the machine and carries out what comes of it.
+func (p *Peers) tell(ev membership.Event) {
+	for _, a := range p.machine.Handle(p.clock.Now(), ev) {
+		switch a := a.(type) {
+		case membership.Send:
+			p.send(a)
+		case membership.Changed:
+			p.changed(a)
+		case membership.Path:
+			p.Counts.Cuts.Add(1)
+			p.log.Info().Str("member", a.Cut.Peer).Bool("unheard", a.Cut.Unheard).Bool("deaf", a.Cut.Deaf).Msg("member path")
+		case membership.Noticed:
+			p.Counts.Noticed[a.What].Add(1)
+			p.noticed(a)
+		case membership.Done:
+			close(p.left)
+		}
+	}
+}
+
+func (p *Peers) send(a membership.Send) {
+	to := a.At
+	if via, known := p.settings.Via[to]; known {
+		to = via
+	}
+	o := p.order.Next()
+	b, err := codec.Append(nil, a.Message, sealed.Trailer{
+		Start: o.Start, Sequence: o.Sequence, Known: p.order.Known(sender{a.Message.To, to}),
+	}, p.settings.Deployment, p.settings.Keys[0])
+	if err == nil {
+		err = p.loop.Send(b, to)
+	}
+	if err != nil {
+		p.Counts.SendFailed.Add(1)
+		return
+	}
+	p.Counts.Sent.Add(1)
+	p.Counts.SentBytes.Add(int64(len(b)))
+}
+
+func (p *Peers) changed(a membership.Changed) {
+	p.Counts.Changes.Add(1)
+	if a.State == membership.Dead {
+		p.Counts.Deaths.Add(1)
+	}
+	if p.changes != nil {
+		p.changes(a)
+	}
+	level := p.log.Info()
+	if a.State == membership.Suspect || a.State == a.Was && !a.New {
+		level = p.log.Debug() // most suspicions are refuted; the counters tell of them
+	}
+	level.Str("member", a.Name).Uint64("life", a.Life).Stringer("from", a.Was).Stringer("to", a.State).Bool("new", a.New).
+		Str("by", a.By).Str("at", a.At.String()).Msg("member")
+}
+
+func (p *Peers) noticed(a membership.Noticed) {
+	level := p.log.Warn()
+	if a.What == membership.Refuted {
+		p.Counts.Refutations.Add(1)
+		level = p.log.Debug()
+	}
+	if level = level.Stringer("what", a.What); a.By != "" {
+		level = level.Str("by", a.By)
+	}
+	if a.At.IsValid() {
+		level = level.Str("at", a.At.String())
+	}
+	if a.Life != 0 {
+		level = level.Uint64("life", a.Life)
+	}
+	if a.For != 0 {
+		level = level.Int64("for_ms", int64(a.For)/1000)
+	}
+	level.Msg("membership")
+}
+
+// Reload takes over keys, addresses to join at, ways, zone, weight and interval.
+func (p *Peers) Reload(next Settings) {
+	p.loop.Ask(func() {
+		next.Node, next.Deployment, next.Bind, next.Advertise = p.settings.Node, p.settings.Deployment, p.settings.Bind, p.settings.Advertise
+		p.settings = next
+		p.route()
+		p.tell(membership.Reconfigured{Interval: micros(next.Interval), Join: next.Join})
+		p.tell(membership.Tell{Meta: p.meta()})
+	})
+}
+
+// leaveBy is how many intervals a member waits at the most until the others know that it leaves.
+const leaveBy = 3
+
+// Close tells the others that this gateway leaves, and ends the goroutine.
+func (p *Peers) Close() {
+	if p.loop.Ask(func() { p.tell(membership.Leave{}) }) {
+		select {
+		case <-p.left:
+		case <-time.After(leaveBy * p.settings.Interval):
+		}
+	}
+	p.loop.Close()
+}
+
+// Member is how one member stands, for whoever asks.
+type Member struct {
+	Name        string   `json:"name"`
+	Self        bool     `json:"self,omitempty"`
+	At          string   `json:"at"`
+	Life        uint64   `json:"life"`
+	Incarnation uint32   `json:"incarnation"`
+	State       string   `json:"state"`
+	ForMS       int64    `json:"for_ms"`
+	By          string   `json:"by,omitempty"`
+	HeardMS     int64    `json:"heard_ms_ago"` // -1: never
+	RTTMicros   int64    `json:"rtt_us"`
+	Zone        string   `json:"zone,omitempty"`
+	Weight      uint32   `json:"weight"`
+	Version     string   `json:"version"`
+	Settings    string   `json:"settings"`
+	Differs     bool     `json:"settings_differ"`
+	Flags       []string `json:"flags"`
+	Cut         []string `json:"cut"`
+}
+
+// Status is how this gateway sees everybody.
+type Status struct {
+	Node    string   `json:"node"`
+	LeftOut bool     `json:"left_out"` // another process has its name
+	Health  int      `json:"health"`   // 1: well; it stretches its spans by so much
+	Members []Member `json:"members"`
+}
+
+// flagNames are the flags as answers name them.
+var flagNames = []struct {
+	flag membership.Flags
+	name string
+}{{membership.Draining, "draining"}, {membership.StoodStill, "stood still"}, {membership.NoDisk, "no disk"}}
+
+// Status tells how everybody stands.
+func (p *Peers) Status() (s Status) {
+	p.loop.Ask(func() {
+		now := p.clock.Now()
+		own := p.machine.Self()
+		s = Status{Node: own.Name, LeftOut: p.machine.Out(), Health: p.machine.Health(), Members: []Member{}}
+		for _, v := range p.machine.Members() {
+			m := Member{
+				Name: v.Name, Self: v.Self, At: v.At.String(), Life: v.Life, Incarnation: v.Incarnation, State: v.State.String(),
+				ForMS: int64(now-v.Since) / 1000, By: v.By, HeardMS: -1, RTTMicros: int64(v.RTT), Zone: v.Meta.Zone, Weight: v.Meta.Weight,
+				Version: v.Meta.Version, Settings: hex(v.Meta.Settings), Differs: v.Meta.Settings != own.Meta.Settings,
+				Flags: []string{}, Cut: []string{},
+			}
+			if v.Heard > 0 {
+				m.HeardMS = int64(now-v.Heard) / 1000
+			}
+			for _, f := range flagNames {
+				if v.Meta.Flags&f.flag != 0 {
+					m.Flags = append(m.Flags, f.name)
+				}
+			}
+			for _, c := range v.Cuts {
+				m.Cut = append(m.Cut, cut(c)...)
+			}
+			s.Members = append(s.Members, m)
+		}
+		slices.SortStableFunc(s.Members[1:], func(a, b Member) int {
+			if a.Name < b.Name {
+				return -1
+			}
+			return 1
+		})
+	})
+	return s
+}
+
+// cut says which directions of a path are cut, as from -> to.
+func cut(c membership.Cut) (all []string) {
+	if c.Unheard {
+		all = append(all, c.By+" -> "+c.Peer)
+	}
+	if c.Deaf {
+		all = append(all, c.Peer+" -> "+c.By)
+	}
+	return all
+}
+
+func hex(v uint64) string {
+	const digits = "0123456789abcdef"
+	b := make([]byte, 16)
+	for i := range b {
+		b[15-i] = digits[v&15]
+		v >>= 4
+	}
+	return string(b)
+}
--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -24,6 +24,7 @@
 		Int64("over_memory", c.OverMemory.Load()).Int("clients", g.clients.Open()).
 		Int("descriptors", g.fds.Used()).Int64("message_bytes", g.buffers.Held()).Msg("counters")
 	g.floats.print()
+	g.members.print()
 }
 
 func (g *Gateway) printOwner(c *routing.Core) {
--- a/internal/program/floating.go
+++ b/internal/program/floating.go
@@ -268,7 +268,7 @@
 	c := &f.speaker.Counts
 	line := f.g.log.Info().Int64("sent", c.Sent.Load()).Int64("send_failed", c.SendFailed.Load()).
 		Int64("received", c.Received.Load()).Int64("announced", c.Announced.Load()).Int64("tenures", c.Tenures.Load()).
-		Int64("start_moved", c.Moved.Load()).Int64("moved_requests", f.counts.Moved.Load()).Int("clients", f.open())
+		Int64("start_moved", c.Moved.Load()).Int64("socket_errors", f.speaker.Broken()).Int64("moved_requests", f.counts.Moved.Load()).Int("clients", f.open())
 	for fault := codec.Sound + 1; fault < codec.Faults; fault++ {
 		if n := c.Dropped[fault].Load(); n > 0 {
 			line = line.Int64("dropped_"+codec.FaultNames[fault], n)
--- /dev/null
+++ b/internal/program/members.go
@@ -0,0 +1,124 @@
+package program
+
+import (
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marblespan/brain"
+	"marblespan/internal/config"
+	"marblespan/internal/membership"
+	"marblespan/internal/peers"
+	codec "marblespan/internal/protocol/members"
+	"marblespan/internal/protocol/sealed"
+)
+
+// Version is the program's, as CHANGELOG.md has it.
+const Version = "0.2.0"
+
+// members is the gateway's part in the membership. A nil one is a gateway without.
+type members struct {
+	g        *Gateway
+	peers    *peers.Peers
+	settings atomic.Uint64 // digest of the settings in force
+	draining atomic.Bool
+}
+
+func startMembers(g *Gateway) (*members, error) {
+	m := &members{g: g}
+	m.settings.Store(digest(g.settings))
+	clock := peers.Clock{
+		Now:  func() membership.Micros { return membership.Micros(g.clock.Now()) },
+		Time: func(t membership.Micros) time.Time { return g.clock.Time(brain.Micros(t)) },
+	}
+	var err error
+	if m.peers, err = peers.Start(peersSettings(g.ops), clock, uint64(time.Now().UnixMicro()), m.self, nil, g.log); err != nil {
+		return nil, err
+	}
+	g.fds.Hold(1)
+	return m, nil
+}
+
+// digest tells settings apart; the order of their keys does not matter.
+func digest(settings map[string]any) uint64 {
+	raw, _ := json.Marshal(settings)
+	return xxhash.Sum64(raw)
+}
+
+// self is what the gateway tells the others of itself. It keeps nothing over a restart.
+func (m *members) self() peers.Self {
+	s := peers.Self{Version: Version, Settings: m.settings.Load(), Flags: membership.NoDisk}
+	if m.draining.Load() {
+		s.Flags |= membership.Draining
+	}
+	return s
+}
+
+// peersSettings says the operators' settings in the terms of peers.
+func peersSettings(ops *config.Operators) peers.Settings {
+	m := ops.Members
+	s := peers.Settings{
+		Node: m.Node, Deployment: m.Deployment, Bind: m.Bind, Advertise: m.Advertise, Join: m.Join, Zone: m.Zone, Weight: m.Weight,
+		Interval: m.Interval, Via: map[netip.AddrPort]netip.AddrPort{},
+	}
+	for _, k := range m.Keys {
+		s.Keys = append(s.Keys, sealed.Key{Number: k.Number, Secret: []byte(k.Secret)})
+	}
+	for _, v := range m.Via {
+		s.Via[v.At] = v.Via
+	}
+	return s
+}
+
+func (m *members) reload(ops *config.Operators, settings map[string]any) {
+	if m != nil && ops.Members != nil {
+		m.settings.Store(digest(settings))
+		m.peers.Reload(peersSettings(ops))
+	}
+}
+
+// drain tells the others that this gateway is about to end.
+func (m *members) drain() {
+	if m != nil {
+		m.draining.Store(true)
+	}
+}
+
+func (m *members) close() {
+	if m != nil {
+		m.peers.Close()
+	}
+}
+
+func (m *members) status() (any, error) {
+	if m == nil {
+		return nil, errors.New("this gateway has no members section")
+	}
+	return m.peers.Status(), nil
+}
+
+// print writes the counters of the membership.
+func (m *members) print() {
+	if m == nil {
+		return
+	}
+	c := &m.peers.Counts
+	line := m.g.log.Info().Int64("sent", c.Sent.Load()).Int64("sent_bytes", c.SentBytes.Load()).Int64("send_failed", c.SendFailed.Load()).
+		Int64("received", c.Received.Load()).Int64("changes", c.Changes.Load()).Int64("deaths", c.Deaths.Load()).
+		Int64("refutations", c.Refutations.Load()).Int64("path_changes", c.Cuts.Load())
+	for fault := codec.Sound + 1; fault < codec.Faults; fault++ {
+		if n := c.Dropped[fault].Load(); n > 0 {
+			line = line.Int64("dropped_"+codec.FaultNames[fault], n)
+		}
+	}
+	for what := range membership.Notices {
+		if n := c.Noticed[what].Load(); n > 0 {
+			line = line.Int64("noticed_"+what.String(), n)
+		}
+	}
+	line.Msg("members counters")
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -90,7 +90,8 @@
 	clients   *session.Clients
 	servers   *session.Servers
 	discovery *session.Discovery
-	floats    *floats // nil without a floating address
+	floats    *floats  // nil without a floating address
+	members   *members // nil without a members section
 	control   *control.Server
 	ready     atomic.Bool
 	accepting chan struct{}
@@ -160,6 +161,7 @@
 	}
 	g.discovery.Move(next.Discovery)
 	g.floats.reload(ops)
+	g.members.reload(ops, next.Settings)
 	g.log.Info().Str("discovery", next.Discovery).Msg("reloaded")
 }
 
@@ -228,6 +230,11 @@
 
 // startOperators starts what the operators' file switches on.
 func (g *Gateway) startOperators() (err error) {
+	if g.ops.Members != nil {
+		if g.members, err = startMembers(g); err != nil {
+			return fmt.Errorf("members: %w", err)
+		}
+	}
 	if g.ops.VRRP != nil {
 		if g.floats, err = startFloats(g); err != nil {
 			return fmt.Errorf("vrrp: %w", err)
@@ -244,8 +251,11 @@
 
 // answer answers questions on the control socket.
 func (g *Gateway) answer(question string) (any, error) {
-	if question == "vrrp status" {
+	switch question {
+	case "vrrp status":
 		return g.floats.status(), nil
+	case "members":
+		return g.members.status()
 	}
 	return nil, fmt.Errorf("unknown question %.40q", question)
 }
@@ -278,6 +288,7 @@
 func (g *Gateway) Stop() {
 	g.log.Info().Msg("stopping")
 	start := time.Now()
+	g.members.drain()
 	g.floats.giveUp(false)
 	longest := time.Duration(0)
 	for _, c := range g.facts.Load().Settings.Classes {
@@ -317,6 +328,7 @@
 func (g *Gateway) end() {
 	g.control.Close()
 	g.floats.close()
+	g.members.close()
 	g.owner.Stop() // before the servers, so that nothing new is sent while they close
 	g.discovery.Close()
 	g.servers.Close()
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -31,7 +32,7 @@
 // checkers are all rules that a history must keep. A later part of the program adds its own.
 var checkers = []checker{
 	{"answers", answers}, {"bookings", bookings}, {"drains", drains}, {"stale", stale}, {"linearizable", linearizable},
-	{"crashes", crashes}, {"address", address},
+	{"crashes", crashes}, {"address", address}, {"members", members},
 }
 
 // Check reads a history and lists what it breaks, in the order of time.
@@ -396,3 +397,34 @@
 	}
 	return nil
 }
+
+// dieBy is how long after a reason for it somebody may still be declared dead, in microseconds.
+const dieBy = 15_000_000
+
+// members: nobody is declared dead that runs and can be reached. Losses and delays are no reason; a process that ended, or
+// stands still for long, or whose ways are cut, is.
+func members(h *reading) (out []Violation) {
+	for _, e := range h.events {
+		name, about := strings.CutPrefix(e.What, "member g")
+		node, err := strconv.Atoi(name)
+		if e.Kind != Belief || !about || e.Text != "dead" || err != nil || h.died(node, e.At-dieBy, e.At) {
+			continue
+		}
+		reason := slices.ContainsFunc(h.faults, func(w window) bool {
+			if w.from > e.At || w.to < e.At-dieBy {
+				return false
+			}
+			switch w.Verb {
+			case "stop", "starve":
+				return w.on(node) || w.on(e.Node)
+			case "cut", "split":
+				return true // who is cut from one is reached by another, and what both believe travels
+			}
+			return false
+		})
+		if !reason {
+			out = append(out, Violation{At: e.At, Text: fmt.Sprintf("gateway %d holds gateway %d dead, by %s", e.Node, node, e.Value)})
+		}
+	}
+	return out
+}
--- a/internal/rig/check_test.go
+++ b/internal/rig/check_test.go
@@ -119,6 +119,8 @@
 		{"an end that was asked for", "", join(fault(90, 300, "at 1s term 1"), story{ended(200, "exit status 0")})},
 		{"two hold the address", "address", join(story{belief(1, 1, "active"), belief(2, 2, "active"), at(500, Event{Kind: Phase, What: "settled"})})},
 		{"one holds the address", "", join(story{belief(1, 1, "active"), belief(2, 2, "active"), belief(3, 1, "backup"), at(500, Event{Kind: Phase, What: "settled"})})},
+		{"a live gateway held dead", "members", join(story{at(100, Event{Kind: Belief, Node: 2, What: "member g1", Text: "dead"})})},
+		{"a dead one held dead", "", join(fault(90, 300, "at 1s kill 1"), story{ended(95, "signal: killed"), at(100, Event{Kind: Belief, Node: 2, What: "member g1", Text: "dead"})})},
 		{"a fault that is none", "history", join(story{at(1, Event{Kind: Begins, What: "at 1s sing 1"})})},
 		{"an end without a beginning", "history", join(story{at(1, Event{Kind: Ends, What: "at 1s kill 1"})})},
 	} {
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -110,7 +110,9 @@
 		for _, a := range f.Nodes {
 			for _, b := range f.Nodes {
 				if x.spoils(a.Number, b.Number) {
-					f.Path.Reset(a.Number-1, b.Number-1)
+					for _, p := range f.paths() {
+						p.Reset(a.Number-1, b.Number-1)
+					}
 				}
 			}
 		}
@@ -180,8 +182,11 @@
 	do()
 	for _, a := range f.Nodes {
 		for _, b := range f.Nodes {
-			if a != b {
-				f.Path.Set(a.Number-1, b.Number-1, fate(f.active, a.Number, b.Number))
+			if a == b {
+				continue
+			}
+			for _, p := range f.paths() {
+				p.Set(a.Number-1, b.Number-1, fate(f.active, a.Number, b.Number))
 			}
 		}
 		severed := func(name string) standin.Fate {
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -34,6 +34,7 @@
 	portClients  = 6433
 	portFloating = 6434
 	portVRRP     = 1112
+	portMembers  = 7946
 )
 
 // Bounds of the rules, as the fleet's settings have them.
@@ -68,6 +69,7 @@
 
 	Work       time.Duration // of a request at its server
 	Interval   time.Duration // between VRRP advertisements
+	Probe      time.Duration // of a probe among members; 0: they have no members section
 	Priorities []int         // of each gateway; nil: falling from 200
 	CutOnMove  bool          // the switch resets flows when the floating address moves
 }
@@ -76,6 +78,7 @@
 func Defaults() Options {
 	return Options{
 		Binary: "bin/marblespan", Nodes: 3, Replicas: 2, Seed: 1, Work: 3 * time.Millisecond, Interval: 100 * time.Millisecond,
+		Probe: 200 * time.Millisecond,
 	}
 }
 
@@ -85,6 +88,7 @@
 	History *History
 	Switch  *standin.Switch
 	Path    *standin.Path // of the gateways' messages for the floating address
+	Members *standin.Path // of what they say about who is there, streams among it; nil without
 	Nodes   []*Node       // number 1 first
 
 	cluster   *cluster
@@ -149,17 +153,26 @@
 		return f, err
 	}
 	base := network()
-	var ends []*net.UDPAddr
+	var ends, members []*net.UDPAddr
 	for i := range o.Nodes {
 		n, err := f.newNode(i+1, net.IPv4(base[0], base[1], base[2], byte(i+1)).To4())
 		if err != nil {
 			return f, err
 		}
 		ends = append(ends, &net.UDPAddr{IP: n.IP, Port: portVRRP})
+		members = append(members, &net.UDPAddr{IP: n.IP, Port: portMembers})
 	}
 	if f.Path, err = standin.NewPath(ends...); err != nil {
 		return f, err
 	}
+	if f.Probe > 0 {
+		if f.Members, err = standin.NewPath(members...); err != nil {
+			return f, err
+		}
+		if err = f.Members.Streams(); err != nil {
+			return f, err
+		}
+	}
 	for _, n := range f.Nodes {
 		if err := n.configure(); err != nil {
 			return f, err
@@ -236,24 +249,7 @@
 	if err := os.MkdirAll(filepath.Join(n.dir, "data"), 0o755); err != nil {
 		return err
 	}
-	priority := 201 - n.Number
-	if f.Priorities != nil {
-		priority = f.Priorities[n.Number-1]
-	}
-	var b strings.Builder
-	fmt.Fprintf(&b, "vrrp\n node %d\n bind %v:%d\n announce %s\n key 1 \"%s\"\n", n.Number, n.IP, portVRRP, f.Switch.Announced(), secret)
-	for _, other := range f.Nodes {
-		if other != n && len(f.Nodes) <= mostPeers+1 {
-			fmt.Fprintf(&b, " peer %d %s\n", other.Number, f.Path.Peer(n.Number-1, other.Number-1))
-		}
-	}
-	fmt.Fprintf(&b, "group counters\n vrid 51\n address 192.0.2.10\n listen %s\n priority %d\n interval %v\n damp 0s 0s 0s\n",
-		n.Floating, priority, f.Interval)
-	conf := b.String()
-	if n.Number > mostPeers+1 || len(f.Nodes) > mostPeers+1 && n.Number > 1 {
-		conf = "" // VRRP names its peers, sixteen at most: in larger fleets the first one has the address alone
-	}
-	if err := os.WriteFile(filepath.Join(n.dir, "conf"), []byte(conf), 0o600); err != nil {
+	if err := os.WriteFile(n.Conf(), []byte(n.sections()), 0o600); err != nil {
 		return err
 	}
 	var known []standin.Target
@@ -273,6 +269,61 @@
 	return os.WriteFile(filepath.Join(n.dir, "json"), raw, 0o600)
 }
 
+// Name is the gateway's name among the members.
+func (n *Node) Name() string { return fmt.Sprint("g", n.Number) }
+
+// Conf is the path of its operators' file, and Socket that of its control socket.
+func (n *Node) Conf() string { return filepath.Join(n.dir, "conf") }
+
+// Socket is where it is asked how it is.
+func (n *Node) Socket() string { return filepath.Join(n.dir, "ctl") }
+
+// Reconfigure changes the operators' file and has it read again.
+func (n *Node) Reconfigure(change func(string) string) error {
+	raw, err := os.ReadFile(n.Conf())
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(n.Conf(), []byte(change(string(raw))), 0o600); err != nil {
+		return err
+	}
+	return n.Signal(syscall.SIGHUP)
+}
+
+// sections writes the operators' file.
+func (n *Node) sections() string {
+	f := n.f
+	var b strings.Builder
+	fmt.Fprintf(&b, "control %s\n", n.Socket())
+	if f.Members != nil {
+		fmt.Fprintf(&b, "members\n node %s\n bind %v:%d\n key 1 \"%s\"\n interval %v\n zone z%d\n", n.Name(), n.IP, portMembers, secret, f.Probe, n.Number%3)
+		for _, other := range f.Nodes {
+			if other.Number <= 3 {
+				fmt.Fprintf(&b, " join %v:%d\n", other.IP, portMembers)
+			}
+			if other != n {
+				fmt.Fprintf(&b, " via %v:%d %s\n", other.IP, portMembers, f.Members.Peer(n.Number-1, other.Number-1))
+			}
+		}
+	}
+	if n.Number > 1 && len(f.Nodes) > mostPeers+1 {
+		return b.String() // VRRP names its peers, sixteen at most: in larger fleets the first one has the address alone
+	}
+	priority := 201 - n.Number
+	if f.Priorities != nil {
+		priority = f.Priorities[n.Number-1]
+	}
+	fmt.Fprintf(&b, "vrrp\n node %d\n bind %v:%d\n announce %s\n key 1 \"%s\"\n", n.Number, n.IP, portVRRP, f.Switch.Announced(), secret)
+	for _, other := range f.Nodes {
+		if other != n && len(f.Nodes) <= mostPeers+1 {
+			fmt.Fprintf(&b, " peer %d %s\n", other.Number, f.Path.Peer(n.Number-1, other.Number-1))
+		}
+	}
+	fmt.Fprintf(&b, "group counters\n vrid 51\n address 192.0.2.10\n listen %s\n priority %d\n interval %v\n damp 0s 0s 0s\n",
+		n.Floating, priority, f.Interval)
+	return b.String()
+}
+
 // mostPeers is how many peers a gateway's VRRP may have.
 const mostPeers = 16
 
@@ -291,7 +342,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(n.f.Binary, "--conf", filepath.Join(n.dir, "conf"))
+	cmd := exec.Command(n.f.Binary, "--conf", n.Conf())
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+filepath.Join(n.dir, "json"))
 	life := n.lives
 	n.f.History.Add(Event{Kind: Process, Node: n.Number, What: "started", Text: fmt.Sprint("life ", life)})
@@ -310,18 +361,28 @@
 
 // line takes what a gateway believes out of its log.
 func (n *Node) line(text string) {
-	if !strings.Contains(text, `"message":"vrrp"`) {
+	if !strings.Contains(text, `"message":"vrrp"`) && !strings.Contains(text, `"message":"member`) {
 		return
 	}
 	var line struct {
-		Time                   time.Time
-		Group, From, To, Cause string
+		Time                                              time.Time
+		Message, Group, From, To, Cause, Member, By, What string
+	}
+	if json.Unmarshal([]byte(text), &line) != nil {
+		return
 	}
-	if json.Unmarshal([]byte(text), &line) == nil {
-		n.f.History.Add(Event{
-			At: n.f.History.At(line.Time), Kind: Belief, Node: n.Number, What: "vrrp " + line.Group, Text: line.To, Value: line.Cause,
-		})
+	e := Event{At: n.f.History.At(line.Time), Kind: Belief, Node: n.Number, Text: line.To}
+	switch line.Message {
+	case "vrrp":
+		e.What, e.Value = "vrrp "+line.Group, line.Cause
+	case "member":
+		e.What, e.Value = "member "+line.Member, line.By
+	case "membership":
+		e.What, e.Text, e.Value = "itself", line.What, line.By
+	default:
+		return
 	}
+	n.f.History.Add(e)
 }
 
 // awaitServing notes when a life answers its first question, as a front does.
@@ -459,6 +520,34 @@
 	})
 }
 
+// AwaitMembers waits until every gateway believes that every other one is alive.
+func (f *Fleet) AwaitMembers(bound time.Duration) error {
+	return f.History.Await("every gateway knows every other one", bound, func(all []Event) bool {
+		return len(Strangers(all, len(f.Nodes))) == 0
+	})
+}
+
+// Strangers lists who does not hold whom alive at the end of a history, of so many gateways that all run.
+func Strangers(all []Event, gateways int) (out []string) {
+	alive := map[int]map[string]bool{}
+	for _, e := range all {
+		switch {
+		case e.Kind == Process && e.What == "started":
+			alive[e.Node] = map[string]bool{}
+		case e.Kind == Belief && strings.HasPrefix(e.What, "member ") && alive[e.Node] != nil:
+			alive[e.Node][strings.TrimPrefix(e.What, "member ")] = e.Text == "alive"
+		}
+	}
+	for i := 1; i <= gateways; i++ {
+		for j := 1; j <= gateways; j++ {
+			if i != j && !alive[i][fmt.Sprint("g", j)] {
+				out = append(out, fmt.Sprintf("%d of %d", i, j))
+			}
+		}
+	}
+	return out
+}
+
 // Holding lists who believes to hold the floating address at the end of a history.
 func Holding(all []Event) map[int]bool {
 	active := map[int]bool{}
@@ -475,6 +564,16 @@
 	return active
 }
 
+// paths are all paths between gateways.
+func (f *Fleet) paths() (all []*standin.Path) {
+	for _, p := range []*standin.Path{f.Path, f.Members} {
+		if p != nil {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
 // Close ends everything, and removes a temporary directory.
 func (f *Fleet) Close() {
 	for _, n := range f.Nodes {
@@ -493,8 +592,8 @@
 			n.told.Wait()
 		}
 	}
-	if f.Path != nil {
-		f.Path.Close()
+	for _, p := range f.paths() {
+		p.Close()
 	}
 	if f.Switch != nil {
 		f.Switch.Close()
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -193,6 +193,11 @@
 	if err := f.AwaitHolder(f.first(), settleBy); err != nil {
 		return err
 	}
+	if f.Members != nil {
+		if err := f.AwaitMembers(settleBy); err != nil {
+			return err
+		}
+	}
 	from := f.History.Now()
 	return f.History.Await("every class is served again", settleBy, func(all []Event) bool {
 		var served []string
