marblelab members compares failure detectors among hundreds of members, simulated

Need: what the extensions for slow members bring, beside the same machine without them and heartbeats to everybody. Change: internal/lab/members measures kills, troubles in which nobody may die, and bytes at rest, as tables and a chart.

--- a/cmd/marblelab/main.go
+++ b/cmd/marblelab/main.go
@@ -14,6 +14,7 @@
 	"marblespan/internal/lab/chaos"
 	"marblespan/internal/lab/demo"
 	"marblespan/internal/lab/failover"
+	"marblespan/internal/lab/members"
 	"marblespan/internal/rig"
 )
 
@@ -22,7 +23,7 @@
 		Use: "marblelab", Short: "Measurements and experiments with marblespan", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(demoCommand(), chaosCommand(), failoverCommand())
+	root.AddCommand(demoCommand(), chaosCommand(), failoverCommand(), membersCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "marblelab:", err)
 		os.Exit(1)
@@ -144,3 +145,37 @@
 	flags.BoolVar(&quiet, "quiet", false, "no progress on standard error")
 	return cmd
 }
+
+func membersCommand() *cobra.Command {
+	o, out, quiet := members.Defaults(), "", false
+	span, brief, interval := time.Duration(o.Span)*time.Microsecond, time.Duration(o.Brief)*time.Microsecond, time.Duration(o.Interval)*time.Microsecond
+	cmd := &cobra.Command{
+		Use: "members", Short: "Compare failure detectors among hundreds of members, simulated", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.Members < 4 || o.Kills < 1 || o.Masses < 1 || interval < 50*time.Millisecond {
+				return fmt.Errorf("needs four members, one kill of each kind and an interval of 50ms at least")
+			}
+			o.Span, o.Brief = members.Micros(span.Microseconds()), members.Micros(brief.Microseconds())
+			o.Interval = members.Micros(interval.Microseconds())
+			if !quiet {
+				o.Progress = cmd.ErrOrStderr()
+			}
+			results, err := members.Run(o)
+			if err != nil {
+				return err
+			}
+			return members.Write(cmd.OutOrStdout(), out, o, results)
+		},
+	}
+	flags := cmd.Flags()
+	flags.IntVar(&o.Members, "members", o.Members, "of a world")
+	flags.DurationVar(&interval, "interval", interval, "of a probe, and between heartbeats")
+	flags.IntVar(&o.Kills, "kills", o.Kills, "of one member")
+	flags.IntVar(&o.Masses, "masses", o.Masses, "worlds in which 46 % are killed")
+	flags.DurationVar(&span, "span", span, "of each trouble")
+	flags.DurationVar(&brief, "brief", brief, "of each trouble, for the baselines")
+	flags.Uint64Var(&o.Seed, "seed", o.Seed, "of all that is drawn")
+	flags.StringVar(&out, "out", "", "a folder for tables and chart")
+	flags.BoolVar(&quiet, "quiet", false, "no progress on standard error")
+	return cmd
+}
--- a/internal/lab/members/members_test.go
+++ b/internal/lab/members/members_test.go
@@ -1,6 +1,11 @@
 package members
 
-import "testing"
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
 
 // gather starts gateways within a second and waits until everybody knows everybody.
 func gather(t *testing.T, n int, seed uint64) *World {
@@ -9,24 +14,12 @@
 	for i := range n {
 		w.At(Micros(w.rng.Int64N(int64(Second))), func() { w.Start(i) })
 	}
-	if w.RunTo(8 * Second); wrong(w) > 0 {
-		t.Fatalf("%d beliefs are wrong 7 s after the last start", wrong(w))
+	if w.RunTo(8 * Second); w.Wrong() > 0 {
+		t.Fatalf("%d beliefs are wrong 7 s after the last start", w.Wrong())
 	}
 	return w
 }
 
-// wrong counts the beliefs of those who run that are not so.
-func wrong(w *World) (n int) {
-	for i := range w.nodes {
-		for j := range w.nodes {
-			if w.Up(i) && w.nodes[i].alive(j) != w.Up(j) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 func (w *World) split(parts func(i int) int) {
 	w.Cut = func(a, b int) bool { return parts(a)&parts(b) == 0 }
 }
@@ -96,7 +89,7 @@
 			w.RunTo(w.Now + c.for_)
 			w.Network, w.Cut = NewWorld(0, 0, Kind{}).Network, nil
 			w.RunTo(w.Now + c.after)
-			if n := wrong(w); n > 0 {
+			if n := w.Wrong(); n > 0 {
 				t.Errorf("%d beliefs are wrong", n)
 			}
 			if died > 0 && !c.dies {
@@ -106,3 +99,29 @@
 		})
 	}
 }
+
+// All three kinds are measured, and written as tables and a chart.
+func TestMeasure(t *testing.T) {
+	o := Defaults()
+	o.Members, o.Kills, o.Masses, o.Span, o.Brief, o.Sizes = 12, 2, 1, 5*Second, 2*Second, []int{3, 12}
+	results, err := Run(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range results {
+		if r.Missed > 0 || r.First.Millis(100) > r.All.Millis(100) || r.All.Millis(50) < 500 || r.Bytes[1] == 0 {
+			t.Errorf("%+v", r)
+		}
+	}
+	if ours := results[0]; ours.All.Millis(100) > 4000 || ours.Bytes[1] > 4096 || ours.False[0]+ours.False[1]+ours.False[2]+ours.False[3] > 0 {
+		t.Errorf("%+v", ours)
+	}
+	var b strings.Builder
+	dir := t.TempDir()
+	if err := Write(&b, dir, o, results); err != nil || strings.Count(b.String(), "| heartbeats ") != 3 {
+		t.Errorf("%v\n%s", err, &b)
+	}
+	if svg, err := os.ReadFile(filepath.Join(dir, "members.svg")); err != nil || !strings.Contains(string(svg), "From a kill until all know") {
+		t.Errorf("the chart: %v", err)
+	}
+}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -53,11 +53,11 @@
 	"internal/standin":      {},
 	"internal/rig":          {"internal/config/lines", "internal/standin"},
 	"internal/lab/report":   {},
-	"internal/lab/members":  {"internal/membership", "internal/protocol/members", "internal/protocol/sealed"},
+	"internal/lab/members":  {"internal/lab/report", "internal/membership", "internal/protocol/members", "internal/protocol/sealed"},
 	"internal/lab/failover": {"internal/lab/report", "internal/rig", "internal/standin"},
 	"internal/lab/chaos":    {"internal/lab/report", "internal/rig"},
 	"internal/lab/demo":     {"internal/rig"},
-	"cmd/marblelab":         {"internal/lab/chaos", "internal/lab/demo", "internal/lab/failover", "internal/rig"},
+	"cmd/marblelab":         {"internal/lab/chaos", "internal/lab/demo", "internal/lab/failover", "internal/lab/members", "internal/rig"},
 	"cmd/marblespan":        {"internal/cli"},
 	"cmd/simhost":           {"internal/simhost"},
 }
