--- a/cmd/marblelab/main.go
+++ b/cmd/marblelab/main.go
@@ -148,6 +148,7 @@
 
 func membersCommand() *cobra.Command {
 	o, out, quiet := members.Defaults(), "", false
+	binary, nodes, trials := "", 9, 0
 	span, brief, interval := time.Duration(o.Span)*time.Microsecond, time.Duration(o.Brief)*time.Microsecond, time.Duration(o.Interval)*time.Microsecond
 	cmd := &cobra.Command{
 		Use: "members", Short: "Compare failure detectors among hundreds of members, simulated", Args: cobra.NoArgs,
@@ -164,7 +165,13 @@
 			if err != nil {
 				return err
 			}
-			return members.Write(cmd.OutOrStdout(), out, o, results)
+			var real *members.Processes
+			if trials > 0 {
+				if real, err = members.RunProcesses(binary, nodes, trials, o.Seed); err != nil {
+					return err
+				}
+			}
+			return members.Write(cmd.OutOrStdout(), out, o, results, real)
 		},
 	}
 	flags := cmd.Flags()
@@ -173,6 +180,9 @@
 	flags.IntVar(&o.Kills, "kills", o.Kills, "of one member")
 	flags.IntVar(&o.Masses, "masses", o.Masses, "worlds in which 46 % are killed")
 	flags.DurationVar(&span, "span", span, "of each trouble")
+	flags.IntVar(&trials, "processes", trials, "kills of each kind with real processes beside; 0: none")
+	flags.IntVar(&nodes, "nodes", nodes, "how many real processes")
+	flags.StringVar(&binary, "binary", beside(), "the gateway's program")
 	flags.DurationVar(&brief, "brief", brief, "of each trouble, for the baselines")
 	flags.Uint64Var(&o.Seed, "seed", o.Seed, "of all that is drawn")
 	flags.StringVar(&out, "out", "", "a folder for tables and chart")
--- a/cmd/marblelab/main_test.go
+++ b/cmd/marblelab/main_test.go
@@ -14,6 +14,7 @@
 	"marblespan/internal/lab/chaos"
 	"marblespan/internal/lab/demo"
 	"marblespan/internal/lab/failover"
+	"marblespan/internal/lab/members"
 	"marblespan/internal/rig"
 	"marblespan/internal/standin"
 )
@@ -116,6 +117,22 @@
 	}
 }
 
+// Real processes are killed, and the times at which the others know are taken from the history.
+func TestMembersOfRealProcesses(t *testing.T) {
+	p, err := members.RunProcesses(binary, 5, 1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []float64{p.One.First.Millis(50), p.Mass.First.Millis(50)} {
+		if s < 500 {
+			t.Errorf("a death was known after %.0f ms, sooner than any may be", s)
+		}
+	}
+	if p.One.All.Millis(50) < p.One.First.Millis(50) || len(p.Broken) > 0 {
+		t.Errorf("%+v", p)
+	}
+}
+
 // Real processes: the holder is killed, told to stop, frozen, cut off and split off under load. Nothing is lost, nothing
 // runs twice, and the table and chart are written.
 func TestFailover(t *testing.T) {
--- a/internal/lab/members/measure.go
+++ b/internal/lab/members/measure.go
@@ -274,10 +274,10 @@
 	return n, nil
 }
 
-// Write writes the tables to w and, if dir is not empty, tables and a chart into files there.
-func Write(w io.Writer, dir string, o Options, results []Result) error {
+// Write writes the tables, those of real processes among them if there are any, to w and, if dir is not empty, tables and a chart into files there.
+func Write(w io.Writer, dir string, o Options, results []Result, real *Processes) error {
 	if dir == "" {
-		return tables(w, o, results)
+		return tables(w, o, results, real)
 	}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
@@ -287,7 +287,7 @@
 		return err
 	}
 	defer file.Close()
-	if err := tables(io.MultiWriter(w, file), o, results); err != nil {
+	if err := tables(io.MultiWriter(w, file), o, results, real); err != nil {
 		return err
 	}
 	fmt.Fprintf(file, "\n![who knows of a kill](members.svg)\n")
@@ -304,7 +304,7 @@
 	return b.Write(filepath.Join(dir, "members.svg"))
 }
 
-func tables(w io.Writer, o Options, results []Result) error {
+func tables(w io.Writer, o Options, results []Result, real *Processes) error {
 	fmt.Fprintf(w, "# Who is there: failure detection compared\n\nSimulated, seed %d: %d members, interval %d ms, datagrams take 0.2 to 1 ms; heartbeats go to everybody once an "+
 		"interval and time out\nafter %d ms. Times in ms. %d kills of one, %d of 46 %%.\n\n", o.Seed, o.Members, o.Interval/1000, o.Timeout/1000, o.Kills, o.Masses)
 	var rows [][]string
@@ -349,5 +349,12 @@
 		}
 		rows = append(rows, row)
 	}
-	return report.Table(w, head, rows)
+	if err := report.Table(w, head, rows); err != nil || real == nil {
+		return err
+	}
+	fmt.Fprintf(w, "\nLoopback, %d real processes under a light load, interval 200 ms: from SIGKILL, by the gateways' own logs. Rules broken: %d.\n\n",
+		real.Nodes, len(real.Broken))
+	return report.Table(w, []string{
+		"killed", "trials", "first knows: median", "longest", "all know: median", "99 %", "longest",
+	}, real.rows())
 }
--- a/internal/lab/members/members_test.go
+++ b/internal/lab/members/members_test.go
@@ -118,7 +118,7 @@
 	}
 	var b strings.Builder
 	dir := t.TempDir()
-	if err := Write(&b, dir, o, results); err != nil || strings.Count(b.String(), "| heartbeats ") != 3 {
+	if err := Write(&b, dir, o, results, nil); err != nil || strings.Count(b.String(), "| heartbeats ") != 3 {
 		t.Errorf("%v\n%s", err, &b)
 	}
 	if svg, err := os.ReadFile(filepath.Join(dir, "members.svg")); err != nil || !strings.Contains(string(svg), "From a kill until all know") {
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -50,10 +50,12 @@
 	"internal/cli": {
 		"internal/config", "internal/config/lines", "internal/control", "internal/floating", "internal/peers", "internal/program",
 	},
-	"internal/standin":      {},
-	"internal/rig":          {"internal/config/lines", "internal/standin"},
-	"internal/lab/report":   {},
-	"internal/lab/members":  {"internal/lab/report", "internal/membership", "internal/protocol/members", "internal/protocol/sealed"},
+	"internal/standin":    {},
+	"internal/rig":        {"internal/config/lines", "internal/standin"},
+	"internal/lab/report": {},
+	"internal/lab/members": {
+		"internal/lab/report", "internal/membership", "internal/protocol/members", "internal/protocol/sealed", "internal/rig",
+	},
 	"internal/lab/failover": {"internal/lab/report", "internal/rig", "internal/standin"},
 	"internal/lab/chaos":    {"internal/lab/report", "internal/rig"},
 	"internal/lab/demo":     {"internal/rig"},
