--- a/internal/membership/explore_test.go
+++ b/internal/membership/explore_test.go
@@ -202,8 +202,13 @@
 	return w
 }
 
+// room bounds how many walks are made at a time: other packages' tests run real processes beside, which are not to starve.
+var room = make(chan bool, 2)
+
 // walk makes one run of moves drawn at random, faults more seldom than all else, until long after the last of them.
 func walk(s setting, mut *mutant, seed uint64) error {
+	room <- true
+	defer func() { <-room }()
 	w := s.world(mut)
 	rng := rand.New(rand.NewPCG(seed, 11))
 	state := w.Start()
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -158,6 +158,9 @@
 	return h.failed
 }
 
+// lookAgain is how often Await looks without an event: what is looked for may depend on what no history tells.
+const lookAgain = 50 * time.Millisecond
+
 // Await waits until the history holds what is looked for, and fails after a generous bound. seen is called with all events
 // up to now.
 func (h *History) Await(what string, bound time.Duration, seen func([]Event) bool) error {
@@ -171,6 +174,7 @@
 		}
 		select {
 		case <-changed:
+		case <-time.After(lookAgain):
 		case <-late:
 			return fmt.Errorf("%s: not seen within %v", what, bound)
 		}
