--- a/internal/lab/members/measure.go
+++ b/internal/lab/members/measure.go
@@ -162,16 +162,9 @@
 	return results, failed
 }
 
-// watched is who is killed, and who knows.
-type watched struct {
-	killed Micros
-	first  Micros
-	last   Micros
-}
-
 // kill kills gateways and waits until all that run know of all of them.
 func kill(w *World, victims []int) (first, all Micros, known bool) {
-	x := watched{killed: w.Now}
+	killed := w.Now
 	dead := map[int]bool{}
 	for _, v := range victims {
 		dead[v] = true
@@ -187,10 +180,10 @@
 	}
 	w.changed = func(who, about int, alive bool) {
 		if !alive && dead[about] && w.Up(who) {
-			if x.first == 0 {
-				x.first = w.Now
+			if first == 0 {
+				first = w.Now - killed
 			}
-			x.last = w.Now
+			all = w.Now - killed
 			left--
 		}
 	}
@@ -198,7 +191,7 @@
 		w.RunTo(w.Now + Second/20)
 	}
 	w.changed = nil
-	return x.first - x.killed, x.last - x.killed, left == 0
+	return first, all, left == 0
 }
 
 func (r *Result) kills(o Options, kind Kind) error {
