Streams between members, files that cannot grow, and another version in the rig

Later parts (copies, bookings in doubt) have more to say than fits into a datagram, and membership's issue asks for the stream of each pair, a full or read-only directory, a process of another version and exploring that is not walks only.

- internal/streams: one TCP stream each way between two that need it, signed frames bound to a number that the listener draws, bounded queues that drop the oldest of what may give way and refuse the rest, within the gateway's descriptors and memory.
One stream used both ways was weighed: two that open at once need a rule, and a one-way fault then has two meanings.
- The rig: 'files 1 full for 2s' and 'read-only' by the bound on file sizes, no rights needed; a binary for each gateway, so that fleets of two versions run.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -21,9 +21,6 @@
 	"marblespan/internal/program"
 )
 
-// Version is the program's.
-const Version = program.Version
-
 // The exit codes.
 const (
 	exitFault = 1 // a configuration is at fault, or the command failed
@@ -145,7 +142,7 @@
 			}
 		}
 	}
-	_, err := fmt.Fprintf(c.out, "marblespan %s%s\n", Version, revision)
+	_, err := fmt.Fprintf(c.out, "marblespan %s%s\n", program.Version, revision)
 	return err
 }
 
@@ -184,19 +181,24 @@
 
 func (c *command) members() *cobra.Command {
 	var socket string
-	var raw bool
+	var raw, streams bool
 	cmd := &cobra.Command{
 		Use: "members", Short: "Ask a running gateway who of the gateways is there", Args: noArguments,
-		RunE: func(*cobra.Command, []string) error { return c.listMembers(socket, raw) },
+		RunE: func(*cobra.Command, []string) error { return c.listMembers(socket, raw, streams) },
 	}
 	cmd.Flags().StringVar(&socket, "socket", "", "the gateway's control socket (default: as the operators' file says)")
 	cmd.Flags().BoolVar(&raw, "json", false, "print the answer as JSON")
+	cmd.Flags().BoolVar(&streams, "streams", false, "try a stream to each of them and back, which datagrams do not show")
 	return cmd
 }
 
-func (c *command) listMembers(socket string, raw bool) error {
+func (c *command) listMembers(socket string, raw, streams bool) error {
 	var s peers.Status
-	if err := c.ask(socket, "members", &s); err != nil {
+	question, stream := "members", ""
+	if streams {
+		question, stream = "members streams", "\tSTREAM"
+	}
+	if err := c.ask(socket, question, &s); err != nil {
 		return err
 	}
 	if raw {
@@ -209,7 +211,7 @@
 		fmt.Fprintf(c.out, "%s misses answers that others get, and waits %d times as long\n", s.Node, s.Health)
 	}
 	w := tabwriter.NewWriter(c.out, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "NAME\tSTATE\tFOR\tSAYS\tLIFE\tAT\tHEARD\tROUND TRIP\tZONE\tWEIGHT\tVERSION\tSETTINGS\tFLAGS\tCUT")
+	fmt.Fprintln(w, "NAME\tSTATE\tFOR\tSAYS\tLIFE\tAT\tHEARD\tROUND TRIP\tZONE\tWEIGHT\tVERSION\tSETTINGS\tFLAGS\tCUT"+stream)
 	for _, m := range s.Members {
 		name, heard, settings := m.Name, "-", "same"
 		if m.Self {
@@ -220,9 +222,16 @@
 		if m.Differs {
 			settings = "differ"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n", name, m.State, millis(m.ForMS), dash(m.By),
+		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s", name, m.State, millis(m.ForMS), dash(m.By),
 			time.UnixMicro(int64(m.Life)).UTC().Format("2006-01-02T15:04:05.000"), m.At, heard, trip(m.RTTMicros), dash(m.Zone), m.Weight,
 			dash(m.Version), settings, dash(strings.Join(m.Flags, ",")), dash(strings.Join(m.Cut, ",")))
+		switch {
+		case m.StreamFault != "":
+			fmt.Fprintf(w, "\t%s", m.StreamFault)
+		case streams:
+			fmt.Fprintf(w, "\t%s", trip(m.StreamMicros))
+		}
+		fmt.Fprintln(w)
 	}
 	return w.Flush()
 }
--- a/internal/datagrams/datagrams.go
+++ b/internal/datagrams/datagrams.go
@@ -149,6 +149,9 @@
 	}
 }
 
+// Shut closes the socket of a loop that has not run.
+func (l *Loop) Shut() { l.conn.Close() }
+
 // Close ends the goroutine and closes the socket.
 func (l *Loop) Close() {
 	l.Ask(func() { l.ending = true })
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -40,8 +40,11 @@
 	},
 	"internal/control":   {},
 	"internal/datagrams": {},
-	"internal/peers":     {"internal/datagrams", "internal/membership", "internal/protocol/members", "internal/protocol/sealed"},
-	"internal/floating":  {"internal/datagrams", "internal/protocol/sealed", "internal/protocol/vrrp", "internal/vrrp"},
+	"internal/streams":   {"internal/protocol/sealed", "internal/transport"},
+	"internal/peers": {
+		"internal/datagrams", "internal/membership", "internal/protocol/members", "internal/protocol/sealed", "internal/streams", "internal/transport",
+	},
+	"internal/floating": {"internal/datagrams", "internal/protocol/sealed", "internal/protocol/vrrp", "internal/vrrp"},
 	"internal/program": {
 		"brain", "internal/config", "internal/control", "internal/floating", "internal/membership", "internal/peers",
 		"internal/protocol/members", "internal/protocol/sealed", "internal/protocol/vrrp", "internal/routing",
--- a/internal/membership/explore_test.go
+++ b/internal/membership/explore_test.go
@@ -263,6 +263,58 @@
 	}
 }
 
+// narrow is a world in which what is usual happens in one order, and a fault may come at every place of a span: breadth first
+// all of these runs are looked at, where with every order of messages it would not get past the first moments.
+type narrow struct {
+	*explore.World
+	from, to int64
+}
+
+func (n narrow) Moves(s *explore.State) (out []explore.Move[*explore.State]) {
+	if s.Now > n.to+n.Calm+interval {
+		return nil
+	}
+	for _, m := range n.World.Moves(s) {
+		if faulty := m.To.Left != s.Left; faulty && s.Now >= n.from && s.Now < n.to || !faulty && len(out) == 0 {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// One fault, at every place of an interval in which three or four members know each other, and a second one at the
+// same places: nothing is broken on the way, and everybody knows everybody long after it.
+func TestEveryPlace(t *testing.T) {
+	if fewer > 1 {
+		t.Skip("the same states as without the race detector, many times slower")
+	}
+	for _, c := range []struct {
+		setting
+		span int64
+	}{
+		{setting{"three, a crash and a restart", 3, explore.Faults{Crash: 1}, 30 * interval, false}, interval},
+		{setting{"three, a pause", 3, explore.Faults{Pause: 1}, 0, false}, interval / 2},
+		{setting{"three, losses", 3, explore.Faults{Lose: 2}, 0, false}, interval},
+		{setting{"three, one late or doubled", 3, explore.Faults{Late: 1, Duplicate: 1}, 0, false}, interval},
+		{setting{"four, a loss", 4, explore.Faults{Lose: 1}, 0, false}, interval},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			room <- true
+			defer func() { <-room }()
+			n := narrow{World: c.world(nil), from: 10 * interval, to: 10*interval + c.span}
+			res := explore.Run(n, explore.Limits{})
+			t.Logf("%d states, %d moves, depth %d", res.States, res.Moves, res.Depth)
+			if res.Broken != nil {
+				t.Error(res.Broken)
+			}
+			if !res.Whole || res.States < res.Depth+100 {
+				t.Error("it has not looked at all places")
+			}
+		})
+	}
+}
+
 // without drops the records for which skip holds from a message.
 func without(ev Event, skip func(Record) bool) Event {
 	h, ok := ev.(Heard)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,8 @@
 	"marblespan/internal/membership"
 	codec "marblespan/internal/protocol/members"
 	"marblespan/internal/protocol/sealed"
+	"marblespan/internal/streams"
+	"marblespan/internal/transport"
 )
 
 // Settings are those of the operators' file. Node, Bind, Advertise and Deployment stay as they are at the start.
@@ -30,6 +33,9 @@
 	Interval   time.Duration
 	// Via is where an advertised address is reached from here, if not there: across a translation of addresses.
 	Via map[netip.AddrPort]netip.AddrPort
+	// Buffers and Fds are the budgets that streams are opened within, at the same addresses as datagrams; nil: there are none.
+	Buffers *transport.Buffers
+	Fds     *transport.Descriptors
 }
 
 // Clock is a clock that never steps back.
@@ -88,8 +94,12 @@
 	back     map[netip.AddrPort]netip.AddrPort
 	left     chan struct{}
 	changes  func(membership.Changed)
+	places   sync.Map // name to netip.AddrPort, as advertised
+	ways     atomic.Pointer[map[netip.AddrPort]netip.AddrPort]
 
-	Counts Counts
+	// Streams carry what is too large for a datagram; nil without.
+	Streams *streams.Streams
+	Counts  Counts
 }
 
 // Start binds the socket and joins. start is the system clock's time, microseconds of Unix time: it tells one life of this
@@ -107,6 +117,14 @@
 	p.settings.Advertise = advertised(s, loop.Addr())
 	p.told = self()
 	p.route()
+	if s.Buffers != nil {
+		if p.Streams, err = streams.Listen(loop.Addr().String(), streams.Settings{
+			Node: s.Node, Deployment: s.Deployment, Start: start, Keys: s.Keys, Route: p.place, Buffers: s.Buffers, Fds: s.Fds,
+		}); err != nil {
+			loop.Shut()
+			return nil, err
+		}
+	}
 	p.machine = membership.New(membership.Config{
 		Name: s.Node, At: p.settings.Advertise, Life: start, Interval: micros(s.Interval), Join: s.Join, Seed: start | 1, Meta: p.meta(),
 	})
@@ -130,8 +148,22 @@
 	}
 }
 
+// place is where a member's streams are opened to, also one that is held dead: that may be wrong.
+func (p *Peers) place(name string) (string, bool) {
+	at, known := p.places.Load(name)
+	if !known {
+		return "", false
+	}
+	to := at.(netip.AddrPort)
+	if via, other := (*p.ways.Load())[to]; other {
+		to = via
+	}
+	return to.String(), true
+}
+
 // route makes the way back from the addresses that others are reached at.
 func (p *Peers) route() {
+	p.ways.Store(&p.settings.Via)
 	p.back = make(map[netip.AddrPort]netip.AddrPort, len(p.settings.Via))
 	for at, via := range p.settings.Via {
 		p.back[via] = at
@@ -256,6 +288,7 @@
 
 func (p *Peers) changed(a membership.Changed) {
 	p.Counts.Changes.Add(1)
+	p.places.Store(a.Name, a.At)
 	if a.State == membership.Dead {
 		p.Counts.Deaths.Add(1)
 	}
@@ -297,6 +330,9 @@
 		next.Node, next.Deployment, next.Bind, next.Advertise = p.settings.Node, p.settings.Deployment, p.settings.Bind, p.settings.Advertise
 		p.settings = next
 		p.route()
+		if p.Streams != nil {
+			p.Streams.Rekey(next.Keys)
+		}
 		p.tell(membership.Reconfigured{Interval: micros(next.Interval), Join: next.Join})
 		p.tell(membership.Tell{Meta: p.meta()})
 	})
@@ -316,6 +352,9 @@
 	case <-time.After(leaveBy):
 	}
 	p.loop.Close()
+	if p.Streams != nil {
+		p.Streams.Close()
+	}
 }
 
 // Member is how one member stands, for whoever asks.
@@ -337,6 +376,9 @@
 	Differs     bool     `json:"settings_differ"`
 	Flags       []string `json:"flags"`
 	Cut         []string `json:"cut"`
+	// Stream is how long a message over a stream and its answer took, in microseconds, or why there was none; only where asked.
+	StreamMicros int64  `json:"stream_us,omitempty"`
+	StreamFault  string `json:"stream_fault,omitempty"`
 }
 
 // Status is how this gateway sees everybody.
@@ -389,6 +431,30 @@
 	return s
 }
 
+// reachBy is how long streams are tried for a status.
+const reachBy = 1500 * time.Millisecond
+
+// StatusWithStreams tells how everybody stands, and tries a stream to each that lives and back.
+func (p *Peers) StatusWithStreams() Status {
+	s := p.Status()
+	by := time.Now().Add(reachBy)
+	var all sync.WaitGroup
+	for i := range s.Members {
+		m := &s.Members[i]
+		if m.Self || p.Streams == nil || m.State != membership.Alive.String() && m.State != membership.Suspect.String() {
+			continue
+		}
+		all.Go(func() {
+			took, err := p.Streams.Reach(m.Name, by)
+			if m.StreamMicros = took.Microseconds(); err != nil {
+				m.StreamFault = err.Error()
+			}
+		})
+	}
+	all.Wait()
+	return s
+}
+
 // cut says which directions of a path are cut, as from -> to.
 func cut(c membership.Cut) (all []string) {
 	if c.Unheard {
--- a/internal/program/members.go
+++ b/internal/program/members.go
@@ -18,8 +18,8 @@
 	"marblespan/internal/protocol/sealed"
 )
 
-// Version is the program's, as CHANGELOG.md has it.
-const Version = "0.2.0"
+// Version is the program's, as CHANGELOG.md has it. A variable, so that a build for a test can name another one.
+var Version = "0.2.0"
 
 // members is the gateway's part in the membership. A nil one is a gateway without.
 type members struct {
@@ -37,10 +37,12 @@
 		Time: func(t membership.Micros) time.Time { return g.clock.Time(brain.Micros(t)) },
 	}
 	var err error
-	if m.peers, err = peers.Start(peersSettings(g.ops), clock, uint64(time.Now().UnixMicro()), m.self, nil, g.log); err != nil {
+	s := peersSettings(g.ops)
+	s.Buffers, s.Fds = g.buffers, g.fds
+	if m.peers, err = peers.Start(s, clock, uint64(time.Now().UnixMicro()), m.self, nil, g.log); err != nil {
 		return nil, err
 	}
-	g.fds.Hold(1)
+	g.fds.Hold(2) // a socket and a listener
 	return m, nil
 }
 
@@ -104,10 +106,13 @@
 	}
 }
 
-func (m *members) status() (any, error) {
+func (m *members) status(streams bool) (any, error) {
 	if m == nil {
 		return nil, errors.New("this gateway has no members section")
 	}
+	if streams {
+		return m.peers.StatusWithStreams(), nil
+	}
 	return m.peers.Status(), nil
 }
 
@@ -131,4 +136,8 @@
 		}
 	}
 	line.Msg("members counters")
+	x := &m.peers.Streams.Counts
+	m.g.log.Info().Int64("opened", x.Opened.Load()).Int64("accepted", x.Accepted.Load()).Int64("failed", x.Failed.Load()).
+		Int64("refused", x.Refused.Load()).Int64("sent", x.Sent.Load()).Int64("sent_bytes", x.SentBytes.Load()).
+		Int64("received", x.Received.Load()).Int64("dropped", x.Dropped.Load()).Int64("lost", x.Lost.Load()).Msg("streams counters")
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -255,7 +255,9 @@
 	case "vrrp status":
 		return g.floats.status(), nil
 	case "members":
-		return g.members.status()
+		return g.members.status(false)
+	case "members streams":
+		return g.members.status(true)
 	}
 	return nil, fmt.Errorf("unknown question %.40q", question)
 }
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -82,7 +82,7 @@
 			return fmt.Errorf("%q: there is no gateway %d", x, n)
 		}
 	}
-	if x.Name == "" || x.Verb == "disk" || x.Verb == "sever" && x.Name == Discovery {
+	if x.Name == "" || verbs[x.Verb].shape == onNodes || x.Verb == "sever" && x.Name == Discovery {
 		return nil
 	}
 	if s := f.cluster.find(x.Name); s == nil || x.Verb != "sever" && s.primary {
@@ -103,7 +103,7 @@
 
 // Begin brings a fault about. The function that it returns puts it right; none where there is nothing to put right.
 func (f *Fleet) Begin(x Fault) (undo func() error, err error) {
-	if verbs[x.Verb].shape == onNodes {
+	if verbs[x.Verb].shape == onNodes && x.Verb != "files" {
 		return f.beginOnNodes(x)
 	}
 	if x.Verb == "reset" {
@@ -198,6 +198,17 @@
 			r.Set(severed(name), severed(name))
 		}
 		a.reach.Set(severed(Discovery), severed(Discovery))
+		bound := noBound
+		for _, x := range f.active {
+			switch {
+			case x.Verb != "files" || x.From != nil && !slices.Contains(x.From, a.Number):
+			case x.Name == "full":
+				bound = min(bound, a.largest())
+			default:
+				bound = 0
+			}
+		}
+		a.boundFiles(bound)
 	}
 	for _, s := range f.cluster.servers {
 		lag, state := time.Duration(0), "ready"
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"maps"
 	"net"
 	"os"
@@ -104,6 +105,7 @@
 	IP       net.IP
 	Listen   string
 	Floating string
+	Binary   string // of its next lives, if not the fleet's
 
 	f         *Fleet
 	dir       string
@@ -115,6 +117,7 @@
 	mu      sync.Mutex
 	process *process // of this life; nil: none yet
 	stops   int      // faults that have it stand still now
+	files   uint64   // how large its files may grow, in bytes
 	lives   int
 }
 
@@ -189,7 +192,7 @@
 
 // newNode makes what stands between one gateway and the rest.
 func (f *Fleet) newNode(number int, ip net.IP) (*Node, error) {
-	n := &Node{Number: number, IP: ip, f: f, dir: filepath.Join(f.Dir, fmt.Sprint("n", number)), servers: map[string]*standin.Relay{}}
+	n := &Node{Number: number, IP: ip, f: f, dir: filepath.Join(f.Dir, fmt.Sprint("n", number)), servers: map[string]*standin.Relay{}, files: noBound}
 	n.Listen, n.Floating = fmt.Sprintf("%v:%d", ip, portClients), fmt.Sprintf("%v:%d", ip, portFloating)
 	f.Nodes = append(f.Nodes, n)
 	var targets []standin.Target
@@ -341,7 +344,11 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(n.f.Binary, "--conf", n.Conf())
+	binary := n.f.Binary
+	if n.Binary != "" {
+		binary = n.Binary
+	}
+	cmd := exec.Command(binary, "--conf", n.Conf())
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+filepath.Join(n.dir, "json"))
 	life := n.lives
 	n.f.History.Add(Event{Kind: Process, Node: n.Number, What: "started", Text: fmt.Sprint("life ", life)})
@@ -354,6 +361,7 @@
 		return fmt.Errorf("gateway %d: %w", n.Number, err)
 	}
 	n.stops = 0
+	n.process.boundFiles(n.files)
 	go n.awaitServing(n.process)
 	return nil
 }
@@ -475,6 +483,28 @@
 	return replace(data, "")
 }
 
+// largest is the size of the largest file in the data directory, in bytes.
+func (n *Node) largest() (size uint64) {
+	filepath.WalkDir(filepath.Join(n.dir, "data"), func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && d.Type().IsRegular() {
+			if info, err := d.Info(); err == nil {
+				size = max(size, uint64(info.Size()))
+			}
+		}
+		return nil
+	})
+	return size
+}
+
+// boundFiles bounds how large the files of this gateway may grow, in this life and further ones.
+func (n *Node) boundFiles(most uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.files = most; n.process != nil {
+		n.process.boundFiles(most)
+	}
+}
+
 // AwaitReady waits until each gateway's present life serves. One that has ended will not, unless a fault is to bring it back:
 // that is told at once.
 func (f *Fleet) AwaitReady(bound time.Duration) (err error) {
--- a/internal/rig/members_test.go
+++ b/internal/rig/members_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -58,13 +59,17 @@
 }
 
 // ask asks a gateway who is there.
-func ask(f *Fleet, node int) (s struct {
+func ask(f *Fleet, node int, args ...string) (s struct {
 	Members []struct {
-		Name, State string
-		Cut         []string
+		Name, State, Version string
+		Self                 bool
+		Cut                  []string
+		StreamMicros         int64  `json:"stream_us"`
+		StreamFault          string `json:"stream_fault"`
 	}
 }, err error) {
-	out, err := exec.Command(f.Binary, "members", "--json", "--socket", f.Nodes[node-1].Socket()).Output()
+	args = append([]string{"members", "--json", "--socket", f.Nodes[node-1].Socket()}, args...)
+	out, err := exec.Command(f.Binary, args...).Output()
 	if err == nil {
 		err = json.Unmarshal(out, &s)
 	}
@@ -176,6 +181,50 @@
 				return false
 			})
 		})},
+		{"streams that stand still", true, func(f *Fleet) error {
+			blocked := func(want ...string) func() bool {
+				return func() bool {
+					s, err := ask(f, 2, "--streams")
+					var silent []string
+					for _, m := range s.Members {
+						if !m.Self && m.StreamMicros == 0 {
+							silent = append(silent, m.Name)
+						}
+					}
+					return err == nil && len(s.Members) == 9 && slices.Equal(silent, want)
+				}
+			}
+			if err := poll("streams to all", blocked()); err != nil {
+				return err
+			}
+			if err := during("at 0s stall 2 -> 6,7", func(*Fleet) error { return poll("streams to all but two", blocked("g6", "g7")) })(f); err != nil {
+				return err
+			}
+			f.Begin(Fault{Verb: "reset"})
+			return poll("streams to all again", blocked())
+		}},
+		{"three of another version", true, func(f *Fleet) error {
+			for _, i := range []int{3, 6, 9} {
+				f.Nodes[i-1].Binary = another
+				if err := during(fmt.Sprint("at 0s term ", i), func(f *Fleet) error { return everyone(f, i, "left") })(f); err != nil {
+					return err
+				}
+			}
+			return poll("all see both versions", func() bool {
+				for i := range f.Nodes {
+					s, err := ask(f, i+1)
+					for _, m := range s.Members {
+						if other := m.Name == "g3" || m.Name == "g6" || m.Name == "g9"; other != (m.Version == anotherVersion) || m.State != "alive" {
+							return false
+						}
+					}
+					if err != nil {
+						return false
+					}
+				}
+				return true
+			})
+		}},
 		{"one that nobody hears", false, func(f *Fleet) error {
 			if err := during("at 0s cut 6 -> all", func(f *Fleet) error { return everyone(f, 6, "dead") })(f); err != nil {
 				return err
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // starts hands commands to the one thread that starts processes. The kernel ends a child for its parent's death
@@ -72,6 +74,21 @@
 
 func (p *process) signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// noBound lets files grow as they may.
+const noBound uint64 = unix.RLIM_INFINITY
+
+// boundFiles bounds how large the process's files may grow, in bytes; 0: nothing can be written to any. A write beyond it
+// fails as one to a full disk does, with another error (EFBIG), and takes no rights to bring about. Pipes and sockets, its log
+// among them, are not concerned.
+func (p *process) boundFiles(most uint64) error {
+	var now unix.Rlimit
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, nil, &now); err != nil {
+		return err
+	}
+	now.Cur = min(most, now.Max)
+	return unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &now, nil)
+}
+
 // over tells whether the process has ended.
 func (p *process) over() bool {
 	select {
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,8 +11,10 @@
 	"time"
 )
 
-// binary is the gateway, built once for all tests.
-var binary string
+// binary is the gateway, built once for all tests; another the same of another version.
+var binary, another string
+
+const anotherVersion = "99.1.0"
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asRig) != "" { // it is to be killed, and would leave what it builds
@@ -23,9 +26,13 @@
 		os.Exit(1)
 	}
 	binary = filepath.Join(dir, "marblespan")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/marblespan").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
-		os.Exit(1)
+	another = filepath.Join(dir, "another")
+	for _, build := range [][]string{{"-o", binary}, {"-o", another, "-ldflags", "-X marblespan/internal/program.Version=" + anotherVersion}} {
+		args := append(append([]string{"build"}, build...), "../../cmd/marblespan")
+		if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+			os.Exit(1)
+		}
 	}
 	code := m.Run()
 	os.RemoveAll(dir)
@@ -152,6 +159,52 @@
 	}
 }
 
+// A full disk lets files be written anew and none grow, a read-only one neither; the next life finds it as it is.
+func TestFiles(t *testing.T) {
+	n := &Node{dir: t.TempDir(), files: noBound}
+	data := filepath.Join(n.dir, "data")
+	if err := os.Mkdir(data, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	said := make(chan string, 10)
+	begin := func() (in io.Writer) {
+		cmd := exec.Command("sh", "-c", `trap '' XFSZ; while read how; do
+			case $how in grow) printf xx >> f;; same) printf xx 1<> f;; esac 2> /dev/null && echo done >&2 || echo failed >&2; done`)
+		cmd.Dir = data
+		in, err := cmd.StdinPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n.process, err = launch(cmd, io.Discard, func(line string) { said <- line }, func(string) {}); err != nil {
+			t.Fatal(err)
+		}
+		n.process.boundFiles(n.files)
+		return in
+	}
+	in := begin()
+	for _, c := range []struct{ bound, do, want string }{
+		{"", "grow", "done"}, {"full", "grow", "failed"}, {"full", "same", "done"}, {"read-only", "same", "failed"}, {"again", "same", "failed"},
+		{"", "same", "done"}, {"", "grow", "done"},
+	} {
+		switch c.bound {
+		case "":
+			n.boundFiles(noBound)
+		case "full":
+			n.boundFiles(n.largest())
+		case "again":
+			n.process.end()
+			in = begin()
+		default:
+			n.boundFiles(0)
+		}
+		fmt.Fprintln(in, c.do)
+		if got := <-said; got != c.want {
+			t.Errorf("%s: %s: %s", c.bound, c.do, got)
+		}
+	}
+	n.process.end()
+}
+
 // What cannot be brought about is told before anything is.
 func TestFits(t *testing.T) {
 	f := &Fleet{Nodes: make([]*Node, 3), cluster: &cluster{servers: []*server{{name: "p", primary: true}, {name: "r1"}}}}
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -89,6 +89,14 @@
 // disks is what can be done to a data directory. A gateway should be away meanwhile.
 var disks = []string{"empty", "save", "old"}
 
+func fileFault(f *Fault, word string) bool {
+	f.Name = word
+	return slices.Contains(fileFaults, word)
+}
+
+// fileFaults is what can be wrong with the file system that a gateway writes to.
+var fileFaults = []string{"full", "read-only"}
+
 // verbs are all kinds of faults.
 var verbs = map[string]verb{
 	"kill":      {shape: onNodes, what: "SIGKILL; started again after its span"},
@@ -96,6 +104,7 @@
 	"stop":      {shape: onNodes, what: "SIGSTOP, and SIGCONT after its span"},
 	"starve":    {shape: onNodes, value: percent, print: printPercent, what: "stopped for a share of the time, in slices of 20 ms"},
 	"disk":      {shape: onNodes, value: disk, print: printName, once: true, what: "the data directory: empty, save (keep a copy), old (put the copy back)"},
+	"files":     {shape: onNodes, value: fileFault, print: printName, what: "full: no file grows; read-only: no file can be written at all"},
 	"cut":       {shape: onWays, what: "nothing arrives; streams stand still"},
 	"stall":     {shape: onWays, what: "streams stand still, datagrams pass"},
 	"reset":     {shape: onWays, once: true, what: "open streams are reset"},
@@ -364,6 +373,8 @@
 	case "sever":
 		f.From = some(third)
 		f.Name = [...]string{"p", "r1", Discovery}[rng.IntN(3)]
+	case "files":
+		f.From, f.Name = some(third), fileFaults[rng.IntN(len(fileFaults))]
 	case "lag":
 		f.Name, f.Span = fmt.Sprint("r", 1+rng.IntN(replicas)), step*time.Duration(2+rng.IntN(30))
 	case "drain":
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -107,6 +107,13 @@
 	return nil
 }
 
+// ReadFull reads exactly len(b) bytes. It is for connections that nobody wakes.
+func (c *Conn) ReadFull(b []byte, by time.Time) error {
+	c.nc.SetReadDeadline(by)
+	_, err := io.ReadFull(c.r, b)
+	return err
+}
+
 // Write writes all bytes, or tells how many went out.
 func (c *Conn) Write(deadline time.Time, parts net.Buffers) (int64, error) {
 	c.nc.SetWriteDeadline(deadline)
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -17,6 +17,9 @@
 
 // Listener accepts connections for as long as the gateway runs.
 type Listener struct {
+	// Calls says that other gateways connect to it, not clients: they count as calls do. It is set before Serve.
+	Calls bool
+
 	nl      *net.TCPListener
 	buffers *Buffers
 	fds     *Descriptors
@@ -43,11 +46,11 @@
 		nc, err := l.nl.AcceptTCP()
 		switch {
 		case err == nil:
-			stays := l.fds.takeClient()
+			stays := l.take()
 			l.served.Add(1)
 			go func() {
 				defer l.served.Done()
-				serve(newConn(nc, l.buffers, l.fds, true), stays)
+				serve(newConn(nc, l.buffers, l.fds, !l.Calls), stays)
 			}()
 		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return
@@ -58,6 +61,13 @@
 	}
 }
 
+func (l *Listener) take() bool {
+	if l.Calls {
+		return l.fds.take(false)
+	}
+	return l.fds.takeClient()
+}
+
 // Close takes in what the kernel has accepted already, so that nobody is cut off unread, and stops listening.
 // Serve then returns.
 func (l *Listener) Close() {
