Copied state: records, ledger, placement and the host that joins many Raft groups, pure

What a gateway holds for others has to survive the loss of its machine with its disk. This is the pure part: shards of records and a ledger of who holds what, each a group of go.etcd.io/raft; placement by weighted rendezvous, zones first; identity by numbers never used twice; healing by a learner that takes a place in one joint step; calls told apart by client and sequence; time by how long leaders led, no clock's word. Nothing uses it yet.

--- /dev/null
+++ b/internal/copies/group.go
@@ -0,0 +1,605 @@
+package copies
+
+import (
+	"fmt"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"go.etcd.io/raft/v3/tracker"
+	"google.golang.org/protobuf/proto"
+
+	api "marblespan/api/copies"
+)
+
+// The library's settings. Election time-outs are drawn from electionTicks to twice that.
+const (
+	electionTicks   = 5
+	heartbeatTicks  = 1
+	mostPerMessage  = 128 << 10
+	mostInFlight    = 64
+	mostUncommitted = 16 << 20
+)
+
+// A snapshot is written once the log since the last one is larger than that one, and than leastLog bytes; keepEntries stay
+// before it, for replicas that are a little behind.
+const (
+	leastLog    = 1 << 20
+	keepEntries = 512
+)
+
+// nearEntries is how far behind a replica may be to become a voter.
+const nearEntries = 16
+
+// snapshotTicks is after how long a snapshot that was sent counts as lost.
+const snapshotTicks = 100
+
+// origin is who waits for a result.
+type origin struct {
+	name string // empty: this gateway
+	id   uint64
+	by   Micros
+}
+
+// slot tells commands apart.
+type slot struct{ client, sequence uint64 }
+
+// reading is a read that waits until the group has confirmed who leads.
+type reading struct {
+	origin
+	key []byte
+}
+
+// group is one replica.
+type group struct {
+	h         *Host
+	id, epoch uint32
+	number    uint64
+	node      *raft.RawNode
+	log       *storage
+	sm        machine
+	applied   uint64
+	conf      *pb.ConfState
+	hard      *pb.HardState // as on the disk, but for the commit, which may be behind there
+	logBytes  int64
+	snapBytes int64
+	writes    int // parts of writes that are not on the disk yet
+
+	asks map[uint64]bool // whom to hear before it takes part; nil: none
+
+	leader   uint64
+	led      bool
+	ledAt    Micros
+	base     Micros // the group's time when it was elected
+	swept    Micros
+	proposed []*api.Command
+	waiting  map[slot]origin
+	reads    []reading
+	readNo   uint64
+	asked    map[uint64][]reading // by the number of their question
+	behind   []due
+	snapped  map[uint64]Micros // when a snapshot was sent, by replica
+}
+
+// due are reads that are answered once an index is applied.
+type due struct {
+	index uint64
+	reads []reading
+}
+
+// storage is the log as the library reads it. Snapshots are made when one is wanted, not kept.
+type storage struct {
+	*raft.MemoryStorage
+	g *group
+}
+
+// Snapshot is the state now.
+func (s *storage) Snapshot() (*pb.Snapshot, error) { return s.g.snapshot(s.g.sm.snapshot()) }
+
+func (g *group) snapshot(data []byte) (*pb.Snapshot, error) {
+	term, err := g.log.Term(g.applied)
+	if err != nil {
+		return nil, err
+	}
+	return snapshotAt(g.applied, term, g.conf, data), nil
+}
+
+func snapshotAt(index, term uint64, conf *pb.ConfState, data []byte) *pb.Snapshot {
+	return &pb.Snapshot{Data: data, Metadata: &pb.SnapshotMetadata{
+		Index: new(index), Term: new(term), ConfState: proto.Clone(conf).(*pb.ConfState),
+	}}
+}
+
+// bare is a snapshot without its data, as the log keeps it.
+func bare(s *pb.Snapshot) *pb.Snapshot { return &pb.Snapshot{Metadata: s.GetMetadata()} }
+
+// newGroup makes a replica from what is on the disk; without a snapshot it is empty, and waits to be taken in.
+func (h *Host) newGroup(s StoredGroup, sm machine) (*group, error) {
+	g := &group{
+		h: h, id: s.Group, epoch: s.Epoch, number: s.Number, sm: sm, conf: &pb.ConfState{}, hard: &pb.HardState{},
+		waiting: map[slot]origin{}, asked: map[uint64][]reading{}, snapped: map[uint64]Micros{},
+	}
+	g.log = &storage{raft.NewMemoryStorage(), g}
+	if s.Snapshot != nil {
+		if err := g.restore(s.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	if s.Hard != nil {
+		g.hard = s.Hard
+		g.log.SetHardState(s.Hard)
+	}
+	if err := g.log.Append(s.Entries); err != nil {
+		return nil, err
+	}
+	last, _ := g.log.LastIndex()
+	if last < g.hard.GetCommit() {
+		return nil, fmt.Errorf("group %d: the log ends at %d, before what is committed, %d", s.Group, last, g.hard.GetCommit())
+	}
+	var err error
+	g.node, err = raft.NewRawNode(&raft.Config{
+		ID: s.Number, ElectionTick: electionTicks, HeartbeatTick: heartbeatTicks, Storage: g.log, Applied: g.applied,
+		AsyncStorageWrites: true, MaxSizePerMsg: mostPerMessage, MaxInflightMsgs: mostInFlight, MaxUncommittedEntriesSize: mostUncommitted,
+		CheckQuorum: true, PreVote: true, ReadOnlyOption: raft.ReadOnlySafe, Logger: silent{}, DisableProposalForwarding: true,
+		StepDownOnRemoval: true,
+	})
+	return g, err
+}
+
+// restore takes a snapshot over.
+func (g *group) restore(s *pb.Snapshot) error {
+	if err := g.sm.restore(s.Data); err != nil {
+		return err
+	}
+	g.applied, g.conf = s.GetMetadata().GetIndex(), proto.Clone(s.GetMetadata().GetConfState()).(*pb.ConfState)
+	g.logBytes, g.snapBytes = 0, int64(len(s.Data))
+	return g.log.ApplySnapshot(bare(s))
+}
+
+// part is a replica's part of a write, and what goes out once it is on the disk.
+type part struct {
+	g         *group
+	message   *pb.Message // of the library; nil: a snapshot of our own
+	snapshot  *pb.Snapshot
+	hard      *pb.HardState // with a snapshot that a replica begins with
+	responses []*pb.Message
+}
+
+// pump carries out what the library wants done now.
+func (g *group) pump() {
+	for g.node.HasReady() {
+		rd := g.node.Ready()
+		if rd.SoftState != nil {
+			g.turned(rd.SoftState)
+		}
+		for _, r := range rd.ReadStates {
+			no := readNumber(r.RequestCtx)
+			g.behind = append(g.behind, due{r.Index, g.asked[no]})
+			delete(g.asked, no)
+		}
+		for _, m := range rd.Messages {
+			switch m.GetTo() {
+			case raft.LocalAppendThread:
+				g.write(m)
+			case raft.LocalApplyThread:
+				g.apply(m.Entries)
+				g.respond(m.Responses)
+			default:
+				g.send(m)
+			}
+		}
+		g.answerReads()
+	}
+}
+
+// turned takes over who leads.
+func (g *group) turned(s *raft.SoftState) {
+	g.leader = s.Lead
+	led := s.RaftState == raft.StateLeader
+	if led == g.led {
+		return
+	}
+	g.led = led
+	if led {
+		g.ledAt, g.base, g.swept = g.h.now, g.sm.time(), g.h.now
+		if g.id == LedgerGroup {
+			g.h.facts = facts{since: g.h.now, heard: map[uint64]Micros{}, reports: map[uint32]*api.Report{}, changed: g.h.now}
+		}
+		g.h.note(Noticed{What: Led, Group: g.id, Epoch: g.epoch, Number: g.number})
+		return
+	}
+	g.h.note(Noticed{What: Unled, Group: g.id, Epoch: g.epoch, Number: g.number})
+	for _, reads := range g.asked { // nobody confirms them any more
+		g.turnAway(reads)
+	}
+	clear(g.asked)
+	g.turnAway(g.reads)
+	g.reads, g.proposed = nil, nil
+	clear(g.snapped)
+}
+
+func (g *group) turnAway(reads []reading) {
+	for _, r := range reads {
+		g.h.reply(r.origin, &api.Reply{Status: uint32(notLeader), Leader: g.leaderName()})
+	}
+}
+
+// leaderName is the gateway that leads, as far as is known here.
+func (g *group) leaderName() string {
+	if g.led {
+		return g.h.cfg.Name
+	}
+	return g.h.holder(g.id, g.leader)
+}
+
+// write puts a message's part into the next write, or deals with it at once where nothing has to be on the disk.
+func (g *group) write(m *pb.Message) {
+	same := m.Term == nil || m.GetTerm() == g.hard.GetTerm() && m.GetVote() == g.hard.GetVote()
+	if len(m.Entries) == 0 && m.Snapshot == nil && same && g.writes == 0 {
+		g.written(part{g: g, message: m, responses: m.Responses})
+		return
+	}
+	g.writes++
+	g.h.parts = append(g.h.parts, part{g: g, message: m, responses: m.Responses})
+}
+
+// written is told once a part is on the disk.
+func (g *group) written(p part) {
+	m := p.message
+	if m == nil { // a snapshot of our own
+		if first, _ := g.log.FirstIndex(); p.snapshot.GetMetadata().GetIndex() > first+keepEntries {
+			g.log.Compact(p.snapshot.GetMetadata().GetIndex() - keepEntries)
+		}
+		return
+	}
+	if m.Snapshot != nil {
+		if err := g.restore(m.Snapshot); err != nil {
+			g.h.fail(fmt.Sprintf("group %d: a snapshot cannot be read: %v", g.id, err))
+			return
+		}
+	}
+	if err := g.log.Append(m.Entries); err != nil {
+		g.h.fail(fmt.Sprintf("group %d: %v", g.id, err))
+		return
+	}
+	if m.Term != nil {
+		g.hard = &pb.HardState{Term: new(m.GetTerm()), Vote: new(m.GetVote()), Commit: new(m.GetCommit())}
+		g.log.SetHardState(g.hard)
+	}
+	g.respond(p.responses)
+}
+
+// respond hands on what waited for a write or for entries to be applied.
+func (g *group) respond(all []*pb.Message) {
+	for _, m := range all {
+		if m.GetTo() == g.number {
+			g.node.Step(m)
+		} else {
+			g.send(m)
+		}
+	}
+}
+
+// send sends a message to another replica. One that is not sure of itself yet says nothing.
+func (g *group) send(m *pb.Message) {
+	if g.asks != nil {
+		return
+	}
+	to := g.h.holder(g.id, m.GetTo())
+	if to == "" || to == g.h.cfg.Name {
+		return
+	}
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		return
+	}
+	x := &api.Raft{Group: g.id, Epoch: g.epoch, Message: raw}
+	if m.GetType() == pb.MsgSnap {
+		g.snapped[m.GetTo()] = g.h.now
+		g.h.bulk(to, x)
+		return
+	}
+	p := g.h.packet(to)
+	p.Raft = append(p.Raft, x)
+}
+
+// heard takes in a message of another replica.
+func (g *group) heard(m *pb.Message) {
+	if g.asks != nil || m.GetTo() != g.number || raft.IsLocalMsg(m.GetType()) {
+		return
+	}
+	g.node.Step(m) // what does not fit is dropped by the library
+}
+
+// apply carries entries out.
+func (g *group) apply(entries []*pb.Entry) {
+	for _, e := range entries {
+		g.applied = e.GetIndex()
+		g.logBytes += int64(len(e.Data)) + 16
+		switch e.GetType() {
+		case pb.EntryConfChange, pb.EntryConfChangeV2:
+			g.applyChange(e)
+		default:
+			g.applyEntry(e)
+		}
+	}
+	if g.logBytes > max(leastLog, g.snapBytes) && g.asks == nil {
+		data := g.sm.snapshot()
+		if s, err := g.snapshot(data); err == nil {
+			g.logBytes, g.snapBytes = 0, int64(len(data))
+			g.h.parts = append(g.h.parts, part{g: g, snapshot: s})
+			g.writes++
+		}
+	}
+}
+
+func (g *group) applyChange(e *pb.Entry) {
+	if e.GetType() == pb.EntryConfChange {
+		var c pb.ConfChange
+		if proto.Unmarshal(e.Data, &c) == nil {
+			g.conf = g.node.ApplyConfChange(&c)
+		}
+	} else {
+		var c pb.ConfChangeV2
+		if proto.Unmarshal(e.Data, &c) == nil {
+			g.conf = g.node.ApplyConfChange(&c)
+		}
+	}
+}
+
+func (g *group) applyEntry(e *pb.Entry) {
+	if len(e.Data) == 0 {
+		return
+	}
+	var x api.Entry
+	if proto.Unmarshal(e.Data, &x) != nil {
+		return // of a later version: the same for every replica of this one
+	}
+	for i, r := range g.sm.apply(e.GetIndex(), &x) {
+		k := slot{x.Commands[i].Client, x.Commands[i].Sequence}
+		if o, waits := g.waiting[k]; waits {
+			delete(g.waiting, k)
+			g.h.reply(o, r)
+		}
+	}
+	if l, is := g.sm.(*ledger); is {
+		g.h.learn(l.Ledger, false)
+		if g.led {
+			for _, n := range l.notices {
+				g.h.note(n)
+			}
+		}
+	}
+}
+
+// answerReads answers the reads whose time has come.
+func (g *group) answerReads() {
+	for len(g.behind) > 0 && g.behind[0].index <= g.applied {
+		for _, r := range g.behind[0].reads {
+			if s, is := g.sm.(*shard); is {
+				g.h.reply(r.origin, s.get(r.key))
+			}
+		}
+		g.behind = g.behind[1:]
+	}
+}
+
+// logTime is the group's time by the leader that runs: it goes on from where it was by how long this one has led, so that no
+// clock that was set has any say in it, and a time without a leader does not count.
+func (g *group) logTime() Micros { return max(g.sm.time(), g.base+g.h.now-g.ledAt) }
+
+// call takes in a command or a read.
+func (g *group) call(o origin, c *api.Call) {
+	status := OK
+	switch shard, _ := g.sm.(*shard); {
+	case !g.led || g.asks != nil || g.h.leaving:
+		status = notLeader
+	case shard == nil || c.Command == nil && c.Get == nil:
+		status = Bad
+	case c.Get != nil:
+		g.reads = append(g.reads, reading{o, c.Get.Key})
+		return
+	case len(g.conf.Voters) < int(g.h.view.GetCopies()):
+		status = notLeader // nothing is promised before there are as many copies as were promised
+	default:
+		g.waiting[slot{c.Command.Client, c.Command.Sequence}] = o
+		g.proposed = append(g.proposed, c.Command)
+		return
+	}
+	g.h.reply(o, &api.Reply{Status: uint32(status), Leader: g.leaderName()})
+}
+
+// propose puts all commands of a moment into one entry, and has one question confirm all reads of it.
+func (g *group) propose() {
+	if len(g.proposed) > 0 && g.led {
+		if !g.enter(g.proposed) {
+			for _, c := range g.proposed {
+				k := slot{c.Client, c.Sequence}
+				if o, waits := g.waiting[k]; waits {
+					delete(g.waiting, k)
+					g.h.reply(o, &api.Reply{Status: uint32(notLeader)})
+				}
+			}
+		}
+	}
+	g.proposed = nil
+	if len(g.reads) > 0 && g.led {
+		g.readNo++
+		g.asked[g.readNo] = g.reads
+		g.reads = nil
+		g.node.ReadIndex(appendNumber(nil, g.readNo))
+	}
+}
+
+// enter proposes an entry. It tells whether the library took it.
+func (g *group) enter(commands []*api.Command) bool {
+	raw, err := proto.Marshal(&api.Entry{Time: int64(g.logTime()), Commands: commands})
+	return err == nil && g.node.Propose(raw) == nil
+}
+
+// tick lets the library's time pass, and looks after what a leader has to.
+func (g *group) tick() {
+	if g.asks != nil {
+		g.askAround()
+		return
+	}
+	g.node.Tick()
+	for k, o := range g.waiting {
+		if g.h.now > o.by {
+			delete(g.waiting, k)
+		}
+	}
+	if !g.led {
+		return
+	}
+	if s, is := g.sm.(*shard); is && s.due(g.logTime()) && g.h.now-g.swept >= 10*g.h.cfg.Tick {
+		g.swept = g.h.now
+		g.enter(nil)
+	}
+	for number, at := range g.snapped {
+		if g.h.now-at > snapshotTicks*g.h.cfg.Tick {
+			delete(g.snapped, number)
+			g.node.ReportSnapshot(number, raft.SnapshotFailure)
+		}
+	}
+	g.reshape()
+}
+
+// reshape brings the group's replicas nearer to what the ledger has assigned.
+func (g *group) reshape() {
+	x := groupIn(g.h.view, g.id)
+	if x == nil || x.Epoch != g.epoch || len(g.conf.VotersOutgoing) > 0 {
+		return
+	}
+	want, learner := target(x), uint64(0)
+	if x.Adding != nil && !slices.Contains(g.conf.Voters, x.Adding.Number) {
+		learner = x.Adding.Number
+	}
+	var changes []*pb.ConfChangeSingle
+	change := func(t pb.ConfChangeType, number uint64) {
+		changes = append(changes, &pb.ConfChangeSingle{Type: t.Enum(), NodeId: new(number)})
+	}
+	for _, n := range g.conf.Learners {
+		if n != learner {
+			change(pb.ConfChangeRemoveNode, n)
+		}
+	}
+	switch {
+	case learner == 0:
+		// Nobody is taken in. What the ledger no longer names goes, once enough others are there.
+		if x.Adding != nil {
+			break
+		}
+	case !slices.Contains(g.conf.Learners, learner):
+		change(pb.ConfChangeAddLearnerNode, learner)
+	case g.near(learner):
+		// In one step: the new one votes, and whoever leaves does not. There are never fewer voters than before.
+		change(pb.ConfChangeAddNode, learner)
+		for _, n := range g.conf.Voters {
+			if !slices.Contains(want, n) {
+				change(pb.ConfChangeRemoveNode, n)
+			}
+		}
+	}
+	if len(changes) > 0 {
+		g.node.ProposeConfChange(&pb.ConfChangeV2{Changes: changes}) // one at a time; the library refuses the next
+	}
+}
+
+// near tells whether a replica has nearly all that is committed.
+func (g *group) near(number uint64) bool {
+	last, _ := g.log.LastIndex()
+	near := false
+	g.node.WithProgress(func(id uint64, _ raft.ProgressType, pr tracker.Progress) {
+		if id == number {
+			near = pr.RecentActive && pr.Match+nearEntries >= last
+		}
+	})
+	return near
+}
+
+// handOver has the replica lead that is nearest. It tells whether there is one.
+func (g *group) handOver(to uint64) bool {
+	if to == 0 {
+		best := uint64(0)
+		g.node.WithProgress(func(id uint64, t raft.ProgressType, pr tracker.Progress) {
+			if id != g.number && t == raft.ProgressTypePeer && pr.RecentActive && pr.Match > best {
+				best, to = pr.Match, id
+			}
+		})
+	}
+	if to != 0 {
+		g.node.TransferLeader(to)
+	}
+	return to != 0
+}
+
+// report is what the ledger's leader is told.
+func (g *group) report() *api.Report {
+	return &api.Report{
+		Group: g.id, Epoch: g.epoch, Term: g.node.BasicStatus().GetTerm(), Voters: g.conf.Voters, Learners: g.conf.Learners,
+		Joint: len(g.conf.VotersOutgoing) > 0,
+	}
+}
+
+// unsure has the replica ask all others before it takes part again: the disk may be an older copy of what it was.
+func (g *group) unsure() {
+	g.asks = map[uint64]bool{}
+	note := func(number uint64) {
+		if number != g.number {
+			g.asks[number] = true
+		}
+	}
+	for _, n := range slices.Concat(g.conf.Voters, g.conf.VotersOutgoing) {
+		note(n)
+	}
+	if x := groupIn(g.h.view, g.id); x != nil && x.Epoch == g.epoch {
+		for _, r := range replicas(x) {
+			note(r.Number)
+		}
+	}
+	g.askAround()
+}
+
+// askAround asks those that have not answered. Those whose disks are lost for good are not waited for.
+func (g *group) askAround() {
+	x := groupIn(g.h.view, g.id)
+	for n := range g.asks {
+		if x != nil && x.Epoch == g.epoch {
+			i := slices.IndexFunc(replicas(x), func(r *api.Replica) bool { return r.Number == n })
+			if i >= 0 && lostIn(g.h.view, replicas(x)[i]) || i < 0 && g.h.view.Next > n && !slices.Contains(g.conf.Voters, n) {
+				delete(g.asks, n)
+				continue
+			}
+		}
+		to := g.h.holder(g.id, n)
+		if to == "" || to == g.h.cfg.Name {
+			continue
+		}
+		last, _ := g.log.LastIndex()
+		p := g.h.packet(to)
+		p.Asks = append(p.Asks, &api.Ask{Group: g.id, Epoch: g.epoch, Number: g.number, Of: n, Term: g.hard.GetTerm(), Index: last})
+	}
+	if len(g.asks) == 0 {
+		g.asks = nil
+		g.h.note(Noticed{What: Sure, Group: g.id, Epoch: g.epoch, Number: g.number})
+	}
+}
+
+// silent is a logger for the library: what matters is in this package's own notices.
+type silent struct{}
+
+func (silent) Debug(...any)            {}
+func (silent) Debugf(string, ...any)   {}
+func (silent) Error(...any)            {}
+func (silent) Errorf(string, ...any)   {}
+func (silent) Info(...any)             {}
+func (silent) Infof(string, ...any)    {}
+func (silent) Warning(...any)          {}
+func (silent) Warningf(string, ...any) {}
+func (silent) Fatal(v ...any)          { panic(fmt.Sprint(v...)) }
+func (silent) Fatalf(f string, v ...any) {
+	panic(fmt.Sprintf(f, v...))
+}
+func (silent) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
+func (silent) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
--- /dev/null
+++ b/internal/copies/plan.go
@@ -0,0 +1,189 @@
+package copies
+
+import (
+	"cmp"
+	"slices"
+
+	api "marblespan/api/copies"
+)
+
+// The spans by which the ledger's leader judges, in ticks: a holder that announced itself within freshFor can take replicas; one
+// change of placement that is not needed follows another after calmFor.
+const (
+	announceEvery = 5
+	freshFor      = 3 * announceEvery
+	calmFor       = 20
+)
+
+// facts are what the ledger's leader has heard beside the ledger.
+type facts struct {
+	now     Micros
+	since   Micros                 // since it leads
+	heard   map[uint64]Micros      // last word of each store
+	reports map[uint32]*api.Report // of each group's leader, the latest
+	changed Micros                 // when the ledger last changed
+}
+
+// planner decides who holds what. It keeps nothing: what it has decided is in the ledger.
+type planner struct {
+	*api.Ledger
+	facts
+	tick, healAfter Micros
+	healAtOnce      int
+	out             []*api.Change
+}
+
+// plan is what is to be changed now. None of it rests on a holder's silence alone but what healAfter allows.
+func (p planner) plan() []*api.Change {
+	moving := 0
+	for number, g := range p.Groups {
+		p.settle(uint32(number), g)
+		if g.Adding != nil && g.Leaving != 0 {
+			moving++
+		}
+	}
+	if len(p.out) > 0 {
+		return p.out // what follows is judged on the ledger after it
+	}
+	for number, g := range p.Groups {
+		p.heal(uint32(number), g, &moving)
+	}
+	if len(p.out) == 0 && moving == 0 {
+		p.drift()
+	}
+	return p.out
+}
+
+// target is what a group's voters are to be once what is assigned is carried out.
+func target(g *api.Group) (out []uint64) {
+	for _, r := range replicas(g) {
+		if r.Number != g.Leaving {
+			out = append(out, r.Number)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// settle takes over what a group reports to have carried out.
+func (p *planner) settle(number uint32, g *api.Group) {
+	r := p.reports[number]
+	if g.Adding == nil || r == nil || r.Epoch != g.Epoch || r.Joint {
+		return
+	}
+	voters := slices.Sorted(slices.Values(r.Voters))
+	if slices.Equal(voters, target(g)) {
+		p.out = append(p.out, &api.Change{Settle: &api.Settle{Group: number, Epoch: g.Epoch, Voters: voters}})
+	}
+}
+
+// silent tells whether a store's holder has said nothing for so long.
+func (p *planner) silent(store uint64, span Micros) bool {
+	return p.now-max(p.heard[store], p.since) > span
+}
+
+// fresh lists the stores that can take replicas now.
+func (p *planner) fresh() (out []*api.Store) {
+	for _, s := range p.Stores {
+		if at, heard := p.heard[s.Number]; !s.Gone && heard && p.now-at <= freshFor*p.tick {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// away tells whether a replica has to be replaced.
+func (p *planner) away(r *api.Replica) bool {
+	return lostIn(p.Ledger, r) || p.silent(r.Store, p.healAfter)
+}
+
+// heal gives a group the holders that it lacks.
+func (p *planner) heal(number uint32, g *api.Group, moving *int) {
+	if beyond(p.Ledger, g) {
+		if number == LedgerGroup {
+			return // whoever decides here has a quorum of it
+		}
+		if all := place(number, p.fresh(), 1); len(all) > 0 {
+			p.out = append(p.out, &api.Change{Renew: &api.Renew{Group: number, Epoch: g.Epoch, Store: all[0].Number}})
+		}
+		return
+	}
+	leaving := uint64(0)
+	switch {
+	case g.Adding != nil && !p.away(g.Adding):
+		return
+	case g.Adding != nil:
+		leaving = g.Leaving // another one in its place
+	case len(g.Voters) >= int(p.Copies):
+		// A replica that is lost goes before one that is only silent.
+		for _, lost := range []bool{true, false} {
+			for _, r := range g.Voters {
+				if leaving == 0 && p.away(r) && lostIn(p.Ledger, r) == lost {
+					leaving = r.Number
+				}
+			}
+		}
+		if leaving == 0 || *moving >= p.healAtOnce {
+			return
+		}
+		*moving++
+	}
+	if s := p.pick(number, g, leaving); s != nil {
+		p.out = append(p.out, &api.Change{Assign: &api.Assign{Group: number, Epoch: g.Epoch, Store: s.Number, Leaving: leaving}})
+	}
+}
+
+// pick is the best fresh store for a group's next replica: of a zone that has the fewest, then by score.
+func (p *planner) pick(number uint32, g *api.Group, leaving uint64) (best *api.Store) {
+	zones, taken := map[string]int{}, map[uint64]bool{}
+	for _, r := range g.Voters {
+		if r.Number == leaving {
+			continue
+		}
+		taken[r.Store] = true
+		if s := storeIn(p.Ledger, r.Store); s != nil {
+			zones[s.Zone]++
+		}
+	}
+	for _, s := range p.fresh() {
+		if !taken[s.Number] && (best == nil || cmp.Or(cmp.Compare(zones[s.Zone], zones[best.Zone]), -cmp.Compare(score(number, s), score(number, best))) < 0) {
+			best = s
+		}
+	}
+	return best
+}
+
+// drift moves one replica to where it belongs, once all is whole, everybody is there and nothing has changed for a while.
+func (p *planner) drift() {
+	if p.now-p.changed < calmFor*p.tick {
+		return
+	}
+	stores := p.fresh()
+	for _, s := range p.Stores {
+		if !s.Gone && !slices.Contains(stores, s) {
+			return
+		}
+	}
+	for number, g := range p.Groups {
+		if g.Adding != nil || len(g.Voters) < int(p.Copies) {
+			return
+		}
+		ideal := place(uint32(number), stores, int(p.Copies))
+		in := func(store uint64) bool {
+			return slices.ContainsFunc(ideal, func(s *api.Store) bool { return s.Number == store })
+		}
+		for _, r := range g.Voters {
+			if in(r.Store) {
+				continue
+			}
+			for _, s := range ideal {
+				if !slices.ContainsFunc(g.Voters, func(r *api.Replica) bool { return r.Store == s.Number }) {
+					p.out = append(p.out, &api.Change{Assign: &api.Assign{
+						Group: uint32(number), Epoch: g.Epoch, Store: s.Number, Leaving: r.Number,
+					}})
+					return
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/copies/records.go
@@ -0,0 +1,266 @@
+package copies
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	api "marblespan/api/copies"
+)
+
+// clientSpan is for how long a client's last results are kept after its last command.
+const clientSpan Micros = 600 * 1_000_000
+
+// machine is what a group's replicas keep, changed by the entries of its log only.
+type machine interface {
+	// apply carries an entry out. It returns a result for each of its commands.
+	apply(index uint64, e *api.Entry) []*api.Reply
+	snapshot() []byte
+	restore(b []byte) error
+	// time is that of the last entry.
+	time() Micros
+}
+
+// record is one record of a shard.
+type record struct {
+	value    []byte
+	version  uint64 // index of the entry that wrote it, so it grows with every write
+	position uint64
+	mark     bool
+	end      Micros
+}
+
+// client is what is kept of one caller, so that a call that comes again has one effect.
+type client struct {
+	heard   Micros
+	results map[uint64]*api.Reply // by sequence, for as long as it may ask again
+}
+
+// shard is the machine of one shard.
+type shard struct {
+	most    int64 // bytes
+	now     Micros
+	lost    Micros // when this epoch began, because the one before was lost; 0: none was
+	anew    bool   // the next entry's time is when it began
+	records map[string]record
+	ends    []ending // a heap; some are out of date
+	clients map[uint64]*client
+	bytes   int64
+}
+
+// ending is when a record may end.
+type ending struct {
+	at  Micros
+	key string
+}
+
+func newShard(most int64, anew bool) *shard {
+	return &shard{most: most, anew: anew, records: map[string]record{}, clients: map[uint64]*client{}}
+}
+
+func (s *shard) time() Micros { return s.now }
+
+func cost(key string, r record) int64 { return int64(len(key)+len(r.value)) + recordCost }
+
+func (s *shard) apply(index uint64, e *api.Entry) []*api.Reply {
+	s.now = max(s.now, Micros(e.Time))
+	if s.anew {
+		s.lost, s.anew = s.now, false
+	}
+	s.expire()
+	var out []*api.Reply
+	for _, c := range e.Commands {
+		out = append(out, s.command(index, c))
+	}
+	return out
+}
+
+// command carries one out, unless it has been.
+func (s *shard) command(index uint64, c *api.Command) *api.Reply {
+	from := s.clients[c.Client]
+	if from == nil {
+		from = &client{results: map[uint64]*api.Reply{}}
+		s.clients[c.Client] = from
+	}
+	from.heard = s.now
+	for sequence := range from.results {
+		if sequence < c.Done {
+			delete(from.results, sequence)
+		}
+	}
+	if r, again := from.results[c.Sequence]; again {
+		return r
+	}
+	var r *api.Reply
+	switch {
+	case c.Put != nil:
+		r = s.put(index, c.Put)
+	case c.Mark != nil:
+		r = s.mark(index, c.Mark)
+	default:
+		r = &api.Reply{Status: uint32(Bad)}
+	}
+	r.Time = int64(s.now)
+	from.results[c.Sequence] = r
+	return r
+}
+
+func (s *shard) put(index uint64, p *api.Put) *api.Reply {
+	key := string(p.Key)
+	old, there := s.records[key]
+	switch {
+	case there && old.mark:
+		return &api.Reply{Status: uint32(Bad)}
+	case p.Conditional && old.version != p.Version:
+		return &api.Reply{Status: uint32(Conflict), Version: old.version}
+	case p.Remove:
+		s.remove(key)
+		return &api.Reply{Version: index}
+	}
+	return s.set(key, record{value: bytes.Clone(p.Value), version: index, end: s.now + Micros(p.Span)})
+}
+
+// mark raises a number; it never falls, whatever order marks come in.
+func (s *shard) mark(index uint64, m *api.Mark) *api.Reply {
+	key := string(m.Key)
+	old, there := s.records[key]
+	if there && !old.mark {
+		return &api.Reply{Status: uint32(Bad)}
+	}
+	r := s.set(key, record{mark: true, version: index, position: max(old.position, m.Position), end: max(old.end, s.now+Micros(m.Span))})
+	r.Position = s.records[key].position
+	return r
+}
+
+func (s *shard) set(key string, r record) *api.Reply {
+	old, there := s.records[key]
+	grown := s.bytes + cost(key, r)
+	if there {
+		grown -= cost(key, old)
+	}
+	if grown > s.most && grown > s.bytes {
+		return &api.Reply{Status: uint32(Full), Version: old.version, Position: old.position}
+	}
+	s.bytes, s.records[key] = grown, r
+	if !there || r.end < old.end {
+		s.push(ending{r.end, key}) // a later end is found when the earlier one has come
+	}
+	return &api.Reply{Version: r.version}
+}
+
+func (s *shard) remove(key string) {
+	if r, there := s.records[key]; there {
+		s.bytes -= cost(key, r)
+		delete(s.records, key)
+	}
+}
+
+// expire takes away what has ended, by the time of the log.
+func (s *shard) expire() {
+	for len(s.ends) > 0 && s.ends[0].at <= s.now {
+		e := s.pop()
+		if r, there := s.records[e.key]; there && r.end <= s.now {
+			s.remove(e.key)
+		} else if there {
+			s.push(ending{r.end, e.key})
+		}
+	}
+	for number, c := range s.clients {
+		if s.now-c.heard > clientSpan {
+			delete(s.clients, number)
+		}
+	}
+}
+
+// due tells whether a record has ended by a leader's clock: an entry is wanted that says so.
+func (s *shard) due(now Micros) bool { return len(s.ends) > 0 && s.ends[0].at <= now }
+
+func (s *shard) push(e ending) {
+	s.ends = append(s.ends, e)
+	for i := len(s.ends) - 1; i > 0; {
+		up := (i - 1) / 2
+		if s.ends[up].at <= s.ends[i].at {
+			break
+		}
+		s.ends[up], s.ends[i] = s.ends[i], s.ends[up]
+		i = up
+	}
+}
+
+func (s *shard) pop() ending {
+	first, n := s.ends[0], len(s.ends)-1
+	s.ends[0] = s.ends[n]
+	s.ends[n] = ending{}
+	s.ends = s.ends[:n]
+	for i := 0; ; {
+		low := 2*i + 1
+		if low+1 < n && s.ends[low+1].at < s.ends[low].at {
+			low++
+		}
+		if low >= n || s.ends[i].at <= s.ends[low].at {
+			return first
+		}
+		s.ends[low], s.ends[i] = s.ends[i], s.ends[low]
+		i = low
+	}
+}
+
+// get reads a record.
+func (s *shard) get(key []byte) *api.Reply {
+	out := &api.Reply{Time: int64(s.now)}
+	if r, there := s.records[string(key)]; there {
+		out.Found, out.Value, out.Version, out.Position = true, r.value, r.version, r.position
+	} else if s.anew || s.lost > 0 && s.now-s.lost < MostSpan {
+		out.Lost = int64(max(s.lost, 1))
+	}
+	return out
+}
+
+func (s *shard) snapshot() []byte {
+	out := &api.Shard{Time: int64(s.now), Lost: int64(s.lost)}
+	if s.anew {
+		out.Lost = -1
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.records)) {
+		r := s.records[key]
+		out.Records = append(out.Records, &api.Record{
+			Key: []byte(key), Value: r.value, Version: r.version, Position: r.position, Mark: r.mark, End: int64(r.end),
+		})
+	}
+	for _, number := range slices.Sorted(maps.Keys(s.clients)) {
+		c := s.clients[number]
+		x := &api.Client{Number: number, Heard: int64(c.heard)}
+		for _, sequence := range slices.Sorted(maps.Keys(c.results)) {
+			r := c.results[sequence]
+			x.Results = append(x.Results, &api.Result{Sequence: sequence, Status: r.Status, Version: r.Version, Position: r.Position})
+		}
+		out.Clients = append(out.Clients, x)
+	}
+	b, _ := proto.Marshal(out) // it has no text that could be at fault
+	return b
+}
+
+func (s *shard) restore(b []byte) error {
+	var in api.Shard
+	if err := proto.Unmarshal(b, &in); err != nil {
+		return err
+	}
+	*s = *newShard(s.most, in.Lost < 0)
+	s.now, s.lost = Micros(in.Time), Micros(max(in.Lost, 0))
+	for _, x := range in.Records {
+		r := record{value: x.Value, version: x.Version, position: x.Position, mark: x.Mark, end: Micros(x.End)}
+		s.records[string(x.Key)] = r
+		s.bytes += cost(string(x.Key), r)
+		s.push(ending{r.end, string(x.Key)})
+	}
+	for _, x := range in.Clients {
+		c := &client{heard: Micros(x.Heard), results: map[uint64]*api.Reply{}}
+		for _, r := range x.Results {
+			c.results[r.Sequence] = &api.Reply{Status: r.Status, Version: r.Version, Position: r.Position, Time: in.Time}
+		}
+		s.clients[x.Number] = c
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/copies/world_test.go
@@ -0,0 +1,444 @@
+package copies
+
+import (
+	"container/heap"
+	cryptorand "crypto/rand"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	api "marblespan/api/copies"
+)
+
+const (
+	ms     Micros = 1000
+	second        = 1000 * ms
+)
+
+// world is a number of hosts on a made-up clock, network and disks. Everything in it comes from its seed.
+type world struct {
+	now    Micros
+	rng    *rand.Rand
+	nodes  []*node
+	queue  happenings
+	order  uint64
+	cut    map[[2]string]bool
+	loss   float64
+	delay  Micros // at most, beside the usual
+	mutant *mutant
+	shards int
+	votes  map[string]uint64 // whom a replica voted for, by group, epoch, number and term
+	broken string
+	calls  map[uint64]func(Answer)
+	next   uint64
+	notes  []string
+}
+
+// node is one gateway.
+type node struct {
+	name     string
+	zone     string
+	holds    bool
+	h        *Host
+	up       bool
+	life     int
+	pause    Micros // it stands still until then
+	disk     Image
+	written  bool // whether anything was
+	pending  []Write
+	saved    Image
+	witness  bool // a restart is trusted
+	failing  bool
+	skew     Micros // of its clock
+	timer    Micros
+	done     bool
+	inbox    []func()
+	startsAt uint64
+}
+
+type happening struct {
+	at    Micros
+	order uint64
+	do    func()
+}
+
+type happenings []happening
+
+func (q happenings) Len() int { return len(q) }
+func (q happenings) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q happenings) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *happenings) Push(x any)   { *q = append(*q, x.(happening)) }
+func (q *happenings) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+func (w *world) at(at Micros, do func()) {
+	w.order++
+	heap.Push(&w.queue, happening{at, w.order, do})
+}
+
+func (w *world) run(span Micros) {
+	end := w.now + span
+	for len(w.queue) > 0 && w.queue[0].at <= end && w.broken == "" {
+		x := heap.Pop(&w.queue).(happening)
+		w.now = max(w.now, x.at)
+		x.do()
+	}
+	w.now = end
+}
+
+// until lets time pass until something holds.
+func (w *world) until(what string, most Micros, holds func() bool) bool {
+	for end := w.now + most; w.now < end && w.broken == ""; {
+		if holds() {
+			return true
+		}
+		w.run(50 * ms)
+	}
+	if w.broken == "" {
+		w.broken = fmt.Sprintf("not within %d s: %s; %s", most/second, what, w.show())
+	}
+	return false
+}
+
+// seeded is the library's source of randomness.
+type seeded struct{ *rand.Rand }
+
+func (s seeded) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = byte(s.Uint32())
+	}
+	return len(b), nil
+}
+
+func newWorld(seed uint64, holders, clients, shards int, mut *mutant) *world {
+	w := &world{
+		now: second, rng: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]string]bool{}, mutant: mut, shards: shards, votes: map[string]uint64{},
+		calls: map[uint64]func(Answer){},
+	}
+	cryptorand.Reader = io.Reader(seeded{rand.New(rand.NewPCG(seed, 4))})
+	for i := range holders + clients {
+		w.nodes = append(w.nodes, &node{name: fmt.Sprint("g", i+1), zone: fmt.Sprint("z", i%3), holds: i < holders, witness: true, skew: Micros(w.rng.IntN(1000)) * second})
+	}
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	w.do(w.nodes[0], Found{Shards: shards, Copies: 3})
+	return w
+}
+
+const (
+	testTick  = 100 * ms
+	healAfter = 5 * second
+)
+
+// start begins a node's next life from what is on its disk.
+func (w *world) start(n *node) {
+	n.life++
+	n.up, n.pause, n.pending, n.inbox, n.done = true, 0, nil, nil, false
+	n.startsAt += 1 + w.rng.Uint64N(1000)
+	var s *Stored
+	trusted := true
+	if n.written {
+		s, trusted = n.disk.Stored(), n.witness
+	}
+	if w.mutant != nil && w.mutant.start != nil {
+		w.mutant.start(w, n, &s, &trusted)
+	}
+	h, err := New(Config{
+		Name: n.name, Zone: n.zone, Weight: 1, Holds: n.holds, Tick: testTick, HealAfter: healAfter, HealAtOnce: 2, MostBytes: 1 << 20,
+		MostCalls: 100, Client: w.rng.Uint64() | 1, NewStore: w.rng.Uint64() | 1, Founding: w.rng.Uint64() | 1, Life: n.startsAt,
+	}, w.now+n.skew, s, trusted)
+	if err != nil {
+		w.broken = fmt.Sprintf("%s cannot start: %v", n.name, err)
+		return
+	}
+	n.h, n.timer = h, 0
+	var others []string
+	for _, o := range w.nodes {
+		if o != n {
+			others = append(others, o.name)
+		}
+	}
+	w.do(n, Others{others})
+}
+
+// do hands a node an event, once it runs.
+func (w *world) do(n *node, ev Event) {
+	life := n.life
+	step := func() {
+		if !n.up || n.life != life {
+			return
+		}
+		if w.mutant != nil && w.mutant.before != nil {
+			ev = w.mutant.before(w, n, ev)
+		}
+		if ev != nil {
+			n.h.Handle(w.now+n.skew, ev)
+		}
+		out := n.h.Flush()
+		if w.mutant != nil && w.mutant.after != nil {
+			out = append(w.mutant.after(w, n, out), n.h.Flush()...)
+		}
+		w.carry(n, out)
+		w.arm(n)
+	}
+	if n.pause > w.now {
+		w.at(n.pause, step)
+		return
+	}
+	step()
+}
+
+// arm has the node's next timer wake it.
+func (w *world) arm(n *node) {
+	at := n.h.Next() - n.skew
+	if n.timer > w.now && n.timer <= at {
+		return
+	}
+	n.timer = max(at, w.now)
+	life, due := n.life, n.timer
+	w.at(due, func() {
+		if n.life == life && n.up && n.timer == due {
+			n.timer = 0
+			w.do(n, Tick{})
+		}
+	})
+}
+
+func (w *world) carry(n *node, out []Action) {
+	for _, a := range out {
+		switch a := a.(type) {
+		case Send:
+			w.watch(a.Body)
+			w.send(n, a)
+		case Write:
+			w.write(n, a)
+		case Answer:
+			if done := w.calls[a.ID]; done != nil {
+				delete(w.calls, a.ID)
+				done(a)
+			}
+		case Noticed:
+			w.notes = append(w.notes, fmt.Sprintf("%d.%03d %s %v %d/%d %d %s %s", w.now/second, w.now/ms%1000, n.name, a.What, a.Group, a.Epoch, a.Number, a.Name, a.Cause))
+		case Done:
+			n.done = true
+		}
+	}
+}
+
+func (w *world) send(n *node, a Send) {
+	i := slices.IndexFunc(w.nodes, func(o *node) bool { return o.name == a.To })
+	if i < 0 || w.cut[[2]string{n.name, a.To}] || w.loss > 0 && w.rng.Float64() < w.loss {
+		return
+	}
+	to := w.nodes[i]
+	after := 200 + Micros(w.rng.Int64N(1800))
+	if w.delay > 0 {
+		after += Micros(w.rng.Int64N(int64(w.delay)))
+	}
+	w.at(w.now+after, func() {
+		if to.up {
+			w.do(to, Heard{n.name, a.Body})
+		}
+	})
+}
+
+// write puts a write on the disk after a while. A crash before that loses it, or not, as disks do.
+func (w *world) write(n *node, x Write) {
+	life := n.life
+	n.pending = append(n.pending, x)
+	early := w.mutant != nil && w.mutant.early
+	if early {
+		w.at(w.now+100, func() { w.do(n, Written{x.Number}) })
+	}
+	w.at(w.now+500+Micros(w.rng.Int64N(4000)), func() {
+		if !n.up || n.life != life || len(n.pending) == 0 || n.pending[0].Number != x.Number {
+			return
+		}
+		n.pending = n.pending[1:]
+		if n.failing {
+			w.do(n, Failed{"no space is left"})
+			return
+		}
+		if w.mutant != nil && w.mutant.disk != nil {
+			x = w.mutant.disk(x)
+		}
+		n.disk, n.written = n.disk.Apply(x), true
+		if !early {
+			w.do(n, Written{x.Number})
+		}
+	})
+}
+
+// crash ends a node without a word.
+func (w *world) crash(n *node) {
+	if !n.up {
+		return
+	}
+	n.up = false
+	if len(n.pending) > 0 && w.rng.IntN(2) == 0 && !n.failing && !(w.mutant != nil && w.mutant.early) {
+		n.disk, n.written = n.disk.Apply(n.pending[0]), true
+	}
+	n.pending = nil
+}
+
+// wipe takes a node's disk away.
+func (n *node) wipe() { n.disk, n.written, n.failing = Image{}, false, false }
+
+// watch holds what is sent against what may never be sent: two votes of one number in a term.
+func (w *world) watch(body []byte) {
+	var p api.Packet
+	if proto.Unmarshal(body, &p) != nil {
+		return
+	}
+	for _, x := range p.Raft {
+		var m pb.Message
+		if proto.Unmarshal(x.Message, &m) != nil || m.GetType() != pb.MsgVoteResp || m.GetReject() {
+			continue
+		}
+		k := fmt.Sprint(x.Group, x.Epoch, m.GetFrom(), m.GetTerm())
+		if last, voted := w.votes[k]; voted && last != m.GetTo() {
+			w.broken = fmt.Sprintf("replica %d of group %d voted for %d and %d in term %d", m.GetFrom(), x.Group, last, m.GetTo(), m.GetTerm())
+		}
+		w.votes[k] = m.GetTo()
+	}
+}
+
+// call begins a call at a node.
+func (w *world) call(n *node, a Ask, done func(Answer)) {
+	w.next++
+	a.ID = w.next
+	a.By += w.now + n.skew
+	w.calls[a.ID] = done
+	w.do(n, a)
+}
+
+// ledger is the latest that any node that runs knows.
+func (w *world) ledger() (l *api.Ledger) {
+	for _, n := range w.nodes {
+		if n.up && (l == nil || n.h.view.Index > l.Index) {
+			l = n.h.view
+		}
+	}
+	return l
+}
+
+// whole tells whether every group has all its copies, somebody leads it, and nothing is under way.
+func (w *world) whole() bool {
+	l := w.ledger()
+	if l == nil || len(l.Groups) != w.shards+1 {
+		return false
+	}
+	for id, g := range l.Groups {
+		leads := 0
+		for _, n := range w.nodes {
+			x := (*group)(nil)
+			if n.up {
+				x = n.h.groups[uint32(id)]
+			}
+			if x == nil || x.epoch != g.Epoch {
+				continue
+			}
+			if x.asks != nil {
+				return false
+			}
+			if x.led {
+				leads++
+				if len(x.conf.Voters) != 3 || len(x.conf.VotersOutgoing)+len(x.conf.Learners) > 0 {
+					return false
+				}
+			}
+		}
+		for _, r := range g.Voters {
+			if lostIn(l, r) {
+				return false
+			}
+		}
+		if len(g.Voters) != 3 || g.Adding != nil || leads != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) show() string {
+	l := w.ledger()
+	out := fmt.Sprintf("ledger at %d:", l.GetIndex())
+	for id, g := range l.GetGroups() {
+		out += fmt.Sprintf(" [%d/%d", id, g.Epoch)
+		for _, r := range g.Voters {
+			out += fmt.Sprintf(" %d@%s", r.Number, storeIn(l, r.Store).GetName())
+			if lostIn(l, r) {
+				out += "!"
+			}
+		}
+		if g.Adding != nil {
+			out += fmt.Sprintf(" +%d@%s -%d", g.Adding.Number, storeIn(l, g.Adding.Store).GetName(), g.Leaving)
+		}
+		out += "]"
+	}
+	for _, n := range w.nodes {
+		out += "\n " + n.name
+		if !n.up {
+			out += " down"
+			continue
+		}
+		for _, g := range n.h.inOrder() {
+			out += fmt.Sprintf(" %d/%d#%d", g.id, g.epoch, g.number)
+			if g.led {
+				out += fmt.Sprintf("L%v", g.conf.Voters)
+			}
+			if g.asks != nil {
+				out += fmt.Sprintf("?%v", g.asks)
+			}
+		}
+	}
+	for _, n := range w.notes[max(0, len(w.notes)-25):] {
+		out += "\n  " + n
+	}
+	return out
+}
+
+var seeds = flag.Int("seeds", 0, "how many seeds of each kind of trouble are run; 0: as many as CI has time for")
+
+func TestFounding(t *testing.T) {
+	w := newWorld(1, 5, 1, 4, nil)
+	if !w.until("all groups are whole", 20*second, w.whole) {
+		t.Fatal(w.broken)
+	}
+	t.Logf("whole after %d ms\n%s", (w.now-second)/ms, w.show())
+	n := w.nodes[5]
+	var got Answer
+	key := []byte("k")
+	w.call(n, Ask{Shard: ShardOf(key, 4), Command: &api.Command{Put: &api.Put{Key: key, Value: []byte("v"), Span: int64(10 * second)}}, By: 3 * second}, func(a Answer) { got = a })
+	w.run(second)
+	t.Logf("%+v", got)
+	w.call(n, Ask{Shard: ShardOf(key, 4), Get: &api.Get{Key: key}, By: 3 * second}, func(a Answer) { got = a })
+	w.run(second)
+	if !got.Found || string(got.Value) != "v" {
+		t.Errorf("%+v", got)
+	}
+	t.Log(len(w.notes))
+}
+
+// mutant spoils one thing about a host.
+type mutant struct {
+	name   string
+	early  bool // writes are told to be on the disk before they are
+	start  func(w *world, n *node, s **Stored, trusted *bool)
+	disk   func(Write) Write
+	before func(w *world, n *node, ev Event) Event
+	after  func(w *world, n *node, out []Action) []Action
+}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -22,6 +22,8 @@
 	"internal/protocol/members":   {"internal/membership", "internal/protocol/sealed"},
 	"internal/membership":         {},
 	"api":                         {},
+	"api/copies":                  {},
+	"internal/copies":             {"api/copies"},
 	"internal/protocol/notices":   {},
 	"internal/vrrp":               {},
 	"internal/explore":            {},
@@ -75,6 +77,7 @@
 	"internal/routing":    {"net", "os", "bufio"},
 	"internal/vrrp":       {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
 	"internal/membership": {"time", "net", "os", "io", "sync", "math/rand"},
+	"internal/copies":     {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
 }
 
 func TestImportsPointDown(t *testing.T) {
