--- a/brain/api.go
+++ b/brain/api.go
@@ -101,7 +101,7 @@
 	HasSession bool
 	Left       Micros // time until the client stops waiting
 	Repeat     bool   // the client says that it repeats itself
-	SinceWrite Micros // carried token: the session's last commit lies at least this long back; 0: none
+	SinceWrite Micros // the session's last commit lies at least this long back, as it or another gateway says; 0: none
 }
 
 // Headers tells that the answer to an attempt began to flow; the request is bound to it.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -150,12 +150,13 @@
 	if e.HasSession {
 		q.session = r.sessions.get(e.Session)
 	}
-	switch { // the commit that a session read must see is carried by the request, or remembered here
-	case c.Need != NeedSession:
-	case r.set.TokensCarried && e.SinceWrite > 0:
-		q.need = r.now - e.SinceWrite
-	case !r.set.TokensCarried && q.session != nil:
-		q.need = q.session.mark
+	if c.Need == NeedSession { // the commit that it must see comes with the request, or is remembered here
+		if e.SinceWrite > 0 {
+			q.need = r.now - e.SinceWrite
+		}
+		if !r.set.TokensCarried && q.session != nil {
+			q.need = max(q.need, q.session.mark)
+		}
 	}
 	r.at(max(min(r.end(q), r.now+e.Left/2-r.set.Tick), r.now+1), q.id)
 	r.enqueue(q)
--- a/cmd/marblelab/main.go
+++ b/cmd/marblelab/main.go
@@ -68,13 +68,16 @@
 
 func chaosCommand() *cobra.Command {
 	o := chaos.Defaults()
-	quiet := false
+	quiet, holds := false, false
 	cmd := &cobra.Command{
 		Use: "chaos", Short: "Run gateways under load and faults, and check what happened", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if !quiet {
 				o.Progress = cmd.ErrOrStderr()
 			}
+			if holds {
+				o.Rig.Copies, o.Load.Mine = rig.DefaultCopies(), 4
+			}
 			all, err := chaos.Run(o, interrupted())
 			if err != nil {
 				return err
@@ -93,6 +96,7 @@
 	flags := cmd.Flags()
 	flags.StringVar(&o.Rig.Binary, "binary", beside(), "the gateway's program")
 	flags.IntVar(&o.Rig.Nodes, "nodes", o.Rig.Nodes, "gateways")
+	flags.BoolVar(&holds, "copies", false, "gateways keep the marks of sessions for each other")
 	flags.IntVar(&o.Rig.Replicas, "replicas", o.Rig.Replicas, "replicas of the one group of servers")
 	flags.StringVar(&o.Script, "script", "", "a file of faults; without one they are drawn")
 	flags.Uint64Var(&o.Seed, "seed", o.Seed, "of what is drawn")
--- /dev/null
+++ b/cmd/marblespan-holder/main.go
@@ -0,0 +1,15 @@
+// Command marblespan-holder is marblespan with the store of copies in it. The gateway turns into it where the operators' file has a
+// copies section; it is not called by hand.
+package main
+
+import (
+	"os"
+
+	"marblespan/internal/cli"
+	"marblespan/internal/withcopies"
+)
+
+func main() {
+	withcopies.Use()
+	os.Exit(cli.Main(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -32,7 +32,7 @@
 
 // Main runs the command line and returns its exit code.
 func Main(args []string, env func(string) string, out, errs io.Writer) int {
-	c := command{env: env, out: out, errs: errs}
+	c := command{env: env, out: out, errs: errs, args: args}
 	root := c.root()
 	root.SetArgs(args)
 	root.SetOut(out)
@@ -62,6 +62,7 @@
 	out  io.Writer
 	errs io.Writer
 	conf string // --conf
+	args []string
 }
 
 func noArguments(cmd *cobra.Command, args []string) error {
@@ -86,7 +87,7 @@
 		&cobra.Command{Use: "gateway", Short: "Run the gateway, as without a command", Args: noArguments, RunE: c.gateway},
 		&cobra.Command{Use: "check", Short: "Read both configurations and print what is in force", Args: noArguments, RunE: c.check},
 		&cobra.Command{Use: "version", Short: "Print the version", Args: noArguments, RunE: c.version},
-		c.vrrp(), c.members(),
+		c.vrrp(), c.members(), c.copies(),
 	)
 	return root
 }
@@ -106,6 +107,9 @@
 }
 
 func (c *command) gateway(*cobra.Command, []string) error {
+	if ops, err := config.LoadOperators(c.operators()); err == nil && needsStore(ops) {
+		return become(c.args)
+	}
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	return program.Run(c.load, c.errs)
 }
--- a/internal/config/lines/decode.go
+++ b/internal/config/lines/decode.go
@@ -27,7 +27,7 @@
 	var slots []reflect.Value
 	for _, x := range all {
 		field, isSlice, ok := section(root, x.Name)
-		if !ok {
+		if !ok || len(x.Values) > 0 && has(at, x.Name) {
 			d.set(at, x)
 			continue
 		}
@@ -91,6 +91,17 @@
 
 func (d *decoder) begin(at reflect.Value, line int) { *where(at) = Where{line, map[string][]int{}} }
 
+// has tells whether a section has a directive. With a value behind it, a word that also begins a section is that directive
+// (copies 3 in a section of copies).
+func has(at reflect.Value, directive string) bool {
+	for i := range at.NumField() {
+		if n, _ := name(at.Type().Field(i)); n == directive {
+			return true
+		}
+	}
+	return false
+}
+
 // section finds the field that a section's keyword fills.
 func section(root reflect.Value, name string) (field reflect.Value, isSlice, ok bool) {
 	for i := range root.NumField() {
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -22,6 +22,7 @@
 	lines.Where
 	Control string   `conf:"control" validate:"max=100"` // a local socket for questions
 	Members *Members `section:"members" validate:"-"`
+	Copies  *Copies  `section:"copies" validate:"-"`
 	VRRP    *VRRP    `section:"vrrp" validate:"-"`
 	Groups  []Group  `section:"group" validate:"-"`
 
@@ -49,6 +50,54 @@
 // Defaults are what a members section has that it does not name.
 func (m *Members) Defaults() { m.Weight, m.Interval = 1, defaultProbe }
 
+// Copies is what gateways hold for each other.
+type Copies struct {
+	lines.Where
+	Holders    []string      `conf:"holders" validate:"min=1,max=1024,dive,min=1,max=40"` // names, or all
+	Copies     int           `conf:"copies" validate:"oneof=1 3 5"`
+	Shards     int           `conf:"shards" validate:"min=1,max=64"`
+	Store      []string      `conf:"store" validate:"min=1,max=2"` // memory, or disk and a path
+	Witness    string        `conf:"witness" validate:"max=200"`
+	Heartbeat  time.Duration `conf:"heartbeat"`
+	HealAfter  time.Duration `conf:"heal-after"`
+	HealAtOnce int           `conf:"heal-at-once" validate:"min=1,max=64"`
+	HealRate   lines.Size    `conf:"heal-rate" validate:"min=65536"`
+	Memory     lines.Size    `conf:"memory" validate:"min=65536"` // of a shard's records
+	Marks      []string      `conf:"session-marks" validate:"max=64"`
+	MarksOrder string        `conf:"marks-order" validate:"oneof=safe fast"`
+	MarksLast  time.Duration `conf:"marks-last"`
+}
+
+// Defaults are what a copies section has that it does not name.
+func (c *Copies) Defaults() {
+	c.Copies, c.Shards, c.Heartbeat, c.HealAfter, c.HealAtOnce = 3, 16, 100*time.Millisecond, 10*time.Minute, 2
+	c.HealRate, c.Memory, c.MarksOrder, c.MarksLast = 8<<20, 16<<20, "safe", time.Hour
+}
+
+// AllHolders stands for every gateway among the holders.
+const AllHolders = "all"
+
+// Holds tells whether a gateway is among the holders.
+func (c *Copies) Holds(node string) bool {
+	return slices.Contains(c.Holders, AllHolders) || slices.Contains(c.Holders, node)
+}
+
+// Path is the file of the store; empty: it is memory.
+func (c *Copies) Path() string {
+	if len(c.Store) == 2 {
+		return c.Store[1]
+	}
+	return ""
+}
+
+// The bounds of the spans of a copies section.
+const (
+	leastHeartbeat = 20 * time.Millisecond
+	mostHeartbeat  = 2 * time.Second
+	leastHealAfter = 2 * time.Second
+	mostMarksLast  = 24 * time.Hour
+)
+
 // The span of one probe among members, and its bounds.
 const (
 	defaultProbe = 200 * time.Millisecond
@@ -205,6 +254,26 @@
 			}
 		}
 	}
+	if c := o.Copies; c != nil {
+		if o.Members == nil {
+			at(c.Where, "copies", 0, "there is no members section: copies go to members")
+		}
+		if memory := len(c.Store) == 1 && c.Store[0] == "memory"; !memory && !(len(c.Store) == 2 && c.Store[0] == "disk" && c.Store[1] != "") {
+			at(c.Where, "store", 0, "%q is neither memory nor disk and a path", strings.Join(c.Store, " "))
+		}
+		if c.Witness != "" && c.Path() == "" {
+			at(c.Where, "witness", 0, "there is no disk for it to tell of")
+		}
+		if c.Heartbeat < leastHeartbeat || c.Heartbeat > mostHeartbeat {
+			at(c.Where, "heartbeat", 0, "%v is not from %v to %v", c.Heartbeat, leastHeartbeat, mostHeartbeat)
+		}
+		if c.HealAfter < leastHealAfter || c.HealAfter < 20*c.Heartbeat {
+			at(c.Where, "heal-after", 0, "%v is below %v, or 20 heartbeats", c.HealAfter, leastHealAfter)
+		}
+		if c.MarksLast < time.Second || c.MarksLast > mostMarksLast {
+			at(c.Where, "marks-last", 0, "%v is not from 1s to %v", c.MarksLast, mostMarksLast)
+		}
+	}
 	vrids, names, listens := map[uint8]string{}, map[string]bool{}, map[netip.AddrPort]string{}
 	for _, g := range o.Groups {
 		if o.VRRP == nil {
@@ -251,6 +320,7 @@
 		differ("members bind", m.Bind == n.Bind)
 		differ("members advertise", m.Advertise == n.Advertise)
 	}
+	differ("copies", reflect.DeepEqual(unplaced(o.Copies), unplaced(next.Copies)))
 	differ("vrrp", (o.VRRP == nil) == (next.VRRP == nil))
 	if o.VRRP != nil && next.VRRP != nil {
 		differ("vrrp node", o.VRRP.Node == next.VRRP.Node)
@@ -267,12 +337,25 @@
 	return fixed
 }
 
+// unplaced is a section without the lines that it stands in.
+func unplaced(c *Copies) Copies {
+	if c == nil {
+		return Copies{}
+	}
+	x := *c
+	x.Where = lines.Where{}
+	return x
+}
+
 // Summary names the sections that are on, for the log.
 func (o *Operators) Summary() string {
 	var on []string
 	if o.Members != nil {
 		on = append(on, "members")
 	}
+	if o.Copies != nil {
+		on = append(on, "copies")
+	}
 	if o.VRRP != nil {
 		on = append(on, "vrrp")
 	}
--- /dev/null
+++ b/internal/copies/overview.go
@@ -0,0 +1,92 @@
+package copies
+
+import "slices"
+
+// Overview is how a host stands, for whoever asks.
+type Overview struct {
+	Founding uint64
+	Index    uint64 // of the ledger that is known
+	Copies   int
+	Store    uint64 // of this gateway's disk; 0: it holds nothing
+	Failed   string // why it holds nothing any more
+	Calls    int    // of its own that wait
+	Stores   []StoreView
+	Groups   []GroupView
+}
+
+// StoreView is one disk.
+type StoreView struct {
+	Number uint64
+	Name   string
+	Zone   string
+	Weight uint32
+	Gone   bool
+}
+
+// GroupView is one group, as the ledger has it and as it stands here.
+type GroupView struct {
+	Group, Epoch uint32
+	Lost         bool // an earlier epoch was lost, with what was promised in it
+	Voters       []ReplicaView
+	Adding       *ReplicaView
+	Leaving      uint64
+	Here         *HereView // nil: no replica is here
+}
+
+// ReplicaView is one replica.
+type ReplicaView struct {
+	Number uint64
+	Name   string
+	Lost   bool
+}
+
+// HereView is a replica of this gateway's.
+type HereView struct {
+	Number  uint64
+	Leader  string
+	Term    uint64
+	Applied uint64
+	Last    uint64 // index of the log
+	Records int
+	Bytes   int64 // that its records cost
+	Unsure  bool  // it has started, and asks the others whether its disk is the one that it was
+}
+
+// Shards is how many shards the store has; 0: none is known.
+func (h *Host) Shards() int { return max(len(h.view.Groups)-1, 0) }
+
+// Overview tells how the host stands.
+func (h *Host) Overview() Overview {
+	o := Overview{
+		Founding: h.founding, Index: h.view.Index, Copies: int(h.view.Copies), Store: h.store, Failed: h.failed, Calls: len(h.calls),
+	}
+	for _, s := range h.view.Stores {
+		o.Stores = append(o.Stores, StoreView{s.Number, s.Name, s.Zone, s.Weight, s.Gone})
+	}
+	for id, x := range h.view.Groups {
+		v := GroupView{Group: uint32(id), Epoch: x.Epoch, Lost: x.Lost > 0, Leaving: x.Leaving}
+		for _, r := range replicas(x) {
+			name := ""
+			if s := storeIn(h.view, r.Store); s != nil {
+				name = s.Name
+			}
+			v.Voters = append(v.Voters, ReplicaView{r.Number, name, lostIn(h.view, r)})
+		}
+		if x.Adding != nil {
+			last := len(v.Voters) - 1
+			v.Adding, v.Voters = &v.Voters[last], slices.Clip(v.Voters[:last])
+		}
+		if g := h.groups[uint32(id)]; g != nil && g.epoch == x.Epoch {
+			last := g.last()
+			v.Here = &HereView{
+				Number: g.number, Leader: g.leaderName(), Term: g.node.BasicStatus().GetTerm(), Applied: g.applied, Last: last.index,
+				Unsure: g.asking != nil,
+			}
+			if s, is := g.sm.(*shard); is {
+				v.Here.Records, v.Here.Bytes = len(s.records), s.bytes
+			}
+		}
+		o.Groups = append(o.Groups, v)
+	}
+	return o
+}
--- /dev/null
+++ b/internal/holders/holders.go
@@ -0,0 +1,513 @@
+// Package holders joins what a gateway holds for others (internal/copies) to the world: one goroutine around the host, one that
+// writes its disk, and the streams to the other gateways. It decides nothing.
+package holders
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"marblespan/internal/copies"
+	"marblespan/internal/store"
+	"marblespan/internal/streams"
+)
+
+// Settings are those of the operators' file.
+type Settings struct {
+	Node, Zone string
+	Weight     uint32
+	Holds      bool
+	Path       string // of the file; empty: memory alone, and a start is a lost disk
+	Witness    string // of the file that says what the disk had last; empty: none
+	Tick       time.Duration
+	HealAfter  time.Duration
+	HealAtOnce int
+	HealRate   int // bytes a second of what nobody waits for
+	MostBytes  int64
+	LeastLog   int64
+	Others     func() []string // the gateways that are there; asked once a second
+}
+
+// The bounds of what waits: events for the goroutine, calls for an answer, large packets for their turn, and how many events
+// are taken in before what came of them goes out.
+const (
+	mostEvents = 4096
+	mostCalls  = 20_000
+	mostBulk   = 32
+	batch      = 512
+)
+
+// partSize is how much of a large packet travels at a time, in bytes; mostParts of them make the largest.
+const (
+	partSize  = 256 << 10
+	mostParts = 1024
+)
+
+// Clock is a clock that never steps back.
+type Clock struct {
+	Now  func() copies.Micros
+	Time func(copies.Micros) time.Time
+}
+
+// Counts are the counters since the start.
+type Counts struct {
+	Sent, SentBytes, Received, NotSent, Overrun, Writes atomic.Int64
+	Answered                                            [copies.Statuses]atomic.Int64
+	Noticed                                             [copies.Notices]atomic.Int64
+}
+
+// Holders takes part.
+type Holders struct {
+	Counts Counts
+
+	s       Settings
+	clock   Clock
+	log     zerolog.Logger
+	streams *streams.Streams
+	host    *copies.Host
+	disk    *store.File
+	witness *store.Witness
+
+	events chan any // copies.Event, or a func to run
+	writes chan copies.Write
+	bulk   chan copies.Send
+	quit   chan struct{}
+	done   sync.WaitGroup
+	left   chan struct{}
+
+	waiting map[uint64]func(copies.Answer) // by the goroutine only
+	next    uint64
+	parts   uint32
+
+	shards   atomic.Int64 // of the store; 0: there is none, as far as is known
+	failedAt atomic.Int64 // when a promise was last not had, microseconds of Unix time; 0: the last one was
+
+	mu      sync.Mutex
+	partial map[string]*partial // by sender
+}
+
+// partial is a large packet that has come in part.
+type partial struct {
+	id, next, of uint32
+	body         []byte
+}
+
+// Start opens the disk and begins. Others are told of by Others.
+func Start(s Settings, clock Clock, x *streams.Streams, log zerolog.Logger) (*Holders, error) {
+	h := &Holders{
+		s: s, clock: clock, log: log, streams: x, events: make(chan any, mostEvents), writes: make(chan copies.Write, 1),
+		bulk: make(chan copies.Send, mostBulk), quit: make(chan struct{}), left: make(chan struct{}),
+		waiting: map[uint64]func(copies.Answer){}, partial: map[string]*partial{},
+	}
+	var stored *copies.Stored
+	trusted := false
+	if s.Holds && s.Path != "" {
+		var err error
+		if stored, trusted, err = h.open(); err != nil {
+			return nil, err
+		}
+	}
+	cfg := copies.Config{
+		Name: s.Node, Zone: s.Zone, Weight: s.Weight, Holds: s.Holds, Tick: micros(s.Tick), HealAfter: micros(s.HealAfter),
+		HealAtOnce: s.HealAtOnce, LeastLog: s.LeastLog, MostBytes: s.MostBytes, MostCalls: mostCalls, Client: draw(), NewStore: draw(),
+		Founding: draw(), Life: uint64(time.Now().UnixMicro()),
+	}
+	var err error
+	if h.host, err = copies.New(cfg, clock.Now(), stored, trusted); err != nil {
+		h.closeDisk()
+		return nil, err
+	}
+	x.Handle(streams.Copies, h.heard)
+	h.done.Add(3)
+	go h.run()
+	go h.write()
+	go h.sendBulk()
+	return h, nil
+}
+
+func micros(d time.Duration) copies.Micros { return copies.Micros(d.Microseconds()) }
+
+// draw makes a number that was never used before, as far as 63 random bits can.
+func draw() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // it never fails
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
+
+// open opens the disk. A file that is damaged is put aside: the gateway has lost its disk, and goes on with an empty one.
+func (h *Holders) open() (*copies.Stored, bool, error) {
+	f, stored, err := store.Open(h.s.Path)
+	var damaged *store.Damaged
+	if errors.As(err, &damaged) {
+		aside := fmt.Sprintf("%s.damaged-%d", h.s.Path, time.Now().Unix())
+		h.log.Error().Err(err).Str("kept_as", aside).Msg("copies: the disk counts as lost")
+		if err := os.Rename(h.s.Path, aside); err != nil {
+			return nil, false, err
+		}
+		f, stored, err = store.Open(h.s.Path)
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	h.disk = f
+	trusted := stored.Store == 0
+	if h.s.Witness != "" {
+		var known bool
+		if h.witness, known, err = store.OpenWitness(h.s.Witness, stored.Store, f.Sequence()); err != nil {
+			h.closeDisk()
+			return nil, false, fmt.Errorf("witness: %w", err)
+		}
+		trusted = trusted || known
+	}
+	return stored, trusted, nil
+}
+
+func (h *Holders) closeDisk() {
+	if h.disk != nil {
+		h.disk.Close()
+	}
+	if h.witness != nil {
+		h.witness.Close()
+	}
+}
+
+// heard takes in a packet from a stream. Where too many events wait it is dropped, as a network would.
+func (h *Holders) heard(from string, body []byte) {
+	whole, ok := h.join(from, body)
+	if !ok {
+		return
+	}
+	h.Counts.Received.Add(1)
+	select {
+	case h.events <- copies.Heard{From: from, Body: whole}:
+	default:
+		h.Counts.Overrun.Add(1)
+	}
+}
+
+// The first byte of what travels: a whole packet, or a part of one behind its number, its place and how many there are.
+const (
+	wholePacket = iota
+	packetPart
+)
+
+const partHead = 1 + 3*4
+
+// join puts parts together. They come in order, for they come on one stream.
+func (h *Holders) join(from string, b []byte) ([]byte, bool) {
+	if len(b) > 0 && b[0] == wholePacket {
+		return slices.Clone(b[1:]), true
+	}
+	if len(b) < partHead || b[0] != packetPart {
+		return nil, false
+	}
+	id, at, of := binary.BigEndian.Uint32(b[1:]), binary.BigEndian.Uint32(b[5:]), binary.BigEndian.Uint32(b[9:])
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at == 0 && of > 0 && of <= mostParts {
+		h.partial[from] = &partial{id: id, of: of}
+	}
+	p := h.partial[from]
+	if p == nil || p.id != id || p.next != at || p.of != of {
+		delete(h.partial, from)
+		return nil, false
+	}
+	p.body, p.next = append(p.body, b[partHead:]...), at+1
+	if p.next < of {
+		return nil, false
+	}
+	delete(h.partial, from)
+	return p.body, true
+}
+
+// run is the goroutine that owns the host.
+func (h *Holders) run() {
+	defer h.done.Done()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	h.carry()
+	asked := time.Time{}
+	for {
+		if time.Since(asked) > time.Second {
+			asked = time.Now()
+			h.host.Handle(h.clock.Now(), copies.Others{Names: h.s.Others()})
+		}
+		timer.Reset(max(time.Until(h.clock.Time(h.host.Next())), 0))
+		select {
+		case <-h.quit:
+			h.end()
+			return
+		case <-timer.C:
+			h.host.Handle(h.clock.Now(), copies.Tick{})
+		case ev := <-h.events:
+			h.take(ev)
+		}
+		for n := 1; n < batch; n++ {
+			select {
+			case ev := <-h.events:
+				h.take(ev)
+				continue
+			default:
+			}
+			break
+		}
+		if now := h.clock.Now(); now >= h.host.Next() {
+			h.host.Handle(now, copies.Tick{})
+		}
+		h.carry()
+	}
+}
+
+func (h *Holders) take(ev any) {
+	switch ev := ev.(type) {
+	case func():
+		ev()
+	case copies.Event:
+		h.host.Handle(h.clock.Now(), ev)
+	}
+}
+
+// carry carries out what the host wants.
+func (h *Holders) carry() {
+	actions := h.host.Flush()
+	h.shards.Store(int64(h.host.Shards()))
+	for _, a := range actions {
+		switch a := a.(type) {
+		case copies.Send:
+			h.send(a)
+		case copies.Write:
+			h.writes <- a // there is one at a time
+		case copies.Answer:
+			h.Counts.Answered[a.Status].Add(1)
+			if done := h.waiting[a.ID]; done != nil {
+				delete(h.waiting, a.ID)
+				done(a)
+			}
+		case copies.Noticed:
+			h.noticed(a)
+		case copies.Done:
+			close(h.left)
+		}
+	}
+}
+
+// end answers whoever still waits.
+func (h *Holders) end() {
+	for id, done := range h.waiting {
+		delete(h.waiting, id)
+		done(copies.Answer{Status: copies.TooLate})
+	}
+}
+
+func (h *Holders) send(a copies.Send) {
+	if a.Bulk || len(a.Body) > partSize {
+		select {
+		case h.bulk <- a:
+		default:
+			h.Counts.NotSent.Add(1)
+		}
+		return
+	}
+	h.sendNow(streams.Message{To: a.To, Channel: streams.Copies, Body: append([]byte{wholePacket}, a.Body...)})
+}
+
+func (h *Holders) sendNow(m streams.Message) bool {
+	if err := h.streams.Send(m); err != nil {
+		h.Counts.NotSent.Add(1)
+		return false
+	}
+	h.Counts.Sent.Add(1)
+	h.Counts.SentBytes.Add(int64(len(m.Body)))
+	return true
+}
+
+// sendBulk sends large packets one after the other, no faster than healing may go.
+func (h *Holders) sendBulk() {
+	defer h.done.Done()
+	limit := rate.NewLimiter(rate.Limit(h.s.HealRate), partSize)
+	for {
+		select {
+		case <-h.quit:
+			return
+		case a := <-h.bulk:
+			h.parts++
+			of := (len(a.Body) + partSize - 1) / partSize
+			for at := 0; at < of; at++ {
+				part := a.Body[at*partSize : min((at+1)*partSize, len(a.Body))]
+				select {
+				case <-time.After(limit.ReserveN(time.Now(), len(part)).Delay()):
+				case <-h.quit:
+					return
+				}
+				b := []byte{packetPart}
+				for _, n := range []uint32{h.parts, uint32(at), uint32(of)} {
+					b = binary.BigEndian.AppendUint32(b, n)
+				}
+				if !h.sendNow(streams.Message{To: a.To, Channel: streams.Copies, Body: append(b, part...), Keep: true}) {
+					break // what has come of it is of no use; the host sends it again
+				}
+			}
+		}
+	}
+}
+
+// write writes the disk. After a fault nothing more is written, and the host told.
+func (h *Holders) write() {
+	defer h.done.Done()
+	failed := false
+	for {
+		select {
+		case <-h.quit:
+			return
+		case w := <-h.writes:
+			if failed {
+				continue
+			}
+			if h.disk != nil {
+				err := h.disk.Write(w)
+				if err == nil && h.witness != nil {
+					err = h.witness.Note(w.Store, h.disk.Sequence())
+				}
+				if err != nil {
+					failed = true
+					h.put(copies.Failed{Cause: err.Error()})
+					continue
+				}
+			}
+			h.Counts.Writes.Add(1)
+			h.put(copies.Written{Number: w.Number})
+		}
+	}
+}
+
+// put hands the goroutine something that must not be lost.
+func (h *Holders) put(ev any) bool {
+	select {
+	case h.events <- ev:
+		return true
+	case <-h.quit:
+		return false
+	}
+}
+
+func (h *Holders) noticed(n copies.Noticed) {
+	h.Counts.Noticed[n.What].Add(1)
+	level := h.log.Info()
+	switch n.What {
+	case copies.LostGroup, copies.DiskLost, copies.Foreign, copies.Stale, copies.StoreGone, copies.Renumbered:
+		level = h.log.Warn()
+	case copies.Sure:
+		level = h.log.Debug()
+	}
+	level = level.Stringer("what", n.What)
+	if n.Epoch > 0 {
+		level = level.Uint32("group", n.Group).Uint32("epoch", n.Epoch)
+	}
+	if n.Number > 0 {
+		level = level.Uint64("number", n.Number)
+	}
+	if n.Name != "" {
+		level = level.Str("node", n.Name)
+	}
+	if n.Cause != "" {
+		level = level.Str("cause", n.Cause)
+	}
+	level.Msg("copies")
+}
+
+// Ask begins a call; done is told its answer, on the goroutine that owns the host, and must not wait.
+func (h *Holders) Ask(a copies.Ask, by time.Time, done func(copies.Answer)) {
+	ask := func() {
+		h.next++
+		a.ID, a.By = h.next, h.clock.Now()+micros(time.Until(by))
+		h.waiting[a.ID] = done
+		h.host.Handle(h.clock.Now(), a)
+	}
+	select {
+	case <-h.quit:
+	case h.events <- ask:
+		return
+	default: // whoever asks must not wait
+	}
+	done(copies.Answer{Status: copies.NotSent})
+}
+
+// Found makes a new store; Gone takes an operator's word that a gateway's disk will not come back. Both tell what cannot be.
+func (h *Holders) Found(shards, many int, first bool) error {
+	return h.tell(func(o copies.Overview) error {
+		switch {
+		case o.Founding != 0:
+			return errors.New("there is a store already")
+		case o.Store == 0 || o.Failed != "":
+			return errors.New("this gateway holds nothing")
+		}
+		h.host.Handle(h.clock.Now(), copies.Found{Shards: shards, Copies: many, First: first})
+		return nil
+	})
+}
+
+// Gone is an operator's word that a gateway's disk will not come back.
+func (h *Holders) Gone(name string) error {
+	return h.tell(func(o copies.Overview) error {
+		if !slices.ContainsFunc(o.Stores, func(s copies.StoreView) bool { return s.Name == name && !s.Gone }) {
+			return fmt.Errorf("no gateway %q holds anything", name)
+		}
+		if g := o.Groups[copies.LedgerGroup]; g.Here == nil || g.Here.Leader != h.s.Node {
+			leader := "not known now"
+			if g.Here != nil && g.Here.Leader != "" {
+				leader = g.Here.Leader
+			}
+			return fmt.Errorf("the ledger is led elsewhere (%s): say it there", leader)
+		}
+		h.host.Handle(h.clock.Now(), copies.Gone{Name: name})
+		return nil
+	})
+}
+
+// tell runs something on the goroutine.
+func (h *Holders) tell(do func(copies.Overview) error) error {
+	result := make(chan error, 1)
+	if !h.put(func() { result <- do(h.host.Overview()) }) {
+		return errors.New("the gateway is about to end")
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-h.quit:
+		return errors.New("the gateway is about to end")
+	}
+}
+
+// Overview tells how the host stands.
+func (h *Holders) Overview() (o copies.Overview) {
+	h.tell(func(now copies.Overview) error { o = now; return nil })
+	return o
+}
+
+// leaveBy is how long Leave waits at the most until others lead what was led here.
+const leaveBy = time.Second
+
+// Leave hands over what is led here, and waits for it within a bound.
+func (h *Holders) Leave() {
+	h.put(copies.Leave{})
+	select {
+	case <-h.left:
+	case <-time.After(leaveBy):
+	}
+}
+
+// Close ends it.
+func (h *Holders) Close() {
+	close(h.quit)
+	h.done.Wait()
+	h.closeDisk()
+}
--- /dev/null
+++ b/internal/program/copies.go
@@ -0,0 +1,216 @@
+package program
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"marblespan/brain"
+	"marblespan/internal/config"
+	"marblespan/internal/membership"
+	"marblespan/internal/routing"
+	"marblespan/internal/streams"
+)
+
+// Store is what a gateway holds for others, and its way to what others hold (internal/holders). It stands in a program of its
+// own, for what it links costs memory that a gateway without it must not pay: OpenStore is nil in the smaller one.
+type Store interface {
+	// Able tells whether a promise is likely to be had now.
+	Able() bool
+	// Raise promises that a number is at least so high. done is told whether it is, and must not wait.
+	Raise(key []byte, to uint64, last time.Duration, by time.Time, done func(bool))
+	// Read reads it. known is false where it could not be had in time, or may have been lost.
+	Read(key []byte, by time.Time, done func(value uint64, known bool))
+	// Status is how it stands, for an answer as JSON.
+	Status() any
+	Found(shards, copies int, first bool) error
+	Gone(node string) error
+	Print()
+	Leave()
+	Close()
+}
+
+// StoreSettings is what a store is opened with.
+type StoreSettings struct {
+	Copies     *config.Copies
+	Node, Zone string
+	Weight     uint32
+	Clock      routing.Clock
+	Streams    *streams.Streams
+	Others     func() []string
+	Log        zerolog.Logger
+}
+
+// OpenStore opens one. It is set before the gateway starts, by the program that has it.
+var OpenStore func(StoreSettings) (Store, error)
+
+// CheckStore tells what is in a store's file that no gateway has open, likewise.
+var CheckStore func(path string, raw bool, out io.Writer) error
+
+// marks keeps sessions' last commits in the store. Before the store is there nothing is kept, and every read of a kept session
+// must see all there is.
+type marks struct {
+	clock   routing.Clock
+	classes map[string]bool
+	fast    bool // an answer does not wait for its promise
+	last    time.Duration
+	store   atomic.Pointer[Store]
+
+	Promised, Unkept, Asked, Found, Unknown, Ahead atomic.Int64
+}
+
+// newMarks are the marks that the operators' file asks for; nil: none.
+func newMarks(ops *config.Operators, clock routing.Clock) *marks {
+	if ops.Copies == nil || len(ops.Copies.Marks) == 0 {
+		return nil
+	}
+	m := &marks{clock: clock, classes: map[string]bool{}, fast: ops.Copies.MarksOrder == "fast", last: ops.Copies.MarksLast}
+	for _, class := range ops.Copies.Marks {
+		m.classes[class] = true
+	}
+	return m
+}
+
+// Concerns tells whether a class's sessions are kept.
+func (m *marks) Concerns(class string) bool { return m.classes[class] }
+
+// Able tells whether a mark is likely to be promised now. Where answers do not wait for it, it need not be.
+func (m *marks) Able() bool {
+	s := m.store.Load()
+	return m.fast || s != nil && (*s).Able()
+}
+
+// markKey names a session of a group.
+func markKey(group int, session uint64) []byte {
+	b := binary.BigEndian.AppendUint32([]byte("session "), uint32(group))
+	return binary.BigEndian.AppendUint64(b, session)
+}
+
+// Promise keeps a commit.
+func (m *marks) Promise(group int, session uint64, position brain.Position, by time.Time, done func(bool)) {
+	kept := func(ok bool) {
+		if ok {
+			m.Promised.Add(1)
+		} else {
+			m.Unkept.Add(1)
+		}
+		if !m.fast {
+			done(ok)
+		}
+	}
+	if m.fast {
+		done(true)
+	}
+	s := m.store.Load()
+	if s == nil {
+		kept(false)
+		return
+	}
+	(*s).Raise(markKey(group, session), uint64(position), m.last, by, kept)
+}
+
+// Needed tells the position that a session's read must see. Where that cannot be had it is all there is: the primary has it. So
+// it is where a mark lies ahead of everything, as after a failover that has lost commits: nobody waits for what will not come.
+func (m *marks) Needed(group int, session uint64, by time.Time, done func(brain.Position)) {
+	m.Asked.Add(1)
+	s := m.store.Load()
+	if s == nil {
+		m.Unknown.Add(1)
+		done(m.clock.Now())
+		return
+	}
+	(*s).Read(markKey(group, session), by, func(value uint64, known bool) {
+		now, position := m.clock.Now(), brain.Position(value)
+		switch {
+		case !known:
+			m.Unknown.Add(1)
+			position = now
+		case position > now:
+			m.Ahead.Add(1)
+			position = now
+		case position > 0:
+			m.Found.Add(1)
+		}
+		done(position)
+	})
+}
+
+// startStore opens the store, where the operators' file has one.
+func (g *Gateway) startStore() error {
+	c := g.ops.Copies
+	if OpenStore == nil {
+		return errors.New("this program has no store; marblespan-holder has")
+	}
+	s, err := OpenStore(StoreSettings{
+		Copies: c, Node: g.ops.Members.Node, Zone: g.ops.Members.Zone, Weight: g.ops.Members.Weight, Clock: g.clock,
+		Streams: g.members.peers.Streams, Others: g.members.names, Log: g.log,
+	})
+	if err != nil {
+		return err
+	}
+	g.store = s
+	g.fds.Hold(2) // its files
+	if g.marks != nil {
+		g.marks.store.Store(&g.store)
+	}
+	return nil
+}
+
+// askStore answers questions about copies.
+func (g *Gateway) askStore(words []string) (any, error) {
+	if g.store == nil {
+		return nil, errors.New("this gateway has no copies section")
+	}
+	switch {
+	case len(words) == 0:
+		return g.store.Status(), nil
+	case words[0] == "found" && len(words) <= 2:
+		return "founded", g.store.Found(g.ops.Copies.Shards, g.ops.Copies.Copies, len(words) == 2 && words[1] == "first")
+	case words[0] == "gone" && len(words) == 2:
+		name, err := strconv.Unquote(words[1])
+		if err != nil {
+			return nil, fmt.Errorf("%s is no name", words[1])
+		}
+		return "noted", g.store.Gone(name)
+	}
+	return nil, fmt.Errorf("unknown question %.40q", "copies "+strings.Join(words, " "))
+}
+
+// printStore writes the counters of copies and marks.
+func (g *Gateway) printStore() {
+	if g.store != nil {
+		g.store.Print()
+	}
+	if m := g.marks; m != nil {
+		g.log.Info().Int64("promised", m.Promised.Load()).Int64("unkept", m.Unkept.Load()).Int64("asked", m.Asked.Load()).
+			Int64("found", m.Found.Load()).Int64("unknown", m.Unknown.Load()).Int64("ahead", m.Ahead.Load()).
+			Int64("refused_unsent", g.clients.Counts.Unmarked.Load()).Msg("session marks counters")
+	}
+}
+
+// names lists the other members that live.
+func (m *members) names() []string { return *m.living.Load() }
+
+// changed keeps the list of members that live.
+func (m *members) changed(c membership.Changed) {
+	if c.Name == m.g.ops.Members.Node {
+		return
+	}
+	var next []string
+	for _, name := range m.names() {
+		if name != c.Name {
+			next = append(next, name)
+		}
+	}
+	if !c.State.Ended() {
+		next = append(next, c.Name)
+	}
+	m.living.Store(&next)
+}
--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -25,6 +25,7 @@
 		Int("descriptors", g.fds.Used()).Int64("message_bytes", g.buffers.Held()).Msg("counters")
 	g.floats.print()
 	g.members.print()
+	g.printStore()
 }
 
 func (g *Gateway) printOwner(c *routing.Core) {
--- a/internal/program/members.go
+++ b/internal/program/members.go
@@ -27,11 +27,13 @@
 	peers    *peers.Peers
 	settings atomic.Uint64 // digest of the settings in force
 	draining atomic.Bool
+	living   atomic.Pointer[[]string]
 }
 
 func startMembers(g *Gateway) (*members, error) {
 	m := &members{g: g}
 	m.settings.Store(digest(g.settings))
+	m.living.Store(&[]string{})
 	clock := peers.Clock{
 		Now:  func() membership.Micros { return membership.Micros(g.clock.Now()) },
 		Time: func(t membership.Micros) time.Time { return g.clock.Time(brain.Micros(t)) },
@@ -39,7 +41,7 @@
 	var err error
 	s := peersSettings(g.ops)
 	s.Buffers, s.Fds = g.buffers, g.fds
-	if m.peers, err = peers.Start(s, clock, uint64(time.Now().UnixMicro()), m.self, nil, g.log); err != nil {
+	if m.peers, err = peers.Start(s, clock, uint64(time.Now().UnixMicro()), m.self, m.changed, g.log); err != nil {
 		return nil, err
 	}
 	g.fds.Hold(2) // a socket and a listener
@@ -54,9 +56,12 @@
 	return xxhash.Sum64(raw)
 }
 
-// self is what the gateway tells the others of itself. It keeps nothing over a restart.
+// self is what the gateway tells the others of itself.
 func (m *members) self() peers.Self {
-	s := peers.Self{Version: Version, Settings: m.settings.Load(), Flags: membership.NoDisk}
+	s := peers.Self{Version: Version, Settings: m.settings.Load()}
+	if c := m.g.ops.Copies; c == nil || c.Path() == "" || !c.Holds(m.g.ops.Members.Node) {
+		s.Flags |= membership.NoDisk
+	}
 	if m.draining.Load() {
 		s.Flags |= membership.Draining
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -92,6 +93,8 @@
 	discovery *session.Discovery
 	floats    *floats  // nil without a floating address
 	members   *members // nil without a members section
+	store     Store    // nil without a copies section
+	marks     *marks   // nil where no session is kept
 	control   *control.Server
 	ready     atomic.Bool
 	accepting chan struct{}
@@ -189,6 +192,7 @@
 		w.Close()
 	}
 	g.owner = routing.NewOwner(g.clock)
+	g.marks = newMarks(ops, g.clock)
 	g.clients = g.newClients(&session.ClientCounts{}, session.DefaultTimeouts)
 	g.servers = &session.Servers{
 		Owner: g.owner, Facts: g.facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
@@ -222,10 +226,14 @@
 
 // newClients makes a set of clients beside the ones there are; they share everything but their listener.
 func (g *Gateway) newClients(counts *session.ClientCounts, limits session.Timeouts) *session.Clients {
-	return &session.Clients{
+	c := &session.Clients{
 		Owner: g.owner, Facts: g.facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
 		Ready: g.isReady, Limits: limits, Counts: counts,
 	}
+	if g.marks != nil {
+		c.Marks = g.marks
+	}
+	return c
 }
 
 // startOperators starts what the operators' file switches on.
@@ -235,6 +243,11 @@
 			return fmt.Errorf("members: %w", err)
 		}
 	}
+	if g.ops.Copies != nil {
+		if err = g.startStore(); err != nil {
+			return fmt.Errorf("copies: %w", err)
+		}
+	}
 	if g.ops.VRRP != nil {
 		if g.floats, err = startFloats(g); err != nil {
 			return fmt.Errorf("vrrp: %w", err)
@@ -259,6 +272,9 @@
 	case "members streams":
 		return g.members.status(true)
 	}
+	if words := strings.Fields(question); len(words) > 0 && words[0] == "copies" {
+		return g.askStore(words[1:])
+	}
 	return nil, fmt.Errorf("unknown question %.40q", question)
 }
 
@@ -291,6 +307,9 @@
 	g.log.Info().Msg("stopping")
 	start := time.Now()
 	g.members.drain()
+	if g.store != nil {
+		go g.store.Leave() // others lead what was led here before anybody misses it
+	}
 	g.floats.giveUp(false)
 	longest := time.Duration(0)
 	for _, c := range g.facts.Load().Settings.Classes {
@@ -331,6 +350,9 @@
 func (g *Gateway) end() {
 	g.control.Close()
 	g.floats.close()
+	if g.store != nil {
+		g.store.Close()
+	}
 	g.members.close()
 	g.owner.Stop() // before the servers, so that nothing new is sent while they close
 	g.discovery.Close()
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -32,7 +32,7 @@
 // checkers are all rules that a history must keep. A later part of the program adds its own.
 var checkers = []checker{
 	{"answers", answers}, {"bookings", bookings}, {"drains", drains}, {"stale", stale}, {"linearizable", linearizable},
-	{"crashes", crashes}, {"address", address}, {"members", members},
+	{"crashes", crashes}, {"address", address}, {"members", members}, {"sessions", sessions},
 }
 
 // Check reads a history and lists what it breaks, in the order of time.
@@ -371,6 +371,27 @@
 	return nil
 }
 
+// sessions: a read of a session sees what that session had booked, and was told so, before the read was asked.
+func sessions(h *reading) (out []Violation) {
+	booked := map[string]int64{}
+	for _, e := range h.events {
+		if e.Kind == Heard && e.Class == ClassBooking && e.What == EndServed && booked[e.Key] == 0 {
+			booked[e.Key] = e.At
+		}
+	}
+	for _, id := range h.order {
+		r := h.requests[id]
+		if r.asked == nil || r.asked.Class != ClassMine || len(r.heard) != 1 || r.heard[0].What != EndServed {
+			continue
+		}
+		if at, known := booked[r.asked.Key]; known && at < r.asked.At && !strings.HasSuffix(r.heard[0].Value, There) {
+			out = append(out, Violation{At: r.heard[0].At, Text: fmt.Sprintf(
+				"%s does not see %s, which was booked at %.3fs", id, r.asked.Key, float64(at)/1e6)})
+		}
+	}
+	return out
+}
+
 // crashes: no process ends unless it was told or made to.
 func crashes(h *reading) (out []Violation) {
 	for _, e := range h.events {
--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -18,6 +18,7 @@
 	ClassBooking = "booking" // a write that must not run twice
 	ClassView    = "view"    // a read that may be behind by ViewBound
 	ClassSeat    = "seat"    // a read that must be current
+	ClassMine    = "mine"    // a read that must see what its session has booked
 )
 
 // ViewBound is how far behind a view's data may be.
--- /dev/null
+++ b/internal/rig/copies.go
@@ -0,0 +1,193 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"slices"
+	"strings"
+	"time"
+
+	"marblespan/internal/standin"
+)
+
+// Copies says what gateways hold for each other. They keep the sessions of bookings and of the class mine.
+type Copies struct {
+	Copies, Shards       int
+	Heartbeat, HealAfter time.Duration
+	Memory               bool // no disks
+	Fast                 bool // answers do not wait for their promise
+	NoMarks              bool // nobody uses them
+}
+
+// DefaultCopies are sizes that suit a few gateways and a short run.
+func DefaultCopies() *Copies {
+	return &Copies{Copies: 3, Shards: 4, Heartbeat: 100 * time.Millisecond, HealAfter: 3 * time.Second}
+}
+
+// section is the copies section of a gateway's operators' file.
+func (c *Copies) section(n *Node) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "copies\n holders all\n copies %d\n shards %d\n heartbeat %v\n heal-after %v\n heal-at-once 8\n", c.Copies, c.Shards, c.Heartbeat, c.HealAfter)
+	if c.Memory {
+		fmt.Fprintf(&b, " store memory\n")
+	} else {
+		fmt.Fprintf(&b, " store disk %s\n witness %s\n", n.StoreFile(), n.dir+"/witness")
+	}
+	if !c.NoMarks {
+		fmt.Fprintf(&b, " session-marks %s %s\n", ClassBooking, ClassMine)
+	}
+	if c.Fast {
+		fmt.Fprintf(&b, " marks-order fast\n")
+	}
+	return b.String()
+}
+
+// StoreFile is the file that a gateway's replicas are in.
+func (n *Node) StoreFile() string { return n.dir + "/data/copies.db" }
+
+// CopiesView is what a gateway answers about copies.
+type CopiesView struct {
+	Founding string
+	Copies   int
+	Disk     string
+	Failed   string
+	Disks    []struct {
+		Number, Node string
+		Gone         bool
+	}
+	Groups []CopiesGroup
+}
+
+// CopiesGroup is one shard, or the ledger.
+type CopiesGroup struct {
+	Group, Epoch uint32
+	Lost         bool
+	Replicas     []CopiesReplica
+	Adding       *CopiesReplica
+	Here         *struct {
+		Leader  string
+		Records int
+		Unsure  bool
+	}
+}
+
+// CopiesReplica is one replica.
+type CopiesReplica struct {
+	Number uint64
+	Node   string
+	Lost   bool
+}
+
+// On tells whether a gateway has a replica of a group.
+func (g CopiesGroup) On(n *Node) bool {
+	return slices.ContainsFunc(g.Replicas, func(r CopiesReplica) bool { return r.Node == n.Name() })
+}
+
+// Copies asks a gateway how copies stand.
+func (n *Node) Copies() (v CopiesView, err error) {
+	out, err := exec.Command(n.f.Binary, "copies", "--json", "--socket", n.Socket()).Output()
+	if err == nil {
+		err = json.Unmarshal(out, &v)
+	}
+	return v, err
+}
+
+// Found makes a new store at a gateway; first says that there was none before.
+func (n *Node) Found(first bool) error {
+	args := []string{"copies", "found", "--socket", n.Socket()}
+	if first {
+		args = append(args, "--first")
+	}
+	if out, err := exec.Command(n.f.Binary, args...).CombinedOutput(); err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	return nil
+}
+
+// LeaderOf is the gateway that leads a group, by those that hold it; nil: none does now.
+func (f *Fleet) LeaderOf(group int) *Node {
+	for _, n := range f.Nodes {
+		v, err := n.Copies()
+		if err != nil || group >= len(v.Groups) || v.Groups[group].Here == nil {
+			continue
+		}
+		for _, m := range f.Nodes {
+			if m.Name() == v.Groups[group].Here.Leader {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+// unwhole says what is not whole yet: every group must have all its copies on gateways that hold them, and a leader that all of
+// them agree on.
+func (f *Fleet) unwhole() string {
+	views := map[string]CopiesView{}
+	for _, n := range f.Nodes {
+		v, err := n.Copies()
+		if err != nil || len(v.Groups) != f.Options.Copies.Shards+1 {
+			return fmt.Sprintf("gateway %d: %d groups, %v", n.Number, len(v.Groups), err)
+		}
+		if v.Failed != "" {
+			return fmt.Sprintf("gateway %d: %s", n.Number, v.Failed)
+		}
+		views[n.Name()] = v
+	}
+	first := views[f.Nodes[0].Name()]
+	for i, g := range first.Groups {
+		leader := ""
+		if len(g.Replicas) != f.Options.Copies.Copies || g.Adding != nil {
+			return fmt.Sprintf("group %d: %+v, adding %+v", i, g.Replicas, g.Adding)
+		}
+		for _, r := range g.Replicas {
+			here := views[r.Node].Groups[i].Here
+			if r.Lost || here == nil || here.Unsure || here.Leader == "" || leader != "" && here.Leader != leader {
+				return fmt.Sprintf("group %d: replica %d on %s: %+v, lost: %v", i, r.Number, r.Node, here, r.Lost)
+			}
+			leader = here.Leader
+		}
+		for _, n := range f.Nodes {
+			if other := views[n.Name()].Groups[i]; other.Epoch != g.Epoch || len(other.Replicas) != len(g.Replicas) {
+				return fmt.Sprintf("group %d: gateway %d knows another ledger", i, n.Number)
+			}
+		}
+	}
+	return ""
+}
+
+// AwaitWhole waits until all copies are there.
+func (f *Fleet) AwaitWhole(bound time.Duration) error {
+	for late := time.Now().Add(bound); ; time.Sleep(50 * time.Millisecond) {
+		wrong := f.unwhole()
+		if wrong == "" {
+			return nil
+		}
+		if time.Now().After(late) {
+			return fmt.Errorf("not within %v: all copies are there; %s", bound, wrong)
+		}
+	}
+}
+
+// Reread reads every session whose booking was served once more, at gateways in turn: what was promised is there.
+func (l *Load) Reread() {
+	var keys []string
+	for _, e := range l.f.History.Events() {
+		if e.Kind == Heard && e.Class == ClassBooking && e.What == EndServed {
+			keys = append(keys, e.Key)
+		}
+	}
+	turn := 0
+	b := &standin.Booker{
+		Name: "final", Class: ClassMine, Group: Group, Patience: patience, Tries: 20, Wait: clientWait, Ledger: &l.ledger,
+		Addr: func() string { turn++; return l.f.Nodes[turn%len(l.f.Nodes)].Listen }, Tell: l.tell,
+	}
+	defer b.Close()
+	for i, key := range keys {
+		if i%16 == 0 {
+			b.Close() // at another gateway
+		}
+		b.Read(key)
+	}
+}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -26,6 +26,10 @@
 		os.Exit(1)
 	}
 	binary = filepath.Join(dir, "marblespan")
+	if out, err := exec.Command("go", "build", "-o", filepath.Join(dir, "marblespan-holder"), "../../cmd/marblespan-holder").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		os.Exit(1)
+	}
 	another = filepath.Join(dir, "another")
 	for _, build := range [][]string{{"-o", binary}, {"-o", another, "-ldflags", "-X marblespan/internal/program.Version=" + anotherVersion}} {
 		args := append(append([]string{"build"}, build...), "../../cmd/marblespan")
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -216,7 +216,7 @@
 	q.out--
 	final := q.over || e.Result == brain.ResultOK
 	if e.Result == brain.ResultOK && !q.over {
-		c.answer(q, Answer{Kind: Served, Value: e.Value})
+		c.answer(q, Answer{Kind: Served, Value: e.Value, Position: e.Position})
 	} else {
 		e.Value.Free()
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -34,6 +34,7 @@
 type Answer struct {
 	Kind       Kind
 	Value      *transport.Message // of a served request
+	Position   brain.Position     // after it, as its server says; 0: it does not
 	RetryAfter brain.Micros       // advice to a refused client; 0: none
 }
 
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -25,10 +25,52 @@
 	answer  *routing.Answer // what the owner has left; guarded by the client's lock, as gone is
 	gone    bool
 	reserve int // bytes set aside for it
+	mark    *mark
 }
 
-// Answer leaves the final answer for the connection's goroutine.
+// Marks keeps the last commit of sessions where every gateway finds it. None of its methods blocks; what is to be done is told
+// once, on any goroutine.
+type Marks interface {
+	// Concerns tells whether a class's sessions are kept.
+	Concerns(class string) bool
+	// Able tells whether a mark is likely to be promised now.
+	Able() bool
+	// Promise keeps a commit. done is told whether it is kept.
+	Promise(group int, session uint64, position brain.Position, by time.Time, done func(bool))
+	// Needed tells the position that a session's read must see; 0: none.
+	Needed(group int, session uint64, by time.Time, done func(brain.Position))
+}
+
+// mark is what is to be kept of a write before its client hears that it ran.
+type mark struct {
+	marks   Marks
+	group   int
+	session uint64
+	by      time.Time
+}
+
+// Answer takes the final answer. That of a write whose commit is to be kept waits for that: if it is not, the client must not
+// rely on it.
 func (q *asked) Answer(a routing.Answer) {
+	if q.mark == nil || a.Kind != routing.Served {
+		q.leave(a)
+		return
+	}
+	position := a.Position
+	if position == 0 {
+		position = q.client.all.Clock.Now() // it was written before now
+	}
+	q.mark.marks.Promise(q.mark.group, q.mark.session, position, q.mark.by, func(kept bool) {
+		if !kept {
+			a.Value.Free()
+			a = routing.Answer{Kind: routing.Failed}
+		}
+		q.leave(a)
+	})
+}
+
+// leave leaves the final answer for the connection's goroutine.
+func (q *asked) leave(a routing.Answer) {
 	c := q.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -237,15 +279,41 @@
 	}
 	c.known = true
 	q := &asked{client: c, reserve: reserve}
-	c.push(q)
-	c.all.Owner.Post(&routing.Request{
+	r := &routing.Request{
 		Client: q, ID: st.ID, Payload: &query{text: text, statement: st}, Facts: facts, Arrival: arrival,
 		ReadAt: c.all.Clock.Now(),
 		Wait:   brain.Micros(st.Wait) * 1000, After: brain.Micros(st.After) * 1000,
+	}
+	if c.all.Marks == nil || !arrival.HasSession || !c.all.Marks.Concerns(st.Class) {
+		c.push(q)
+		c.all.Owner.Post(r)
+		return 0, nil
+	}
+	patience := time.Duration(st.Wait) * time.Millisecond
+	if st.Write {
+		if !c.all.Marks.Able() {
+			text.Free()
+			c.all.Buffers.Release(reserve)
+			c.all.Counts.Unmarked.Add(1)
+			c.complain(postgres.CodeRefused, "the session's commit could not be kept")
+			return 0, nil
+		}
+		q.mark = &mark{c.all.Marks, arrival.Group, arrival.Session, time.Now().Add(patience)}
+		c.push(q)
+		c.all.Owner.Post(r)
+		return 0, nil
+	}
+	c.push(q)
+	c.all.Marks.Needed(arrival.Group, arrival.Session, time.Now().Add(patience/markPart), func(needed brain.Position) {
+		r.After = max(r.After, needed)
+		c.all.Owner.Post(r)
 	})
 	return 0, nil
 }
 
+// markPart is the part of its time that a read waits for its session's mark: what is left goes to the primary, which needs none.
+const markPart = 4
+
 // read makes a request of a query's text. An empty query makes none; for a bad one it tells the fault and its code.
 func (c *client) read(facts *settings.Facts, text *transport.Message, body int) (
 	a brain.Arrival, st postgres.Statement, fault, code string,
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -65,6 +65,7 @@
 	Clock   routing.Clock
 	Ready   func() bool // whether a request could be routed
 	Gate    func() bool // whether a request may still be taken; nil: always
+	Marks   Marks       // nil: sessions are kept nowhere but here
 	Limits  Timeouts
 	Counts  *ClientCounts
 
@@ -78,7 +79,7 @@
 
 // ClientCounts count what clients sent that never became a request.
 type ClientCounts struct {
-	Empty, NotReady, Malformed, OverMemory, Unsupported, Moved atomic.Int64
+	Empty, NotReady, Malformed, OverMemory, Unsupported, Moved, Unmarked atomic.Int64
 }
 
 // client is one client's connection. Its queries are answered in their order; each is asked as soon as it has come.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -69,7 +69,9 @@
 func Open(path string) (f *File, s *copies.Stored, err error) {
 	f = &File{}
 	err = guarded(path, func() error {
-		f.db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockBy, FreelistType: bbolt.FreelistMapType, NoFreelistSync: true})
+		// The list of free pages is kept in the file: to find them anew the library looks through all pages on a goroutine of
+		// its own, where nothing catches the panic that a damaged one causes.
+		f.db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockBy, FreelistType: bbolt.FreelistMapType})
 		if errors.Is(err, bbolt.ErrTimeout) || errors.Is(err, os.ErrPermission) {
 			return &usage{err}
 		}
@@ -438,13 +440,13 @@
 	}
 }
 
-// Check reads a file that no gateway has open, all of its pages too, and tells what is in it.
+// Check reads a file that no gateway has open, and tells what is in it.
 func Check(path string) (s *copies.Stored, err error) {
 	if _, err := os.Stat(path); err != nil {
 		return nil, err
 	}
 	err = guarded(path, func() error {
-		db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockBy, ReadOnly: true, PreLoadFreelist: true})
+		db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockBy, ReadOnly: true})
 		if errors.Is(err, bbolt.ErrTimeout) || errors.Is(err, os.ErrPermission) {
 			return &usage{err}
 		}
@@ -452,16 +454,8 @@
 			return err
 		}
 		defer db.Close()
-		if s, err = (&File{db: db}).load(); err != nil {
-			return err
-		}
-		return db.View(func(tx *bbolt.Tx) error {
-			var all error
-			for fault := range tx.Check() {
-				all = errors.Join(all, fault)
-			}
-			return all
-		})
+		s, err = (&File{db: db}).load()
+		return err
 	})
 	return s, err
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -195,10 +195,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	tries := 0
+	another := func() string { // the library may keep a file open, and locked, that made it panic
+		tries++
+		return fmt.Sprint(path, tries)
+	}
 	noticed := 0
 	for range 150 {
 		bad := append([]byte(nil), sound...)
 		bad[rng.IntN(len(bad))] ^= 1 << rng.IntN(8)
+		path := another()
 		if err := os.WriteFile(path, bad, 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -220,7 +226,22 @@
 	if noticed < 20 {
 		t.Error("hardly any was noticed")
 	}
+	for _, step := range []int{16, 64, 333, 1024, 4096} {
+		for _, from := range []int{0, 4096, 16384} {
+			bad := append([]byte(nil), sound...)
+			for i := from + 8; i < len(bad); i += step {
+				bad[i] ^= 0x55
+			}
+			path := another()
+			os.WriteFile(path, bad, 0o600)
+			var damaged *Damaged
+			if _, _, err := Open(path); !errors.As(err, &damaged) {
+				t.Errorf("every byte %d from %d: %v", step, from, err)
+			}
+		}
+	}
 	for name, content := range map[string]string{"text": "this is no store", "short": string(sound[:5000]), "foreign": string(make([]byte, 32768))} {
+		path := another()
 		os.WriteFile(path, []byte(content), 0o600)
 		var damaged *Damaged
 		if _, _, err := Open(path); !errors.As(err, &damaged) {
--- /dev/null
+++ b/internal/withcopies/withcopies.go
@@ -0,0 +1,85 @@
+// Package withcopies gives the gateway its store: what of it only the larger program has.
+package withcopies
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"marblespan/brain"
+	"marblespan/internal/copies"
+	"marblespan/internal/holders"
+	"marblespan/internal/program"
+	"marblespan/internal/store"
+)
+
+// leastLog is how long a shard's log gets before a snapshot takes its place, in bytes.
+const leastLog = 1 << 20
+
+// Use has gateways of this process open stores.
+func Use() {
+	program.OpenStore, program.CheckStore = open, check
+}
+
+func open(s program.StoreSettings) (program.Store, error) {
+	clock := holders.Clock{
+		Now:  func() copies.Micros { return copies.Micros(s.Clock.Now()) },
+		Time: func(t copies.Micros) time.Time { return s.Clock.Time(brain.Micros(t)) },
+	}
+	c := s.Copies
+	return holders.Start(holders.Settings{
+		Node: s.Node, Zone: s.Zone, Weight: s.Weight, Holds: c.Holds(s.Node), Path: c.Path(), Witness: c.Witness, Tick: c.Heartbeat,
+		HealAfter: c.HealAfter, HealAtOnce: c.HealAtOnce, HealRate: int(c.HealRate), MostBytes: int64(c.Memory), LeastLog: leastLog,
+		Others: s.Others,
+	}, clock, s.Streams, s.Log)
+}
+
+// contents is what a store's file holds, for whoever asks.
+type contents struct {
+	Disk    string  `json:"disk"`
+	Life    uint64  `json:"life"`
+	Groups  []group `json:"groups"`
+	Retired int     `json:"retired"`
+}
+
+type group struct {
+	Group    uint32 `json:"group"`
+	Epoch    uint32 `json:"epoch"`
+	Number   uint64 `json:"number"`
+	Term     uint64 `json:"term"`
+	Commit   uint64 `json:"commit"`
+	Snapshot uint64 `json:"snapshot"`
+	Bytes    int    `json:"snapshot_bytes"`
+	Last     uint64 `json:"last"`
+}
+
+func check(path string, raw bool, out io.Writer) error {
+	s, err := store.Check(path)
+	if err != nil {
+		return err
+	}
+	c := contents{Disk: fmt.Sprintf("%016x", s.Store), Life: s.Life, Groups: []group{}, Retired: len(s.Retired)}
+	for _, g := range s.Groups {
+		x := group{Group: g.Group, Epoch: g.Epoch, Number: g.Number, Term: g.Hard.GetTerm(), Commit: g.Hard.GetCommit()}
+		if g.Snapshot != nil {
+			x.Snapshot, x.Bytes = g.Snapshot.GetMetadata().GetIndex(), len(g.Snapshot.Data)
+		}
+		if x.Last = x.Snapshot; len(g.Entries) > 0 {
+			x.Last = g.Entries[len(g.Entries)-1].GetIndex()
+		}
+		c.Groups = append(c.Groups, x)
+	}
+	if raw {
+		return json.NewEncoder(out).Encode(c)
+	}
+	fmt.Fprintf(out, "disk %s is whole, last started %v\n", c.Disk, time.UnixMicro(int64(c.Life)).UTC().Format(time.RFC3339))
+	for _, x := range c.Groups {
+		fmt.Fprintf(out, "group %d, epoch %d, replica %d: term %d, committed up to %d of %d, snapshot at %d (%d bytes)\n",
+			x.Group, x.Epoch, x.Number, x.Term, x.Commit, x.Last, x.Snapshot, x.Bytes)
+	}
+	if c.Retired > 0 {
+		fmt.Fprintf(out, "%d replicas must not go on here: this disk was older than what they had acknowledged\n", c.Retired)
+	}
+	return nil
+}
