Replicas assigned in an earlier life of a disk do not begin on an older copy of it

Assignments now carry the store's life as its gateway last told; a disk that is not known to be the latest begins only replicas of its present life, and the others are told to be lost and get another number. A replica whose copy knows no configuration at all waits until it has heard of one.

--- a/internal/copies/group.go
+++ b/internal/copies/group.go
@@ -204,7 +204,7 @@
 	if led {
 		g.ledAt, g.base, g.swept = g.h.now, g.sm.time(), g.h.now
 		if g.id == LedgerGroup {
-			g.h.facts = facts{since: g.h.now, heard: map[uint64]Micros{}, reports: map[uint32]*api.Report{}, changed: g.h.now}
+			g.h.facts = facts{since: g.h.now, heard: map[uint64]Micros{}, lives: map[uint64]uint64{}, reports: map[uint32]*api.Report{}, changed: g.h.now}
 		}
 		g.h.note(Noticed{What: Led, Group: g.id, Epoch: g.epoch, Number: g.number})
 		return
@@ -630,7 +630,7 @@
 	for n, index := range a.later {
 		ask[n] = ask[n] || index > a.applied // else it is in the configuration, or left it again
 	}
-	waits := false
+	waits := len(a.voters) == 0 // its copy is from before it was taken in: it has to hear who is in the group at all
 	for _, n := range slices.Sorted(maps.Keys(ask)) {
 		i := slices.IndexFunc(names, func(r *api.Replica) bool { return r.Number == n })
 		if a.heard[n] || i >= 0 && lostIn(g.h.view, names[i]) {
--- a/internal/copies/host.go
+++ b/internal/copies/host.go
@@ -413,7 +413,7 @@
 		to = g.leaderName()
 	}
 	if to == h.cfg.Name {
-		h.heardOf(h.store, h.ownAnnounce(), h.reports())
+		h.heardOf(h.store, h.life, h.ownAnnounce(), h.reports())
 		return
 	}
 	if h.ticks%(4*announceEvery) == 0 || to == "" { // who was the leader may be none any more
@@ -476,7 +476,7 @@
 }
 
 // heardOf takes in what a holder tells the ledger's leader.
-func (h *Host) heardOf(store uint64, a *api.Announce, reports []*api.Report) {
+func (h *Host) heardOf(store, life uint64, a *api.Announce, reports []*api.Report) {
 	g := h.groups[LedgerGroup]
 	if g == nil || !g.led || g.asking != nil {
 		return
@@ -498,7 +498,7 @@
 	case a.Failed:
 		changes = append(changes, &api.Change{Gone: store})
 	default:
-		h.facts.heard[store] = h.now
+		h.facts.heard[store], h.facts.lives[store] = h.now, life
 	}
 	for _, r := range a.Stale {
 		changes = append(changes, &api.Change{Spoil: r})
@@ -523,7 +523,7 @@
 	if last, _ := g.log.LastIndex(); g.applied < last {
 		return
 	}
-	h.facts.heard[h.store] = h.now
+	h.facts.heard[h.store], h.facts.lives[h.store] = h.now, h.life
 	h.facts.reports[LedgerGroup] = g.report()
 	for _, r := range h.reports() {
 		h.facts.reports[r.Group] = r
@@ -540,7 +540,7 @@
 		return
 	}
 	l := found(&api.Found{
-		Founding: h.cfg.Founding, Shards: uint32(f.Shards), Copies: uint32(f.Copies), First: f.First,
+		Founding: h.cfg.Founding, Shards: uint32(f.Shards), Copies: uint32(f.Copies), First: f.First, Life: h.life,
 		Store: &api.Store{Number: h.store, Name: h.cfg.Name, Zone: h.cfg.Zone, Weight: h.cfg.Weight},
 	})
 	h.learn(l.Ledger, true)
@@ -642,6 +642,10 @@
 	if slices.ContainsFunc(h.retired, was) {
 		return
 	}
+	if !h.trusted && own.Life != h.life {
+		h.retire(ref) // it may have begun in an earlier life, which this disk does not know
+		return
+	}
 	s := StoredGroup{Group: id, Epoch: x.Epoch, Number: own.Number}
 	if own.Number == x.Origin && len(x.Voters) == 1 {
 		sm := h.machine(id, x.Epoch, x.Lost > 0)
@@ -726,7 +730,7 @@
 		p.Announce = nil // nobody speaks for another one
 	}
 	if p.Announce != nil || len(p.Reports) > 0 {
-		h.heardOf(p.Store, p.Announce, p.Reports)
+		h.heardOf(p.Store, p.Life, p.Announce, p.Reports)
 	}
 }
 
--- a/internal/copies/ledger.go
+++ b/internal/copies/ledger.go
@@ -57,7 +57,7 @@
 	l.Stores = []*api.Store{f.Store}
 	for range f.Shards + 1 {
 		n := l.number()
-		g := &api.Group{Epoch: 1, Voters: []*api.Replica{{Number: n, Store: f.Store.Number}}, Origin: n}
+		g := &api.Group{Epoch: 1, Voters: []*api.Replica{{Number: n, Store: f.Store.Number, Life: f.Life}}, Origin: n}
 		if !f.First {
 			g.Lost = 1
 		}
@@ -185,7 +185,7 @@
 	if slices.ContainsFunc(g.Voters, func(r *api.Replica) bool { return r.Store == a.Store && !(r.Lost && r.Number == a.Leaving) }) {
 		return
 	}
-	g.Adding, g.Leaving = &api.Replica{Number: l.number(), Store: a.Store}, a.Leaving
+	g.Adding, g.Leaving = &api.Replica{Number: l.number(), Store: a.Store, Life: a.Life}, a.Leaving
 	l.note(Assigned, a.Group, a.Epoch, g.Adding.Number, s.Name)
 }
 
@@ -233,7 +233,7 @@
 	l.note(LostGroup, r.Group, g.Epoch, 0, s.Name)
 	g.Epoch++
 	n := l.number()
-	g.Voters, g.Adding, g.Leaving, g.Origin = []*api.Replica{{Number: n, Store: r.Store}}, nil, 0, n
+	g.Voters, g.Adding, g.Leaving, g.Origin = []*api.Replica{{Number: n, Store: r.Store, Life: r.Life}}, nil, 0, n
 	g.Lost = max(l.Time, 1)
 }
 
--- a/internal/copies/plan.go
+++ b/internal/copies/plan.go
@@ -20,6 +20,7 @@
 	now     Micros
 	since   Micros                 // since it leads
 	heard   map[uint64]Micros      // last word of each store
+	lives   map[uint64]uint64      // its life, by that word
 	reports map[uint32]*api.Report // of each group's leader, the latest
 	changed Micros                 // when the ledger last changed
 }
@@ -104,7 +105,7 @@
 			return // whoever decides here has a quorum of it
 		}
 		if all := place(number, p.fresh(), 1); len(all) > 0 {
-			p.out = append(p.out, &api.Change{Renew: &api.Renew{Group: number, Epoch: g.Epoch, Store: all[0].Number}})
+			p.out = append(p.out, &api.Change{Renew: &api.Renew{Group: number, Epoch: g.Epoch, Store: all[0].Number, Life: p.lives[all[0].Number]}})
 		}
 		return
 	}
@@ -129,7 +130,7 @@
 		*moving++
 	}
 	if s := p.pick(number, g, leaving); s != nil {
-		p.out = append(p.out, &api.Change{Assign: &api.Assign{Group: number, Epoch: g.Epoch, Store: s.Number, Leaving: leaving}})
+		p.out = append(p.out, &api.Change{Assign: &api.Assign{Group: number, Epoch: g.Epoch, Store: s.Number, Leaving: leaving, Life: p.lives[s.Number]}})
 	}
 }
 
@@ -182,7 +183,7 @@
 			for _, s := range ideal {
 				if !slices.ContainsFunc(g.Voters, func(r *api.Replica) bool { return r.Store == s.Number }) {
 					p.out = append(p.out, &api.Change{Assign: &api.Assign{
-						Group: uint32(number), Epoch: g.Epoch, Store: s.Number, Leaving: r.Number,
+						Group: uint32(number), Epoch: g.Epoch, Store: s.Number, Leaving: r.Number, Life: p.lives[s.Number],
 					}})
 					return
 				}
