--- a/cmd/marblelab/main.go
+++ b/cmd/marblelab/main.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"marblespan/internal/lab/chaos"
+	"marblespan/internal/lab/copies"
 	"marblespan/internal/lab/demo"
 	"marblespan/internal/lab/failover"
 	"marblespan/internal/lab/members"
@@ -23,7 +24,7 @@
 		Use: "marblelab", Short: "Measurements and experiments with marblespan", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(demoCommand(), chaosCommand(), failoverCommand(), membersCommand())
+	root.AddCommand(demoCommand(), chaosCommand(), failoverCommand(), membersCommand(), copiesCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "marblelab:", err)
 		os.Exit(1)
@@ -193,3 +194,34 @@
 	flags.BoolVar(&quiet, "quiet", false, "no progress on standard error")
 	return cmd
 }
+
+func copiesCommand() *cobra.Command {
+	o, out, quiet := copies.Defaults(), "", false
+	cmd := &cobra.Command{
+		Use: "copies", Short: "Measure what gateways hold for each other", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.Callers < 1 || o.Heal < 1000 || o.Recover < 1000 || o.Deaths < 1 || o.Span < 100*time.Millisecond {
+				return fmt.Errorf("needs a caller, a death, a thousand records and 100ms at least")
+			}
+			if !quiet {
+				o.Progress = cmd.ErrOrStderr()
+			}
+			r, err := copies.Run(o)
+			if err != nil {
+				return err
+			}
+			return copies.Write(cmd.OutOrStdout(), out, o, r)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&o.Binary, "binary", beside(), "the gateway's program")
+	flags.DurationVar(&o.Span, "span", o.Span, "of each load")
+	flags.IntVar(&o.Callers, "callers", o.Callers, "that promise at the same time")
+	flags.IntVar(&o.Heal, "heal", o.Heal, "records that are healed")
+	flags.IntVar(&o.Recover, "recover", o.Recover, "records that a start reads")
+	flags.IntVar(&o.Deaths, "deaths", o.Deaths, "of a leader, of each kind")
+	flags.IntSliceVar(&o.Rest, "rest", o.Rest, "numbers of gateways at rest")
+	flags.StringVar(&out, "out", "", "a folder for tables and chart")
+	flags.BoolVar(&quiet, "quiet", false, "no progress on standard error")
+	return cmd
+}
--- a/internal/copies/host.go
+++ b/internal/copies/host.go
@@ -901,6 +901,8 @@
 		if r.Leader != "" && r.Leader != from && !c.hinted {
 			c.hinted = true // once; else two that are wrong could send it to and fro
 			h.try(r.Id, c, r.Leader)
+		} else {
+			c.tried = h.now - (retryTicks-1)*h.cfg.Tick // an election takes some ticks; not all of them are to be waited for
 		}
 		return
 	}
--- a/internal/copies/overview.go
+++ b/internal/copies/overview.go
@@ -55,6 +55,26 @@
 // Shards is how many shards the store has; 0: none is known.
 func (h *Host) Shards() int { return max(len(h.view.Groups)-1, 0) }
 
+// Bytes is what the records here count as.
+func (h *Host) Bytes() (n int64) {
+	for _, g := range h.groups {
+		if s, is := g.sm.(*shard); is {
+			n += s.bytes
+		}
+	}
+	return n
+}
+
+// Whole tells whether every group has all its copies, by the ledger that is known.
+func (o Overview) Whole() bool {
+	for _, g := range o.Groups {
+		if len(g.Voters) != o.Copies || g.Adding != nil || slices.ContainsFunc(g.Voters, func(r ReplicaView) bool { return r.Lost }) {
+			return false
+		}
+	}
+	return len(o.Groups) > 0
+}
+
 // Overview tells how the host stands.
 func (h *Host) Overview() Overview {
 	o := Overview{
--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -77,22 +77,23 @@
 	disk    *store.File
 	witness *store.Witness
 
-	events chan any // copies.Event, or a func to run
-	writes chan copies.Write
-	bulk   chan copies.Send
-	quit   chan struct{}
-	done   sync.WaitGroup
-	left   chan struct{}
+	events  chan any // copies.Event, or a func to run
+	writes  chan copies.Write
+	bulk    chan copies.Send
+	quit    chan struct{}
+	closing sync.Once
+	done    sync.WaitGroup
+	left    chan struct{}
 
 	waiting map[uint64]func(copies.Answer) // by the goroutine only
 	next    uint64
-	parts   uint32
+	parts   atomic.Uint32
 
 	shards   atomic.Int64 // of the store; 0: there is none, as far as is known
 	failedAt atomic.Int64 // when a promise was last not had, microseconds of Unix time; 0: the last one was
 
 	mu      sync.Mutex
-	partial map[string]*partial // by sender
+	partial map[string][]*partial // by sender
 }
 
 // partial is a large packet that has come in part.
@@ -106,7 +107,7 @@
 	h := &Holders{
 		s: s, clock: clock, log: log, streams: x, events: make(chan any, mostEvents), writes: make(chan copies.Write, 1),
 		bulk: make(chan copies.Send, mostBulk), quit: make(chan struct{}), left: make(chan struct{}),
-		waiting: map[uint64]func(copies.Answer){}, partial: map[string]*partial{},
+		waiting: map[uint64]func(copies.Answer){}, partial: map[string][]*partial{},
 	}
 	var stored *copies.Stored
 	trusted := false
@@ -213,22 +214,32 @@
 	id, at, of := binary.BigEndian.Uint32(b[1:]), binary.BigEndian.Uint32(b[5:]), binary.BigEndian.Uint32(b[9:])
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	all := h.partial[from]
 	if at == 0 && of > 0 && of <= mostParts {
-		h.partial[from] = &partial{id: id, of: of}
+		if len(all) >= mostPartial { // the oldest will hardly come to its end
+			all = all[1:]
+		}
+		all = append(all, &partial{id: id, of: of})
 	}
-	p := h.partial[from]
-	if p == nil || p.id != id || p.next != at || p.of != of {
-		delete(h.partial, from)
+	h.partial[from] = all
+	i := slices.IndexFunc(all, func(p *partial) bool { return p.id == id })
+	if i < 0 {
 		return nil, false
 	}
-	p.body, p.next = append(p.body, b[partHead:]...), at+1
-	if p.next < of {
-		return nil, false
+	p := all[i]
+	if p.next == at && p.of == of {
+		p.body, p.next = append(p.body, b[partHead:]...), at+1
+		if p.next < of {
+			return nil, false
+		}
 	}
-	delete(h.partial, from)
-	return p.body, true
+	h.partial[from] = slices.Delete(all, i, i+1)
+	return p.body, p.next == of
 }
 
+// mostPartial is how many large packets of a sender may be on their way at a time.
+const mostPartial = 4
+
 // run is the goroutine that owns the host.
 func (h *Holders) run() {
 	defer h.done.Done()
@@ -309,15 +320,37 @@
 }
 
 func (h *Holders) send(a copies.Send) {
-	if a.Bulk || len(a.Body) > partSize {
-		select {
-		case h.bulk <- a:
-		default:
-			h.Counts.NotSent.Add(1)
-		}
+	if !a.Bulk {
+		h.sendWhole(a, func(int) bool { return true })
 		return
 	}
-	h.sendNow(streams.Message{To: a.To, Channel: streams.Copies, Body: append([]byte{wholePacket}, a.Body...)})
+	select {
+	case h.bulk <- a:
+	default:
+		h.Counts.NotSent.Add(1)
+	}
+}
+
+// sendWhole sends a packet, in parts if it is large; before each, wait may take its time, and tells whether to go on.
+func (h *Holders) sendWhole(a copies.Send, wait func(size int) bool) {
+	if len(a.Body) <= partSize && wait(len(a.Body)) {
+		h.sendNow(streams.Message{To: a.To, Channel: streams.Copies, Body: append([]byte{wholePacket}, a.Body...)})
+		return
+	}
+	id, of := h.parts.Add(1), (len(a.Body)+partSize-1)/partSize
+	for at := range of {
+		part := a.Body[at*partSize : min((at+1)*partSize, len(a.Body))]
+		if !wait(len(part)) {
+			return
+		}
+		b := []byte{packetPart}
+		for _, n := range []uint32{id, uint32(at), uint32(of)} {
+			b = binary.BigEndian.AppendUint32(b, n)
+		}
+		if !h.sendNow(streams.Message{To: a.To, Channel: streams.Copies, Body: append(b, part...), Keep: true}) {
+			return // what has come of it is of no use; the host sends it again
+		}
+	}
 }
 
 func (h *Holders) sendNow(m streams.Message) bool {
@@ -339,23 +372,14 @@
 		case <-h.quit:
 			return
 		case a := <-h.bulk:
-			h.parts++
-			of := (len(a.Body) + partSize - 1) / partSize
-			for at := 0; at < of; at++ {
-				part := a.Body[at*partSize : min((at+1)*partSize, len(a.Body))]
+			h.sendWhole(a, func(size int) bool {
 				select {
-				case <-time.After(limit.ReserveN(time.Now(), len(part)).Delay()):
+				case <-time.After(limit.ReserveN(time.Now(), size).Delay()):
+					return true
 				case <-h.quit:
-					return
+					return false
 				}
-				b := []byte{packetPart}
-				for _, n := range []uint32{h.parts, uint32(at), uint32(of)} {
-					b = binary.BigEndian.AppendUint32(b, n)
-				}
-				if !h.sendNow(streams.Message{To: a.To, Channel: streams.Copies, Body: append(b, part...), Keep: true}) {
-					break // what has come of it is of no use; the host sends it again
-				}
-			}
+			})
 		}
 	}
 }
@@ -493,6 +517,22 @@
 	return o
 }
 
+// AwaitWhole waits until all copies are there, by the ledger that is known here, and AwaitUnwhole until they are not. They tell
+// whether it came to that in time.
+func (h *Holders) AwaitWhole(bound time.Duration) bool { return h.await(bound, true) }
+
+// AwaitUnwhole waits until some copy is missing.
+func (h *Holders) AwaitUnwhole(bound time.Duration) bool { return h.await(bound, false) }
+
+func (h *Holders) await(bound time.Duration, whole bool) bool {
+	for late := time.Now().Add(bound); h.Overview().Whole() != whole; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(late) {
+			return false
+		}
+	}
+	return true
+}
+
 // leaveBy is how long Leave waits at the most until others lead what was led here.
 const leaveBy = time.Second
 
@@ -507,7 +547,7 @@
 
 // Close ends it.
 func (h *Holders) Close() {
-	close(h.quit)
+	h.closing.Do(func() { close(h.quit) })
 	h.done.Wait()
 	h.closeDisk()
 }
--- /dev/null
+++ b/internal/holders/holders_test.go
@@ -0,0 +1,172 @@
+package holders
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"marblespan/internal/copies"
+	"marblespan/internal/protocol/sealed"
+	"marblespan/internal/streams"
+	"marblespan/internal/transport"
+)
+
+// late is when a test gives up.
+const late = 30 * time.Second
+
+// fleet is a few adapters on loopback that know each other.
+type fleet struct {
+	mu     sync.Mutex
+	routes map[string]string
+}
+
+func (f *fleet) start(t *testing.T, dir, name string) *Holders {
+	t.Helper()
+	begin := time.Now()
+	x, err := streams.Listen("127.0.0.1:0", streams.Settings{
+		Node: name, Start: uint64(begin.UnixMicro()), Keys: []sealed.Key{{Number: 1, Secret: []byte("a secret of sixteen or more")}},
+		Buffers: transport.NewBuffers(64 << 20), Fds: transport.NewDescriptors(256),
+		Route: func(to string) (string, bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			at, known := f.routes[to]
+			return at, known
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.mu.Lock()
+	f.routes[name] = x.Addr()
+	f.mu.Unlock()
+	h, err := Start(Settings{
+		Node: name, Weight: 1, Holds: true, Path: filepath.Join(dir, name), Witness: filepath.Join(dir, name+".witness"), Tick: 50 * time.Millisecond,
+		HealAfter: 2 * time.Second, HealAtOnce: 8, HealRate: 8 << 20, MostBytes: 16 << 20, LeastLog: 8 << 10, Others: func() []string { return []string{"a", "b", "c"} },
+	}, Clock{
+		Now:  func() copies.Micros { return copies.Micros(time.Since(begin).Microseconds()) + 1 },
+		Time: func(m copies.Micros) time.Time { return begin.Add(time.Duration(m-1) * time.Microsecond) },
+	}, x, zerolog.New(io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { h.Close(); x.Close() })
+	return h
+}
+
+func raise(t *testing.T, h *Holders, key string, to uint64) {
+	t.Helper()
+	answer := make(chan bool, 1)
+	h.Raise([]byte(key), to, time.Hour, time.Now().Add(late), func(ok bool) { answer <- ok })
+	if !<-answer {
+		t.Fatalf("%s was not promised", key)
+	}
+}
+
+func read(t *testing.T, h *Holders, key string) (uint64, bool) {
+	t.Helper()
+	type result struct {
+		value uint64
+		known bool
+	}
+	answer := make(chan result, 1)
+	h.Read([]byte(key), time.Now().Add(late), func(value uint64, known bool) { answer <- result{value, known} })
+	r := <-answer
+	return r.value, r.known
+}
+
+// Three adapters found a store, promise, hand over, and one that comes back finds its disk; what is refused is told at once.
+func TestHolders(t *testing.T) {
+	f, dir := &fleet{routes: map[string]string{}}, t.TempDir()
+	a, b, c := f.start(t, dir, "a"), f.start(t, dir, "b"), f.start(t, dir, "c")
+	if a.Able() {
+		t.Error("able without a store")
+	}
+	if _, known := read(t, b, "x"); known {
+		t.Error("known without a store")
+	}
+	if err := a.Gone("b"); err == nil {
+		t.Error("gone without a store")
+	}
+	if err := a.Found(4, 3, true); err != nil {
+		t.Fatal(err)
+	}
+	if !a.AwaitWhole(late) || !c.AwaitWhole(late) {
+		t.Fatalf("%+v", a.Status())
+	}
+	if err := b.Found(4, 3, true); err == nil {
+		t.Error("founded twice")
+	}
+	for i := range 300 {
+		raise(t, []*Holders{a, b, c}[i%3], fmt.Sprint("session ", i), uint64(i+1))
+	}
+	raise(t, a, "session 7", 3) // late: it does not fall
+	for i := range 300 {
+		if v, known := read(t, []*Holders{c, a, b}[i%3], fmt.Sprint("session ", i)); !known || v != uint64(i+1) {
+			t.Fatalf("session %d: %d %v", i, v, known)
+		}
+	}
+	if v, known := read(t, b, "nobody's"); !known || v != 0 {
+		t.Errorf("what never was: %d %v", v, known)
+	}
+	a.Leave()
+	for _, g := range a.Overview().Groups {
+		if g.Here != nil && g.Here.Leader == "a" {
+			t.Errorf("group %d is still led", g.Group)
+		}
+	}
+	a.Close()
+	a.streams.Close()
+	raise(t, b, "while it is away", 5)
+	f.mu.Lock()
+	delete(f.routes, "a")
+	f.mu.Unlock()
+	again := f.start(t, dir, "a")
+	if v, known := read(t, again, "while it is away"); !known || v != 5 {
+		t.Errorf("%d %v", v, known)
+	}
+	for _, g := range again.Overview().Groups {
+		if g.Here == nil {
+			t.Errorf("group %d is not here any more", g.Group)
+		}
+	}
+	if again.Counts.Noticed[copies.Stale].Load()+again.Counts.Noticed[copies.Renumbered].Load() > 0 {
+		t.Error("its disk counts as lost")
+	}
+}
+
+// What is too large for a stream's message comes in parts, and none but whole and in order.
+func TestParts(t *testing.T) {
+	h := &Holders{partial: map[string][]*partial{}}
+	part := func(id, at, of uint32, body string) []byte {
+		b := []byte{packetPart}
+		for _, n := range []uint32{id, at, of} {
+			b = binary.BigEndian.AppendUint32(b, n)
+		}
+		return append(b, body...)
+	}
+	for i, c := range []struct {
+		from string
+		raw  []byte
+		want string // empty: nothing yet
+	}{
+		{"a", append([]byte{wholePacket}, "whole"...), "whole"},
+		{"a", part(1, 0, 3, "x"), ""}, {"b", part(1, 0, 2, "p"), ""}, {"a", part(2, 0, 2, "u"), ""}, {"a", part(1, 1, 3, "y"), ""},
+		{"a", part(1, 2, 3, "z"), "xyz"}, {"b", part(1, 1, 2, "q"), "pq"}, {"a", part(2, 1, 2, "v"), "uv"}, {"a", part(2, 1, 2, "v"), ""},
+		{"a", part(3, 0, 3, "x"), ""}, {"a", part(3, 2, 3, "z"), ""}, {"a", part(3, 1, 3, "y"), ""}, // out of order
+		{"a", part(4, 0, mostParts+1, "x"), ""}, {"a", []byte{packetPart, 1}, ""}, {"a", nil, ""}, {"a", []byte{9, 9}, ""},
+		{"a", part(5, 0, 2, "x"), ""}, {"a", part(6, 0, 2, "x"), ""}, {"a", part(7, 0, 2, "x"), ""}, {"a", part(8, 0, 2, "x"), ""},
+		{"a", part(9, 0, 2, "x"), ""}, {"a", part(5, 1, 2, "y"), ""}, {"a", part(9, 1, 2, "y"), "xy"}, // the oldest gave way
+	} {
+		got, ok := h.join(c.from, c.raw)
+		if ok != (c.want != "") || ok && !bytes.Equal(got, []byte(c.want)) {
+			t.Errorf("%d: %q %v, want %q", i, got, ok, c.want)
+		}
+	}
+}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -64,10 +64,14 @@
 	"internal/lab/members": {
 		"internal/lab/report", "internal/membership", "internal/protocol/members", "internal/protocol/sealed", "internal/rig",
 	},
+	"internal/lab/copies": {
+		"api/copies", "internal/copies", "internal/holders", "internal/lab/report", "internal/protocol/sealed", "internal/rig", "internal/store", "internal/streams",
+		"internal/transport",
+	},
 	"internal/lab/failover": {"internal/lab/report", "internal/rig", "internal/standin"},
 	"internal/lab/chaos":    {"internal/lab/report", "internal/rig"},
 	"internal/lab/demo":     {"internal/rig"},
-	"cmd/marblelab":         {"internal/lab/chaos", "internal/lab/demo", "internal/lab/failover", "internal/lab/members", "internal/rig"},
+	"cmd/marblelab":         {"internal/lab/chaos", "internal/lab/copies", "internal/lab/demo", "internal/lab/failover", "internal/lab/members", "internal/rig"},
 	"cmd/marblespan":        {"internal/cli"},
 	"cmd/marblespan-holder": {"internal/cli", "internal/withcopies"},
 	"cmd/simhost":           {"internal/simhost"},
--- a/internal/rig/copies_test.go
+++ b/internal/rig/copies_test.go
@@ -137,6 +137,7 @@
 			}
 			return down(f, n, "kill", func() error { return nil })
 		}},
+		{"46 % of nine are killed", false, false, play("at 0s kill 1,2,3,4 for 1s")},
 		{"all are killed at once", false, false, play("at 0s kill all for 100ms")},
 		{"all are killed at once, with their disks", false, true, func(f *Fleet) error {
 			if err := during(f, "at 0s kill all", func() error {
@@ -202,6 +203,9 @@
 			defer func() { <-room }()
 			o := options()
 			o.Nodes, o.Dir, o.Copies = 5, t.TempDir(), DefaultCopies()
+			if strings.Contains(c.name, "nine") {
+				o.Nodes = 9
+			}
 			o.Copies.Memory = c.memory
 			var history bytes.Buffer
 			o.History = &history
