A start knows the store that its disk tells of from the beginning

Reads of sessions were taken to be without a store until the first pass of the goroutine, and went to the primary: strict, and for nothing.

--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -127,6 +127,7 @@
 		h.closeDisk()
 		return nil, err
 	}
+	h.shards.Store(int64(h.host.Shards()))
 	x.Handle(streams.Copies, h.heard)
 	h.done.Add(3)
 	go h.run()
