--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -181,7 +181,8 @@
 	Value    []byte
 	Position uint64
 	Found    bool
-	// Lost tells that a record that is not found may have been there, and lost: nobody may take it for one that never was.
+	// Lost tells that a record that is not found may have been there, and lost: nobody may take it for one that never was. A number
+	// that is found may have been higher.
 	Lost bool
 }
 
--- a/internal/copies/records.go
+++ b/internal/copies/records.go
@@ -224,9 +224,12 @@
 // get reads a record.
 func (s *shard) get(key []byte) *api.Reply {
 	out := &api.Reply{Time: int64(s.now)}
-	if r, there := s.records[string(key)]; there {
+	r, there := s.records[string(key)]
+	if there {
 		out.Found, out.Value, out.Version, out.Position = true, r.value, r.version, r.position
-	} else if s.anew || s.lost > 0 && s.now-s.lost < MostSpan {
+	}
+	// Of a number that was raised since, nobody knows whether it had been higher.
+	if (!there || r.mark) && (s.anew || s.lost > 0 && s.now-s.lost < MostSpan) {
 		out.Lost = int64(max(s.lost, 1))
 	}
 	return out
