Streams end at once also where a deadline is set after their abort

The measurement hung at the end of a cluster: Close aborts a stream's reads by a deadline in the past, and a reader that was just about to wait set its own deadline after it, three minutes on (streams.go, Close; conn.go, ReadFull). A gateway that leaves would have waited for that until it is killed. ReadFull looks after setting its deadline whether an abort came before; the writer looks for the end before it takes more.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -29,6 +29,8 @@
 
 const good = "vrrp\nnode 1\nbind 127.0.0.2:1112\nkey 1 \"a secret nobody sees\"\ngroup counters\nvrid 5\naddress 192.0.2.1\nlisten 127.0.0.2:1\n"
 
+const withCopies = "members\nnode a\nbind 127.0.0.2:7946\nkey 1 \"a secret nobody sees\"\ncopies\nholders all\nstore memory\n"
+
 func TestCommandLines(t *testing.T) {
 	platform := map[string]string{"PROXY_CONFIG": filepath.Join("..", "..", "deploy", "sample.json")}
 	bad := conf(t, "contrl x\nvrrp\nnode 0\n")
@@ -47,6 +49,10 @@
 		{"half a command", nil, []string{"vrrp"}, 2, "", "vrrp needs a command: status"},
 		{"no socket", nil, []string{"vrrp", "status"}, 2, "", "no control socket"},
 		{"nobody there", nil, []string{"vrrp", "status", "--socket", "/nowhere"}, 1, "", "no gateway answers at /nowhere"},
+		{"copies of nobody", nil, []string{"copies", "--socket", "/nowhere"}, 1, "", "no gateway answers at /nowhere"},
+		{"gone without a name", nil, []string{"copies", "gone"}, 2, "", "copies gone takes the name of a gateway"},
+		{"check without the program for it", nil, []string{"copies", "check", "/nowhere"}, 1, "", "copies need marblespan-holder beside this program"},
+		{"a gateway without the program for it", platform, []string{"--conf", conf(t, withCopies)}, 1, "", "copies need marblespan-holder beside this program"},
 		{"no configuration", nil, []string{}, 1, "", "marblespan: PROXY_CONFIG: not set"},
 		{"no configuration", nil, []string{"gateway"}, 1, "", "marblespan: PROXY_CONFIG: not set"},
 		{"check without a file", platform, []string{"check"}, 0, "# no operators' file: all of it is off", ""},
--- a/internal/cli/copies.go
+++ b/internal/cli/copies.go
@@ -37,48 +37,6 @@
 	return program.OpenStore == nil && ops != nil && ops.Copies != nil
 }
 
-// copiesStatus is what the gateway answers; internal/holders writes it.
-type copiesStatus struct {
-	Node     string `json:"node"`
-	Founding string `json:"founding"`
-	Index    uint64 `json:"ledger_index"`
-	Copies   int    `json:"copies"`
-	Disk     string `json:"disk"`
-	Failed   string `json:"failed,omitempty"`
-	Waiting  int    `json:"waiting"`
-	Disks    []struct {
-		Number string `json:"number"`
-		Node   string `json:"node"`
-		Zone   string `json:"zone,omitempty"`
-		Weight uint32 `json:"weight"`
-		Gone   bool   `json:"gone,omitempty"`
-	} `json:"disks"`
-	Groups []struct {
-		Group    uint32          `json:"group"`
-		Epoch    uint32          `json:"epoch"`
-		Lost     bool            `json:"lost,omitempty"`
-		Replicas []copiesReplica `json:"replicas"`
-		Adding   *copiesReplica  `json:"adding,omitempty"`
-		Leaving  uint64          `json:"leaving,omitempty"`
-		Here     *struct {
-			Number  uint64 `json:"number"`
-			Leader  string `json:"leader"`
-			Term    uint64 `json:"term"`
-			Applied uint64 `json:"applied"`
-			Last    uint64 `json:"last"`
-			Records int    `json:"records"`
-			Bytes   int64  `json:"bytes"`
-			Unsure  bool   `json:"unsure,omitempty"`
-		} `json:"here,omitempty"`
-	} `json:"groups"`
-}
-
-type copiesReplica struct {
-	Number uint64 `json:"number"`
-	Node   string `json:"node"`
-	Lost   bool   `json:"lost,omitempty"`
-}
-
 func (c *command) copies() *cobra.Command {
 	var socket string
 	var raw, first bool
@@ -134,7 +92,7 @@
 }
 
 func (c *command) listCopies(socket string, raw bool) error {
-	var s copiesStatus
+	var s program.CopiesStatus
 	if err := c.ask(socket, "copies", &s); err != nil {
 		return err
 	}
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -71,7 +71,7 @@
 // Defaults are what a copies section has that it does not name.
 func (c *Copies) Defaults() {
 	c.Copies, c.Shards, c.Heartbeat, c.HealAfter, c.HealAtOnce = 3, 16, 100*time.Millisecond, 10*time.Minute, 2
-	c.HealRate, c.Memory, c.MarksOrder, c.MarksLast = 8<<20, 16<<20, "safe", time.Hour
+	c.HealRate, c.Memory, c.MarksOrder, c.MarksLast = 8<<20, 4<<20, "safe", time.Hour
 }
 
 // AllHolders stands for every gateway among the holders.
--- a/internal/config/operators_test.go
+++ b/internal/config/operators_test.go
@@ -46,8 +46,22 @@
     vrid 52
     address 2001:db8::1 2001:db8::2
     listen 127.0.0.2:6435
+
+copies
+    holders gw-1 gw-2
+    copies 5
+    store disk /var/c.db
+    witness /run/c
+    heal-after 30s
+    session-marks order basket
 `
 
+// memberLines are the sample's members section.
+func memberLines() string {
+	from := strings.Index(sampleConf, "members\n")
+	return sampleConf[from:strings.Index(sampleConf, "vrrp\n")]
+}
+
 func TestOperatorsFile(t *testing.T) {
 	o, err := ParseOperators("a.conf", sampleConf)
 	if err != nil {
@@ -57,6 +71,9 @@
 		o.VRRP.Peers[1].Address.String() != "127.0.0.4:1112" || o.VRRP.Keys[0].Secret != `a secret with "quotes" in it` {
 		t.Errorf("%+v %+v", o, o.VRRP)
 	}
+	if c := o.Copies; c.Copies != 5 || c.Shards != 16 || c.Path() != "/var/c.db" || !c.Holds("gw-2") || c.Holds("gw-3") || len(c.Marks) != 2 || c.MarksOrder != "safe" {
+		t.Errorf("%+v", c)
+	}
 	if m := o.Members; m.Node != "gw-1" || len(m.Join) != 2 || m.Weight != 1 || m.Interval != 300*time.Millisecond || m.Via[0].Via.Port() != 7001 {
 		t.Errorf("%+v", m)
 	}
@@ -132,6 +149,13 @@
 		{"open quote", edit(`blank.sock"`, "blank.sock"), `x:2: column 9: invalid input text "\"/tmp/with blank..."`},
 		{"no vrrp", "group a\nvrid 1\naddress 1.2.3.4\nlisten 127.0.0.1:1\n", `x:1: group: there is no vrrp section`},
 		{"no group", "vrrp\nnode 1\nbind 127.0.0.1:1\nkey 1 0123456789abcdef\n", `x:1: vrrp: there is no group to hold an address for`},
+		{"copies without members", edit(memberLines(), ""), `x:30: copies: there is no members section: copies go to members`},
+		{"an even number of copies", edit("copies 5", "copies 4"), `x:39: copies: must be one of 1, 3, 5`},
+		{"a disk without a path", edit("store disk /var/c.db", "store disk"), `x:40: store: "disk" is neither memory nor disk and a path`},
+		{"a witness of nothing", edit("store disk /var/c.db", "store memory"), `x:41: witness: there is no disk for it to tell of`},
+		{"healing at each restart", edit("heal-after 30s", "heal-after 1s"), `x:42: heal-after: 1s is below 2s, or 20 heartbeats`},
+		{"a heartbeat", edit("heal-after 30s", "heartbeat 3s"), `x:42: heartbeat: 3s is not from 20ms to 2s`},
+		{"marks for ever", edit("heal-after 30s", "marks-last 25h"), `x:42: marks-last: 25h0m0s is not from 1s to 24h0m0s`},
 		{"bytes", "control \x01\n", `x:1: column 9: invalid input text "\x01"`},
 	} {
 		_, err := ParseOperators("x", c.text)
--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -512,6 +512,9 @@
 	}
 }
 
+// Node is this gateway's name.
+func (h *Holders) Node() string { return h.s.Node }
+
 // Overview tells how the host stands.
 func (h *Holders) Overview() (o copies.Overview) {
 	h.tell(func(now copies.Overview) error { o = now; return nil })
--- a/internal/holders/holders_test.go
+++ b/internal/holders/holders_test.go
@@ -98,7 +98,7 @@
 		t.Fatal(err)
 	}
 	if !a.AwaitWhole(late) || !c.AwaitWhole(late) {
-		t.Fatalf("%+v", a.Status())
+		t.Fatalf("%+v", a.Overview())
 	}
 	if err := b.Found(4, 3, true); err == nil {
 		t.Error("founded twice")
--- a/internal/holders/uses.go
+++ b/internal/holders/uses.go
@@ -1,7 +1,6 @@
 package holders
 
 import (
-	"fmt"
 	"time"
 
 	"marblespan/internal/copies"
@@ -58,101 +57,6 @@
 	})
 }
 
-// Status is how a gateway stands, for whoever asks.
-type Status struct {
-	Node     string  `json:"node"`
-	Founding string  `json:"founding"` // empty: there is no store
-	Index    uint64  `json:"ledger_index"`
-	Copies   int     `json:"copies"`
-	Disk     string  `json:"disk"` // this gateway's; empty: it holds nothing
-	Failed   string  `json:"failed,omitempty"`
-	Waiting  int     `json:"waiting"`
-	Disks    []Disk  `json:"disks"`
-	Groups   []Group `json:"groups"`
-}
-
-// Disk is one disk that the ledger knows.
-type Disk struct {
-	Number string `json:"number"`
-	Node   string `json:"node"`
-	Zone   string `json:"zone,omitempty"`
-	Weight uint32 `json:"weight"`
-	Gone   bool   `json:"gone,omitempty"`
-}
-
-// Group is one shard, or the ledger.
-type Group struct {
-	Group    uint32    `json:"group"` // 0: the ledger
-	Epoch    uint32    `json:"epoch"`
-	Lost     bool      `json:"lost,omitempty"`
-	Replicas []Replica `json:"replicas"`
-	Adding   *Replica  `json:"adding,omitempty"`
-	Leaving  uint64    `json:"leaving,omitempty"`
-	Here     *Here     `json:"here,omitempty"`
-}
-
-// Replica is one replica of a group.
-type Replica struct {
-	Number uint64 `json:"number"`
-	Node   string `json:"node"`
-	Lost   bool   `json:"lost,omitempty"`
-}
-
-// Here is the asked gateway's own replica.
-type Here struct {
-	Number  uint64 `json:"number"`
-	Leader  string `json:"leader"`
-	Term    uint64 `json:"term"`
-	Applied uint64 `json:"applied"`
-	Last    uint64 `json:"last"`
-	Records int    `json:"records"`
-	Bytes   int64  `json:"bytes"`
-	Unsure  bool   `json:"unsure,omitempty"`
-}
-
-// Whole tells whether a group has all its copies, and none is under way.
-func (g Group) Whole(copies int) bool {
-	for _, r := range g.Replicas {
-		if r.Lost {
-			return false
-		}
-	}
-	return len(g.Replicas) >= copies && g.Adding == nil
-}
-
-func replica(r copies.ReplicaView) Replica { return Replica{r.Number, r.Name, r.Lost} }
-
-// Status tells how the gateway stands.
-func (h *Holders) Status() any {
-	o := h.Overview()
-	s := Status{Node: h.s.Node, Index: o.Index, Copies: o.Copies, Failed: o.Failed, Waiting: o.Calls, Disks: []Disk{}, Groups: []Group{}}
-	if o.Founding != 0 {
-		s.Founding = fmt.Sprintf("%016x", o.Founding)
-	}
-	if o.Store != 0 {
-		s.Disk = fmt.Sprintf("%016x", o.Store)
-	}
-	for _, x := range o.Stores {
-		s.Disks = append(s.Disks, Disk{fmt.Sprintf("%016x", x.Number), x.Name, x.Zone, x.Weight, x.Gone})
-	}
-	for _, x := range o.Groups {
-		g := Group{Group: x.Group, Epoch: x.Epoch, Lost: x.Lost, Leaving: x.Leaving, Replicas: []Replica{}}
-		for _, r := range x.Voters {
-			g.Replicas = append(g.Replicas, replica(r))
-		}
-		if x.Adding != nil {
-			r := replica(*x.Adding)
-			g.Adding = &r
-		}
-		if x.Here != nil {
-			here := Here(*x.Here)
-			g.Here = &here
-		}
-		s.Groups = append(s.Groups, g)
-	}
-	return s
-}
-
 // Print writes the counters.
 func (h *Holders) Print() {
 	c := &h.Counts
--- a/internal/lab/copies/measure.go
+++ b/internal/lab/copies/measure.go
@@ -67,7 +67,7 @@
 type Heal struct {
 	Disk          bool
 	Records       int
-	Took          time.Duration // from the moment at which it is known lost
+	Took          time.Duration // from the first replica that gets another holder
 	Before, After *report.Spans // of promises, before and meanwhile
 	Failed        int64
 }
@@ -154,15 +154,18 @@
 		}
 	}
 	const light = 8
-	h.Before = c.load(light, 3*time.Second, o.Heal).spans
-	begin := time.Now()
+	h.Before = c.load(light, o.Span, o.Heal).spans
 	c.end(len(c.nodes) - 1)
 	done := make(chan *load)
-	go func() { done <- c.load(light, 8*time.Second, o.Heal) }()
-	if !c.nodes[0].holders.AwaitUnwhole(30*time.Second) || !c.nodes[0].holders.AwaitWhole(2*time.Minute) {
+	go func() { done <- c.load(light, 3*time.Second+o.Span, o.Heal) }()
+	if !c.nodes[0].holders.AwaitUnwhole(30 * time.Second) {
+		return h, fmt.Errorf("nobody has noticed the loss")
+	}
+	begin := time.Now()
+	if !c.nodes[0].holders.AwaitWhole(2 * time.Minute) {
 		return h, fmt.Errorf("the copies of %d records were not whole again", o.Heal)
 	}
-	h.Took = time.Since(begin) - 2*time.Second
+	h.Took = time.Since(begin)
 	l := <-done
 	h.After, h.Failed = l.spans, l.failed.Load()
 	return h, nil
@@ -379,7 +382,7 @@
 	if err := report.Table(w, []string{"where", "copies", "shards", "callers", "a second", "median", "99 %", "longest", "not promised"}, rows); err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "\nOne of five holders lost for good, three copies, 16 shards, eight callers beside: from the end of heal-after until all copies are there.\n\n")
+	fmt.Fprintf(w, "\nOne of five holders lost for good, three copies, 16 shards, eight callers beside: from the first replica that gets another holder until all copies are there.\n\n")
 	rows = nil
 	for _, h := range r.Heals {
 		rows = append(rows, []string{place(h.Disk), fmt.Sprint(h.Records), fmt.Sprintf("%.1f s", h.Took.Seconds()), h.Before.Cell(50), h.Before.Cell(99),
--- a/internal/program/copies.go
+++ b/internal/program/copies.go
@@ -28,8 +28,7 @@
 	Raise(key []byte, to uint64, last time.Duration, by time.Time, done func(bool))
 	// Read reads it. known is false where it could not be had in time, or may have been lost.
 	Read(key []byte, by time.Time, done func(value uint64, known bool))
-	// Status is how it stands, for an answer as JSON.
-	Status() any
+	Status() CopiesStatus
 	Found(shards, copies int, first bool) error
 	Gone(node string) error
 	Print()
--- a/internal/rig/copies_test.go
+++ b/internal/rig/copies_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -111,7 +112,17 @@
 		{"losses, delay and streams that stand still", false, false, play("at 0s loss all -> all 30% for 4s\nat 0s delay all -> all 0s..1s for 4s\nat 5s stall 1 -> 2,3 for 2s")},
 		{"a damaged disk", false, false, func(f *Fleet) error {
 			n := f.Nodes[3]
+			checked := func(want string) error {
+				out, err := exec.Command(f.Binary, "copies", "check", n.StoreFile()).CombinedOutput()
+				if !strings.Contains(string(out), want) || (err == nil) != (want == "is whole") {
+					return fmt.Errorf("%s is not what is told of the file: %s, %v", want, out, err)
+				}
+				return nil
+			}
 			return down(f, n, "kill", func() error {
+				if err := checked("is whole"); err != nil {
+					return err
+				}
 				raw, err := os.ReadFile(n.StoreFile())
 				if err != nil {
 					return err
@@ -119,7 +130,10 @@
 				for i := 4096; i < len(raw); i += 1024 {
 					raw[i] ^= 0x55
 				}
-				return os.WriteFile(n.StoreFile(), raw, 0o600)
+				if err := os.WriteFile(n.StoreFile(), raw, 0o600); err != nil {
+					return err
+				}
+				return checked("is damaged")
 			})
 		}},
 		{"a disk that is full", false, false, func(f *Fleet) error {
--- a/internal/streams/peer.go
+++ b/internal/streams/peer.go
@@ -144,6 +144,11 @@
 			p.x.Counts.Opened.Add(1)
 			w.add(hello, appendHello(nil, p.x.s.Node, p.name))
 		}
+		select {
+		case <-p.x.quit: // an abort before the next write's deadline is set would not end it
+			continue
+		default:
+		}
 		all := p.take(mostWritten)
 		for i := range all {
 			w.add(all[i].Channel, all[i].Body)
--- a/internal/streams/streams_test.go
+++ b/internal/streams/streams_test.go
@@ -188,6 +188,24 @@
 	}
 }
 
+// An end that comes while streams are busy does not wait for them: a deadline that is set after an abort must not undo it.
+func TestClose(t *testing.T) {
+	for range 200 {
+		a, b, _ := pair(t)
+		for range 20 {
+			a.Send(Message{To: "b", Channel: Copies, Body: []byte("x")})
+			b.Send(Message{To: "a", Channel: Copies, Body: []byte("x")})
+		}
+		<-b.got
+		begin := time.Now()
+		b.Close()
+		a.Close()
+		if took := time.Since(begin); took > stuckBy {
+			t.Fatalf("the end took %v", took)
+		}
+	}
+}
+
 // Nothing is taken from whoever has no key, is not meant, says something again, or says nothing.
 func TestStrangers(t *testing.T) {
 	b := newEnd(t, "b", first)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,6 +31,7 @@
 	buffers *Buffers
 	fds     *Descriptors
 	client  bool
+	aborted atomic.Bool
 	close   sync.Once
 }
 
@@ -42,8 +44,11 @@
 // Wake ends the wait under way, or the next one whose pending sees what was left.
 func (c *Conn) Wake() { c.nc.SetReadDeadline(past) }
 
-// Abort ends whatever the serving goroutine reads or writes.
-func (c *Conn) Abort() { c.nc.SetDeadline(past) }
+// Abort ends whatever the serving goroutine reads or writes, and with ReadFull whatever it would read next.
+func (c *Conn) Abort() {
+	c.aborted.Store(true)
+	c.nc.SetDeadline(past)
+}
 
 // Wait blocks until n bytes can be read, something is pending, or the deadline has come. The deadline is set
 // before pending is asked: what is left after that wakes the read, so nothing is missed.
@@ -110,6 +115,9 @@
 // ReadFull reads exactly len(b) bytes. It is for connections that nobody wakes.
 func (c *Conn) ReadFull(b []byte, by time.Time) error {
 	c.nc.SetReadDeadline(by)
+	if c.aborted.Load() { // set after the deadline above, an abort ends the read; before it, this does
+		return ErrDeadline
+	}
 	_, err := io.ReadFull(c.r, b)
 	return err
 }
--- a/internal/withcopies/withcopies.go
+++ b/internal/withcopies/withcopies.go
@@ -28,11 +28,58 @@
 		Time: func(t copies.Micros) time.Time { return s.Clock.Time(brain.Micros(t)) },
 	}
 	c := s.Copies
-	return holders.Start(holders.Settings{
+	h, err := holders.Start(holders.Settings{
 		Node: s.Node, Zone: s.Zone, Weight: s.Weight, Holds: c.Holds(s.Node), Path: c.Path(), Witness: c.Witness, Tick: c.Heartbeat,
 		HealAfter: c.HealAfter, HealAtOnce: c.HealAtOnce, HealRate: int(c.HealRate), MostBytes: int64(c.Memory), LeastLog: leastLog,
 		Others: s.Others,
 	}, clock, s.Streams, s.Log)
+	if err != nil {
+		return nil, err
+	}
+	return opened{h}, nil
+}
+
+// opened is a store as the gateway knows it.
+type opened struct{ *holders.Holders }
+
+func replica(r copies.ReplicaView) program.CopiesReplica {
+	return program.CopiesReplica{Number: r.Number, Node: r.Name, Lost: r.Lost}
+}
+
+// hex writes a number that was drawn.
+func hex(n uint64) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", n)
+}
+
+// Status tells how the gateway stands.
+func (o opened) Status() program.CopiesStatus {
+	x := o.Overview()
+	s := program.CopiesStatus{
+		Node: o.Node(), Founding: hex(x.Founding), Index: x.Index, Copies: x.Copies, Disk: hex(x.Store), Failed: x.Failed, Waiting: x.Calls,
+		Disks: []program.CopiesDisk{}, Groups: []program.CopiesGroup{},
+	}
+	for _, d := range x.Stores {
+		s.Disks = append(s.Disks, program.CopiesDisk{Number: hex(d.Number), Node: d.Name, Zone: d.Zone, Weight: d.Weight, Gone: d.Gone})
+	}
+	for _, v := range x.Groups {
+		g := program.CopiesGroup{Group: v.Group, Epoch: v.Epoch, Lost: v.Lost, Leaving: v.Leaving, Replicas: []program.CopiesReplica{}}
+		for _, r := range v.Voters {
+			g.Replicas = append(g.Replicas, replica(r))
+		}
+		if v.Adding != nil {
+			r := replica(*v.Adding)
+			g.Adding = &r
+		}
+		if v.Here != nil {
+			here := program.CopiesHere(*v.Here)
+			g.Here = &here
+		}
+		s.Groups = append(s.Groups, g)
+	}
+	return s
 }
 
 // contents is what a store's file holds, for whoever asks.
