--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -90,7 +90,8 @@
 	parts   atomic.Uint32
 
 	shards   atomic.Int64 // of the store; 0: there is none, as far as is known
-	failedAt atomic.Int64 // when a promise was last not had, microseconds of Unix time; 0: the last one was
+	// failedAt is when a shard's promise was last not had, microseconds of Unix time; 0: the last one was.
+	failedAt [copies.MostShards + 1]atomic.Int64
 
 	mu      sync.Mutex
 	partial map[string][]*partial // by sender
--- a/internal/holders/holders_test.go
+++ b/internal/holders/holders_test.go
@@ -85,7 +85,7 @@
 func TestHolders(t *testing.T) {
 	f, dir := &fleet{routes: map[string]string{}}, t.TempDir()
 	a, b, c := f.start(t, dir, "a"), f.start(t, dir, "b"), f.start(t, dir, "c")
-	if a.Able() {
+	if a.Able([]byte("x")) {
 		t.Error("able without a store")
 	}
 	if _, known := read(t, b, "x"); known {
@@ -115,6 +115,14 @@
 	if v, known := read(t, b, "nobody's"); !known || v != 0 {
 		t.Errorf("what never was: %d %v", v, known)
 	}
+	full := make(chan bool, 1)
+	b.Raise(bytes.Repeat([]byte("x"), copies.MostKey+1), 1, time.Hour, time.Now().Add(late), func(ok bool) { full <- ok })
+	if <-full {
+		t.Error("a key that is too long is promised")
+	}
+	if !b.Able([]byte("session 1")) {
+		t.Error("not able, though all was promised")
+	}
 	a.Leave()
 	for _, g := range a.Overview().Groups {
 		if g.Here != nil && g.Here.Leader == "a" {
--- a/internal/holders/uses.go
+++ b/internal/holders/uses.go
@@ -11,23 +11,24 @@
 // tryAgain is how long a store that does not answer is left alone before one call tries it again.
 const tryAgain = 500 * time.Millisecond
 
-// Able tells whether a promise is likely to be had now: the last one was, or it is time to try again.
-func (h *Holders) Able() bool {
-	if h.shards.Load() == 0 {
+// Able tells whether a promise is likely to be had now for a key: the last one of its shard was, or it is time to try again.
+func (h *Holders) Able(key []byte) bool {
+	shards := int(h.shards.Load())
+	if shards == 0 {
 		return false
 	}
-	last := h.failedAt.Load()
-	now := time.Now().UnixMicro()
-	return last == 0 || now-last > tryAgain.Microseconds() && h.failedAt.CompareAndSwap(last, now)
+	at := &h.failedAt[copies.ShardOf(key, shards)]
+	last, now := at.Load(), time.Now().UnixMicro()
+	return last == 0 || now-last > tryAgain.Microseconds() && at.CompareAndSwap(last, now)
 }
 
-// note keeps whether promises are to be had.
-func (h *Holders) note(a copies.Answer) {
+// note keeps whether promises of a shard are to be had.
+func (h *Holders) note(shard uint32, a copies.Answer) {
+	at := int64(0)
 	if a.Status == copies.TooLate || a.Status == copies.NotSent || a.Status == copies.Full {
-		h.failedAt.Store(time.Now().UnixMicro())
-	} else {
-		h.failedAt.Store(0)
+		at = time.Now().UnixMicro()
 	}
+	h.failedAt[shard].Store(at)
 }
 
 // Raise promises that a number is at least so high.
@@ -37,10 +38,11 @@
 		done(false)
 		return
 	}
-	h.Ask(copies.Ask{Shard: copies.ShardOf(key, shards), Command: &api.Command{Mark: &api.Mark{
+	shard := copies.ShardOf(key, shards)
+	h.Ask(copies.Ask{Shard: shard, Command: &api.Command{Mark: &api.Mark{
 		Key: key, Position: to, Span: int64(last / time.Microsecond),
 	}}}, by, func(a copies.Answer) {
-		h.note(a)
+		h.note(shard, a)
 		done(a.Status == copies.OK)
 	})
 }
--- a/internal/program/copies.go
+++ b/internal/program/copies.go
@@ -22,8 +22,8 @@
 // Store is what a gateway holds for others, and its way to what others hold (internal/holders). It stands in a program of its
 // own, for what it links costs memory that a gateway without it must not pay: OpenStore is nil in the smaller one.
 type Store interface {
-	// Able tells whether a promise is likely to be had now.
-	Able() bool
+	// Able tells whether a promise is likely to be had now for a key.
+	Able(key []byte) bool
 	// Raise promises that a number is at least so high. done is told whether it is, and must not wait.
 	Raise(key []byte, to uint64, last time.Duration, by time.Time, done func(bool))
 	// Read reads it. known is false where it could not be had in time, or may have been lost.
@@ -80,10 +80,10 @@
 // Concerns tells whether a class's sessions are kept.
 func (m *marks) Concerns(class string) bool { return m.classes[class] }
 
-// Able tells whether a mark is likely to be promised now. Where answers do not wait for it, it need not be.
-func (m *marks) Able() bool {
+// Able tells whether a session's mark is likely to be promised now. Where answers do not wait for it, it need not be.
+func (m *marks) Able(group int, session uint64) bool {
 	s := m.store.Load()
-	return m.fast || s != nil && (*s).Able()
+	return m.fast || s != nil && (*s).Able(markKey(group, session))
 }
 
 // markKey names a session of a group.
--- a/internal/rig/copies.go
+++ b/internal/rig/copies.go
@@ -157,6 +157,29 @@
 	return ""
 }
 
+// mend restarts the gateways whose disks have failed, as an operator does once the disk is well again.
+func (f *Fleet) mend() error {
+	if f.Options.Copies == nil {
+		return nil
+	}
+	for _, n := range f.Nodes {
+		if v, err := n.Copies(); err != nil || v.Failed == "" {
+			continue
+		}
+		x := Fault{Verb: "term", From: []int{n.Number}}
+		f.History.Add(Event{Kind: Begins, What: x.String()})
+		undo, err := f.Begin(x)
+		if err == nil {
+			err = undo()
+		}
+		if err != nil {
+			return err
+		}
+		f.History.Add(Event{Kind: Ends, What: x.String()})
+	}
+	return f.AwaitReady(settleBy)
+}
+
 // AwaitWhole waits until all copies are there.
 func (f *Fleet) AwaitWhole(bound time.Duration) error {
 	for late := time.Now().Add(bound); ; time.Sleep(50 * time.Millisecond) {
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -195,6 +195,9 @@
 	if err := f.AwaitReady(settleBy); err != nil {
 		return err
 	}
+	if err := f.mend(); err != nil {
+		return err
+	}
 	if err := f.AwaitHolder(f.first(), settleBy); err != nil {
 		return err
 	}
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -33,8 +33,8 @@
 type Marks interface {
 	// Concerns tells whether a class's sessions are kept.
 	Concerns(class string) bool
-	// Able tells whether a mark is likely to be promised now.
-	Able() bool
+	// Able tells whether a session's mark is likely to be promised now.
+	Able(group int, session uint64) bool
 	// Promise keeps a commit. done is told whether it is kept.
 	Promise(group int, session uint64, position brain.Position, by time.Time, done func(bool))
 	// Needed tells the position that a session's read must see; 0: none.
@@ -291,7 +291,7 @@
 	}
 	patience := time.Duration(st.Wait) * time.Millisecond
 	if st.Write {
-		if !c.all.Marks.Able() {
+		if !c.all.Marks.Able(arrival.Group, arrival.Session) {
 			text.Free()
 			c.all.Buffers.Release(reserve)
 			c.all.Counts.Unmarked.Add(1)
