--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -89,7 +89,7 @@
 	next    uint64
 	parts   atomic.Uint32
 
-	shards   atomic.Int64 // of the store; 0: there is none, as far as is known
+	shards atomic.Int64 // of the store; 0: there is none, as far as is known
 	// failedAt is when a shard's promise was last not had, microseconds of Unix time; 0: the last one was.
 	failedAt [copies.MostShards + 1]atomic.Int64
 
