A gateway's own line in 'marblespan members' tells how long its life has lasted

It showed the age of the clock, 56 years, for the machine's view of itself had no beginning (machine.go, Members). Seen with one gateway by hand; TestPeers fails without it.

--- a/internal/membership/hear.go
+++ b/internal/membership/hear.go
@@ -337,7 +337,7 @@
 
 // newLife goes on in another life: the last one is over for the others, for good.
 func (m *Machine) newLife(life uint64, why Noticed) {
-	m.self.Life, m.self.Incarnation = life, 0
+	m.self.Life, m.self.Incarnation, m.begun = life, 0, m.seen
 	for i := range m.members {
 		e := &m.members[i]
 		e.cut, e.misses = Cut{}, 0
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -83,6 +83,7 @@
 	rng     uint64
 
 	seen      Micros // last time anything was handled
+	begun     Micros // start of its present life
 	running   bool
 	out       bool // another has its name
 	leaving   int  // rounds left; 0: it does not leave
@@ -210,7 +211,7 @@
 
 // Members lists how everybody stands, itself first.
 func (m *Machine) Members() []View {
-	all := []View{{Record: m.self, Self: true, Heard: m.seen}}
+	all := []View{{Record: m.self, Self: true, Since: m.begun, Heard: m.seen}}
 	for i := range m.members {
 		e := &m.members[i]
 		v := View{Record: e.Record, Since: e.since, Heard: e.heard, RTT: e.rtt, Reached: e.reached}
@@ -319,7 +320,7 @@
 	switch e := ev.(type) {
 	case Startup:
 		if !m.running {
-			m.running = true
+			m.running, m.begun = true, now
 			m.nextProbe, m.nextNews, m.nextAsk = now, now, now
 		}
 	case Leave:
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -15,6 +15,9 @@
 	"marblespan/internal/protocol/sealed"
 )
 
+// hour is what the clock shows when a member starts.
+const hour membership.Micros = 3_600_000_000
+
 var key = sealed.Key{Number: 1, Secret: []byte("a secret of sixteen or more")}
 
 // member starts one on loopback. changes get every change of its view.
@@ -22,8 +25,8 @@
 	t.Helper()
 	begin := time.Now()
 	clock := Clock{
-		Now:  func() membership.Micros { return membership.Micros(time.Since(begin).Microseconds()) + 1 },
-		Time: func(m membership.Micros) time.Time { return begin.Add(time.Duration(m-1) * time.Microsecond) },
+		Now:  func() membership.Micros { return membership.Micros(time.Since(begin).Microseconds()) + hour },
+		Time: func(m membership.Micros) time.Time { return begin.Add(time.Duration(m-hour) * time.Microsecond) },
 	}
 	changes := make(chan membership.Changed, 256)
 	p, err := Start(Settings{
@@ -66,7 +69,7 @@
 	}
 	raw, err := json.Marshal(c.Status())
 	var s Status
-	if err != nil || json.Unmarshal(raw, &s) != nil || len(s.Members) != 3 || !s.Members[0].Self || s.Members[1].Name != "a" || s.Members[2].Differs {
+	if err != nil || json.Unmarshal(raw, &s) != nil || len(s.Members) != 3 || !s.Members[0].Self || s.Members[0].ForMS > 60_000 || s.Members[1].Name != "a" || s.Members[2].Differs {
 		t.Errorf("%v %s", err, raw)
 	}
 	stranger, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(a.Addr()))
