Calls under way are counted by their sequences, not looked through for each call

Every command looked through all calls of its gateway for the first sequence still waited for: thousands squared where thousands wait. The sequences under way stand in a set now, and the first one only moves on. Also gone: a method that only called another one.

--- a/internal/copies/host.go
+++ b/internal/copies/host.go
@@ -54,7 +54,8 @@
 	calls    map[uint64]*call
 	nextCall uint64
 	sequence uint64
-	doneUpTo uint64
+	open     map[uint64]bool // the sequences of calls under way
+	doneUpTo uint64          // no earlier sequence is waited for
 	local    []localCall
 	leads    map[uint32]string // who is asked first for a group
 
@@ -94,7 +95,7 @@
 	h := &Host{
 		cfg: cfg, now: now, holds: cfg.Holds, trusted: trusted, groups: map[uint32]*group{}, peers: map[uint64]uint64{},
 		known: map[Ref]entry{}, calls: map[uint64]*call{}, leads: map[uint32]string{}, news: map[string]uint64{},
-		packets: map[string]*api.Packet{}, nextTick: now, doneUpTo: 1, view: &api.Ledger{},
+		packets: map[string]*api.Packet{}, nextTick: now, open: map[uint64]bool{}, doneUpTo: 1, view: &api.Ledger{},
 	}
 	if s == nil {
 		s = &Stored{}
@@ -188,7 +189,7 @@
 func (h *Host) Flush() []Action {
 	for range 8 { // what is answered here may lead to more; there is always a next time
 		for _, l := range h.local {
-			h.answerLocal(l)
+			h.serve(l.o, l.c)
 		}
 		h.local = nil
 		for _, g := range h.inOrder() {
@@ -810,6 +811,7 @@
 	if a.Command != nil {
 		h.sequence++
 		c.sequence = h.sequence
+		h.open[c.sequence] = true
 		c.command = proto.Clone(a.Command).(*api.Command)
 		c.command.Client, c.command.Sequence = h.cfg.Client, c.sequence
 	}
@@ -854,18 +856,12 @@
 
 // earliest is the first sequence that this gateway still waits for.
 func (h *Host) earliest() uint64 {
-	first := h.sequence
-	for _, c := range h.calls {
-		if c.sequence > 0 {
-			first = min(first, c.sequence)
-		}
+	for h.doneUpTo < h.sequence && !h.open[h.doneUpTo] {
+		h.doneUpTo++
 	}
-	h.doneUpTo = max(h.doneUpTo, first)
 	return h.doneUpTo
 }
 
-func (h *Host) answerLocal(l localCall) { h.serve(l.o, l.c) }
-
 // serve takes in a call at a replica.
 func (h *Host) serve(o origin, c *api.Call) {
 	g := h.groups[c.Group]
@@ -907,19 +903,25 @@
 		return
 	}
 	h.leads[c.ask.Shard] = from
-	delete(h.calls, r.Id)
+	h.over(r.Id, c)
 	h.out = append(h.out, Answer{
 		ID: c.ask.ID, Status: Status(r.Status), Version: r.Version, Value: r.Value, Position: r.Position, Found: r.Found, Lost: r.Lost != 0,
 	})
 }
 
+// over forgets a call.
+func (h *Host) over(id uint64, c *call) {
+	delete(h.calls, id)
+	delete(h.open, c.sequence)
+}
+
 // retry looks after calls that are not answered.
 func (h *Host) retry() {
 	for _, id := range slices.Sorted(maps.Keys(h.calls)) {
 		c := h.calls[id]
 		switch {
 		case h.now >= c.ask.By:
-			delete(h.calls, id)
+			h.over(id, c)
 			status := TooLate
 			if !c.sent {
 				status = NotSent
