The rig tells of a fault that is brought about by hand in one place

The same few lines, begin, history, undo, stood in the tests of members, in those of copies and where failed disks are mended.

--- a/internal/rig/copies.go
+++ b/internal/rig/copies.go
@@ -166,16 +166,13 @@
 		if v, err := n.Copies(); err != nil || v.Failed == "" {
 			continue
 		}
-		x := Fault{Verb: "term", From: []int{n.Number}}
-		f.History.Add(Event{Kind: Begins, What: x.String()})
-		undo, err := f.Begin(x)
+		undo, err := f.inflict(Fault{Verb: "term", From: []int{n.Number}})
 		if err == nil {
 			err = undo()
 		}
 		if err != nil {
 			return err
 		}
-		f.History.Add(Event{Kind: Ends, What: x.String()})
 	}
 	return f.AwaitReady(settleBy)
 }
--- a/internal/rig/copies_test.go
+++ b/internal/rig/copies_test.go
@@ -289,21 +289,12 @@
 
 // during brings a fault about, waits for what must come of it, and puts it right.
 func during(f *Fleet, line string, wait func() error) error {
-	x, err := ParseFault(line)
-	if err != nil {
-		return err
-	}
-	f.History.Add(Event{Kind: Begins, What: x.String()})
-	undo, err := f.Begin(x)
+	undo, err := f.inflict(mustFault(line))
 	if err != nil {
 		return err
 	}
 	if err := wait(); err != nil {
 		return err
 	}
-	if err := undo(); err != nil {
-		return err
-	}
-	f.History.Add(Event{Kind: Ends, What: x.String()})
-	return nil
+	return undo()
 }
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -75,6 +75,16 @@
 	return <-errs
 }
 
+// inflict brings a fault about as Play does, told in the history, and leaves it to its caller to put it right.
+func (f *Fleet) inflict(x Fault) (undo func() error, err error) {
+	f.History.Add(Event{Kind: Begins, What: x.String()})
+	end, err := f.Begin(x)
+	return func() error {
+		defer f.History.Add(Event{Kind: Ends, What: x.String()})
+		return end()
+	}, err
+}
+
 // fits tells whether a fault can be brought about in this fleet.
 func (f *Fleet) fits(x Fault) error {
 	for _, n := range slices.Concat(x.From, x.To) {
--- a/internal/rig/members_test.go
+++ b/internal/rig/members_test.go
@@ -118,30 +118,9 @@
 	if raced {
 		t.Skip("what these processes do, the race detector does not see")
 	}
-	begin := func(f *Fleet, line string) (undo func() error, err error) {
-		x, err := ParseFault(line)
-		if err != nil {
-			return nil, err
-		}
-		f.History.Add(Event{Kind: Begins, What: x.String()})
-		end, err := f.Begin(x)
-		return func() error {
-			defer f.History.Add(Event{Kind: Ends, What: x.String()})
-			return end()
-		}, err
-	}
-	// during brings a fault about, waits for what must come of it, and puts it right.
-	during := func(line string, wait func(f *Fleet) error) func(f *Fleet) error {
-		return func(f *Fleet) error {
-			undo, err := begin(f, line)
-			if err != nil {
-				return err
-			}
-			if err := wait(f); err != nil {
-				return err
-			}
-			return undo()
-		}
+	// amid is a fault, during which something must come about.
+	amid := func(line string, wait func(f *Fleet) error) func(f *Fleet) error {
+		return func(f *Fleet) error { return during(f, line, func() error { return wait(f) }) }
 	}
 	lasts := func(span time.Duration) func(*Fleet) error {
 		return func(*Fleet) error { time.Sleep(span); return nil } // the fault itself takes so long
@@ -151,8 +130,8 @@
 		calm bool
 		do   func(f *Fleet) error
 	}{
-		{"one is killed", false, during("at 0s kill 4", func(f *Fleet) error { return everyone(f, 4, "dead") })},
-		{"four of nine are killed at once", false, during("at 0s kill 1,2,3,4", func(f *Fleet) error {
+		{"one is killed", false, amid("at 0s kill 4", func(f *Fleet) error { return everyone(f, 4, "dead") })},
+		{"four of nine are killed at once", false, amid("at 0s kill 1,2,3,4", func(f *Fleet) error {
 			for i := 1; i <= 4; i++ {
 				if err := everyone(f, i, "dead", 1, 2, 3, 4); err != nil {
 					return err
@@ -160,17 +139,17 @@
 			}
 			return nil
 		})},
-		{"one stands still for a second", true, during("at 0s stop 3", lasts(time.Second))},
-		{"a third stands still for a second", true, during("at 0s stop 2,5,8", lasts(time.Second))},
+		{"one stands still for a second", true, amid("at 0s stop 3", lasts(time.Second))},
+		{"a third stands still for a second", true, amid("at 0s stop 2,5,8", lasts(time.Second))},
 		{"one stands still for long", false, func(f *Fleet) error {
-			if err := during("at 0s stop 5", func(f *Fleet) error { return everyone(f, 5, "dead") })(f); err != nil {
+			if err := amid("at 0s stop 5", func(f *Fleet) error { return everyone(f, 5, "dead") })(f); err != nil {
 				return err
 			}
 			return noticed(f, 5, "outcast")
 		}},
-		{"a starved fifth", true, during("at 0s starve 2,7 70%", lasts(2*time.Second))},
-		{"losses and delay", true, during("at 0s loss all -> all 30%", during("at 0s delay all -> all 0s..1s", lasts(4*time.Second)))},
-		{"a one-way cut of a pair", true, during("at 0s cut 2 -> 6", func(f *Fleet) error {
+		{"a starved fifth", true, amid("at 0s starve 2,7 70%", lasts(2*time.Second))},
+		{"losses and delay", true, amid("at 0s loss all -> all 30%", amid("at 0s delay all -> all 0s..1s", lasts(4*time.Second)))},
+		{"a one-way cut of a pair", true, amid("at 0s cut 2 -> 6", func(f *Fleet) error {
 			return poll("a third one sees the path that is cut", func() bool {
 				s, err := ask(f, 9)
 				for _, m := range s.Members {
@@ -197,7 +176,7 @@
 			if err := poll("streams to all", blocked()); err != nil {
 				return err
 			}
-			if err := during("at 0s stall 2 -> 6,7", func(*Fleet) error { return poll("streams to all but two", blocked("g6", "g7")) })(f); err != nil {
+			if err := amid("at 0s stall 2 -> 6,7", func(*Fleet) error { return poll("streams to all but two", blocked("g6", "g7")) })(f); err != nil {
 				return err
 			}
 			f.Begin(Fault{Verb: "reset"})
@@ -206,7 +185,7 @@
 		{"three of another version", true, func(f *Fleet) error {
 			for _, i := range []int{3, 6, 9} {
 				f.Nodes[i-1].Binary = another
-				if err := during(fmt.Sprint("at 0s term ", i), func(f *Fleet) error { return everyone(f, i, "left") })(f); err != nil {
+				if err := amid(fmt.Sprint("at 0s term ", i), func(f *Fleet) error { return everyone(f, i, "left") })(f); err != nil {
 					return err
 				}
 			}
@@ -226,23 +205,23 @@
 			})
 		}},
 		{"one that nobody hears", false, func(f *Fleet) error {
-			if err := during("at 0s cut 6 -> all", func(f *Fleet) error { return everyone(f, 6, "dead") })(f); err != nil {
+			if err := amid("at 0s cut 6 -> all", func(f *Fleet) error { return everyone(f, 6, "dead") })(f); err != nil {
 				return err
 			}
 			return noticed(f, 6, "outcast")
 		}},
-		{"one that hears nobody", false, during("at 0s cut all -> 6", func(f *Fleet) error { return everyone(f, 6, "dead") })},
-		{"two halves", false, during("at 0s split 1,2,3,4 | 5,6,7,8,9", func(f *Fleet) error { return everyone(f, 9, "dead", 5, 6, 7, 8) })},
-		{"three parts, and one that sees two", false, during("at 0s split 1,2 | 5,6,7,8,9",
-			during("at 0s split 3,4 | 5,6,7,8,9", during("at 0s split 1 | 3,4", lasts(3*time.Second))))},
-		{"SIGTERM during a partition", false, during("at 0s split 1,2,3,4 | 5,6,7,8,9", during("at 0s term 4", func(f *Fleet) error {
+		{"one that hears nobody", false, amid("at 0s cut all -> 6", func(f *Fleet) error { return everyone(f, 6, "dead") })},
+		{"two halves", false, amid("at 0s split 1,2,3,4 | 5,6,7,8,9", func(f *Fleet) error { return everyone(f, 9, "dead", 5, 6, 7, 8) })},
+		{"three parts, and one that sees two", false, amid("at 0s split 1,2 | 5,6,7,8,9",
+			amid("at 0s split 3,4 | 5,6,7,8,9", amid("at 0s split 1 | 3,4", lasts(3*time.Second))))},
+		{"SIGTERM during a partition", false, amid("at 0s split 1,2,3,4 | 5,6,7,8,9", amid("at 0s term 4", func(f *Fleet) error {
 			return f.History.Await("the others of its part know that it has left", settleBy, func(all []Event) bool {
 				return state(all, 1, 4) == "left" && state(all, 2, 4) == "left" && state(all, 3, 4) == "left"
 			})
 		}))},
 		{"one joins and leaves in a loop", true, func(f *Fleet) error {
 			for range 3 {
-				if err := during("at 0s term 7", func(f *Fleet) error { return everyone(f, 7, "left") })(f); err != nil {
+				if err := amid("at 0s term 7", func(f *Fleet) error { return everyone(f, 7, "left") })(f); err != nil {
 					return err
 				}
 				if err := everyone(f, 7, "alive"); err != nil {
@@ -253,7 +232,7 @@
 		}},
 		{"the same name twice", false, func(f *Fleet) error {
 			n := f.Nodes[8]
-			undo, err := begin(f, "at 0s term 9")
+			undo, err := f.inflict(mustFault("at 0s term 9"))
 			if err != nil {
 				return err
 			}
@@ -271,7 +250,7 @@
 			if err := noticed(f, 1, "namesake"); err != nil {
 				return err
 			}
-			again, err := begin(f, "at 0s term 9")
+			again, err := f.inflict(mustFault("at 0s term 9"))
 			if err != nil {
 				return err
 			}
@@ -281,7 +260,7 @@
 			}
 			return again()
 		}},
-		{"keys change during a partition", false, during("at 0s split 1,2,3,4 | 5,6,7,8,9", func(f *Fleet) error {
+		{"keys change during a partition", false, amid("at 0s split 1,2,3,4 | 5,6,7,8,9", func(f *Fleet) error {
 			steps := []func(string) string{
 				replace(`key 1 "`+secret+`"`, `key 1 "`+secret+"\"\n key 2 \"another secret of this test\""),
 				replace(`key 1 "`+secret+"\"\n key 2 \"another secret of this test\"", "key 2 \"another secret of this test\"\n key 1 \""+secret+`"`),
