Copies: formats of records side by side, and an operator's word for a shard that cannot go on

Need: what was left of copied state. A group whose change was under way when too many were lost could wait for ever. Change: holders announce the latest format of records that they understand; the ledger names a format once all holders do, and it never falls; a leader refuses a command of a later one (too_new, nothing came into force), a replica that meets one holds nothing from then on, a disk of an earlier version is not taken in. `marblespan copies anew SHARD`, at the gateway that leads the ledger, begins a shard anew; refused while the shard's leader reports itself.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -50,6 +50,7 @@
 		{"no socket", nil, []string{"vrrp", "status"}, 2, "", "no control socket"},
 		{"nobody there", nil, []string{"vrrp", "status", "--socket", "/nowhere"}, 1, "", "no gateway answers at /nowhere"},
 		{"copies of nobody", nil, []string{"copies", "--socket", "/nowhere"}, 1, "", "no gateway answers at /nowhere"},
+		{"anew without a shard", nil, []string{"copies", "anew", "x"}, 2, "", "is no shard's number"},
 		{"gone without a name", nil, []string{"copies", "gone"}, 2, "", "copies gone takes the name of a gateway"},
 		{"check without the program for it", nil, []string{"copies", "check", "/nowhere"}, 1, "", "copies need marblespan-holder beside this program"},
 		{"a gateway without the program for it", platform, []string{"--conf", conf(t, withCopies)}, 1, "", "copies need marblespan-holder beside this program"},
--- a/internal/cli/copies.go
+++ b/internal/cli/copies.go
@@ -78,6 +78,16 @@
 		Use: "gone NODE", Short: "Say that a gateway's disk will never come back, where the ledger is led", Args: one("the name of a gateway"),
 		RunE: func(_ *cobra.Command, args []string) error { return say("copies gone " + strconv.Quote(args[0])) },
 	}
+	anew := &cobra.Command{
+		Use: "anew SHARD", Short: "Say that a shard cannot go on, where the ledger is led: what it held is lost, and known to be", Args: one("the number of a shard"),
+		RunE: func(_ *cobra.Command, args []string) error {
+			shard, err := strconv.ParseUint(args[0], 10, 32)
+			if err != nil {
+				return usageError{fmt.Errorf("%q is no shard's number", args[0])}
+			}
+			return say(fmt.Sprint("copies anew ", shard))
+		},
+	}
 	check := &cobra.Command{
 		Use: "check FILE", Short: "Read the file of a store that is not running, and tell whether it is whole", Args: one("a file"),
 		RunE: func(_ *cobra.Command, args []string) error {
@@ -87,7 +97,7 @@
 			return program.CheckStore(args[0], raw, c.out)
 		},
 	}
-	group.AddCommand(found, gone, check)
+	group.AddCommand(found, gone, anew, check)
 	return group
 }
 
@@ -102,7 +112,7 @@
 	if s.Founding == "" {
 		return errors.New("there is no store yet; `marblespan copies found` at one of the holders makes it")
 	}
-	fmt.Fprintf(c.out, "store %s, ledger at %d, %d copies\n", s.Founding, s.Index, s.Copies)
+	fmt.Fprintf(c.out, "store %s, ledger at %d, %d copies, records of format %d\n", s.Founding, s.Index, s.Copies, s.Format)
 	if s.Failed != "" {
 		fmt.Fprintf(c.out, "%s holds nothing any more: %s\n", s.Node, s.Failed)
 	}
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -30,6 +30,12 @@
 	MostSpan Micros = 24 * 3600 * 1_000_000
 )
 
+// FirstFormat is the format of records that every version understands, and ThisFormat the one that this version knows.
+const (
+	FirstFormat uint32 = 1
+	ThisFormat  uint32 = 1
+)
+
 // recordCost is what a record costs in memory beside its key and value, in bytes, as measured.
 const recordCost = 240
 
@@ -52,6 +58,9 @@
 	MostBytes int64
 	// MostCalls bounds the calls that wait for an answer.
 	MostCalls int
+	// Format is the latest format of records that this gateway understands; 0: ThisFormat. A command of a later one than the
+	// ledger names is refused, and the ledger names one once all holders understand it.
+	Format uint32
 	// Client is a number that no other start of any gateway has: calls are told apart by it. Not 0.
 	Client uint64
 	// NewStore is the number of the disk where none is found on it. Not 0, and never used before.
@@ -124,6 +133,9 @@
 // Gone says that a gateway's disk will never come back: an operator's word.
 type Gone struct{ Name string }
 
+// Anew is an operator's word that a shard cannot go on: it is begun anew, and what it held is known as lost.
+type Anew struct{ Shard uint32 }
+
 // Leave has this gateway hand over what it leads; Done follows.
 type Leave struct{}
 
@@ -137,6 +149,7 @@
 func (Ask) event()     {}
 func (Found) event()   {}
 func (Gone) event()    {}
+func (Anew) event()    {}
 func (Leave) event()   {}
 func (Others) event()  {}
 
@@ -215,11 +228,12 @@
 	Bad             // the call can never succeed: a key that is too long, a shard that is not there
 	TooLate         // no answer in time; a change may come into force all the same
 	NotSent         // nobody could be asked in time, and no change comes into force
+	TooNew          // some holder does not understand the format of records that it needs
 	notLeader
 	Statuses
 )
 
-var statusNames = [Statuses]string{"ok", "conflict", "full", "bad", "too_late", "not_sent", "not_leader"}
+var statusNames = [Statuses]string{"ok", "conflict", "full", "bad", "too_late", "not_sent", "too_new", "not_leader"}
 
 // String is the status's name in logs.
 func (s Status) String() string { return statusNames[s] }
@@ -243,12 +257,14 @@
 	DiskLost                 // the disk failed
 	Foreign                  // a packet of another founding
 	Renumbered               // the ledger holds this disk lost: it goes on as another one, empty
+	Raised                   // all holders understand a later format of records, in the ledger
+	Older                    // a gateway does not understand the format of records that is in use: it holds nothing
 	Notices
 )
 
 var noticeNames = [Notices]string{
 	"leads", "leads_no_more", "voters", "new_holder", "lost", "joined", "disk_gone", "disk_older", "replica_begins", "replica_ends",
-	"replica_sure", "disk_failed", "another_founding", "disk_renumbered",
+	"replica_sure", "disk_failed", "another_founding", "disk_renumbered", "format_raised", "format_too_old",
 }
 
 // String is the notice's code in the log.
--- a/internal/copies/group.go
+++ b/internal/copies/group.go
@@ -204,7 +204,7 @@
 	if led {
 		g.ledAt, g.base, g.swept = g.h.now, g.sm.time(), g.h.now
 		if g.id == LedgerGroup {
-			g.h.facts = facts{since: g.h.now, heard: map[uint64]Micros{}, lives: map[uint64]uint64{}, reports: map[uint32]*api.Report{}, changed: g.h.now}
+			g.h.facts = facts{since: g.h.now, heard: map[uint64]Micros{}, lives: map[uint64]uint64{}, reports: map[uint32]*api.Report{}, told: map[uint32]Micros{}, changed: g.h.now}
 		}
 		g.h.note(Noticed{What: Led, Group: g.id, Epoch: g.epoch, Number: g.number})
 		return
@@ -356,7 +356,13 @@
 	}
 	var x api.Entry
 	if proto.Unmarshal(e.Data, &x) != nil {
-		return // of a later version: the same for every replica of this one
+		return // nobody can read it
+	}
+	for _, c := range x.Commands {
+		if c.Format > g.h.cfg.Format { // whoever understands it goes on otherwise than this replica would
+			g.h.fail(fmt.Sprintf("group %d: %v", g.id, errFormat))
+			return
+		}
 	}
 	for i, r := range g.sm.apply(e.GetIndex(), &x) {
 		k := slot{x.Commands[i].Client, x.Commands[i].Sequence}
@@ -404,6 +410,8 @@
 		return
 	case len(g.conf.Voters) < int(g.h.view.GetCopies()):
 		status = notLeader // nothing is promised before there are as many copies as were promised
+	case c.Command.Format > max(g.h.view.GetFormat(), FirstFormat):
+		status = TooNew
 	default:
 		g.waiting[slot{c.Command.Client, c.Command.Sequence}] = o
 		g.proposed = append(g.proposed, c.Command)
--- a/internal/copies/host.go
+++ b/internal/copies/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"maps"
 	"slices"
 
@@ -65,6 +66,7 @@
 	leftBy   Micros
 	news     map[string]uint64 // the index of the ledger that each was sent last
 	foreign  uint64
+	tooOld   uint64 // the store that was last turned away
 
 	packets map[string]*api.Packet
 	heavy   []Send
@@ -92,6 +94,9 @@
 // New makes a host from what its disk holds. trusted says that the disk is known to be the one that was written last; without
 // it each replica asks the others whether it had gone further, before it takes part.
 func New(cfg Config, now Micros, s *Stored, trusted bool) (*Host, error) {
+	if cfg.Format == 0 {
+		cfg.Format = ThisFormat
+	}
 	h := &Host{
 		cfg: cfg, now: now, holds: cfg.Holds, trusted: trusted, groups: map[uint32]*group{}, peers: map[uint64]uint64{},
 		known: map[Ref]entry{}, calls: map[uint64]*call{}, leads: map[uint32]string{}, news: map[string]uint64{},
@@ -124,6 +129,9 @@
 		g := h.groups[id]
 		g.asking = &asking{} // so that what is committed already is applied, and nothing is said
 		g.pump()
+		if h.failed != "" {
+			return nil, errors.New(h.failed)
+		}
 		if g.asking = nil; !trusted {
 			g.unsure()
 		}
@@ -136,7 +144,7 @@
 	if id == LedgerGroup {
 		return newLedger()
 	}
-	return newShard(h.cfg.MostBytes, epoch, anew)
+	return newShard(h.cfg.MostBytes, h.cfg.Format, epoch, anew)
 }
 
 // Next is when a Tick is due.
@@ -162,6 +170,8 @@
 		h.found(e)
 	case Gone:
 		h.gone(e.Name)
+	case Anew:
+		h.anew(e.Shard)
 	case Others:
 		h.others = e.Names
 	case Leave:
@@ -431,7 +441,7 @@
 	if !h.holds {
 		return nil
 	}
-	a := &api.Announce{Name: h.cfg.Name, Zone: h.cfg.Zone, Weight: h.cfg.Weight, Failed: h.failed != ""}
+	a := &api.Announce{Name: h.cfg.Name, Zone: h.cfg.Zone, Weight: h.cfg.Weight, Failed: h.failed != "", Format: h.cfg.Format}
 	for i := range h.retired {
 		r := &h.retired[i]
 		if x := groupIn(h.view, r.Group); x != nil && x.Epoch == r.Epoch && slices.ContainsFunc(replicas(x), func(y *api.Replica) bool {
@@ -484,7 +494,7 @@
 	}
 	for _, r := range reports {
 		if last := h.facts.reports[r.Group]; last == nil || last.Epoch < r.Epoch || last.Epoch == r.Epoch && last.Term <= r.Term {
-			h.facts.reports[r.Group] = r
+			h.facts.reports[r.Group], h.facts.told[r.Group] = r, h.now
 		}
 	}
 	if a == nil || store == 0 || len(a.Name) == 0 || len(a.Name) > MostName {
@@ -493,8 +503,13 @@
 	var changes []*api.Change
 	known := storeIn(h.view, store)
 	switch {
-	case known == nil || !known.Gone && (known.Zone != a.Zone || known.Weight != a.Weight):
-		changes = append(changes, &api.Change{Join: &api.Store{Number: store, Name: a.Name, Zone: a.Zone, Weight: a.Weight}})
+	case known == nil && a.Format < h.view.Format:
+		if h.tooOld != store {
+			h.tooOld = store
+			h.note(Noticed{What: Older, Number: store, Name: a.Name})
+		}
+	case known == nil || !known.Gone && (known.Zone != a.Zone || known.Weight != a.Weight || known.Format != a.Format):
+		changes = append(changes, &api.Change{Join: &api.Store{Number: store, Name: a.Name, Zone: a.Zone, Weight: a.Weight, Format: a.Format}})
 	case known.Gone:
 	case a.Failed:
 		changes = append(changes, &api.Change{Gone: store})
@@ -527,7 +542,7 @@
 	h.facts.heard[h.store], h.facts.lives[h.store] = h.now, h.life
 	h.facts.reports[LedgerGroup] = g.report()
 	for _, r := range h.reports() {
-		h.facts.reports[r.Group] = r
+		h.facts.reports[r.Group], h.facts.told[r.Group] = r, h.now
 	}
 	h.facts.now = h.now
 	h.change(g, planner{
@@ -542,7 +557,7 @@
 	}
 	l := found(&api.Found{
 		Founding: h.cfg.Founding, Shards: uint32(f.Shards), Copies: uint32(f.Copies), First: f.First, Life: h.life,
-		Store: &api.Store{Number: h.store, Name: h.cfg.Name, Zone: h.cfg.Zone, Weight: h.cfg.Weight},
+		Store: &api.Store{Number: h.store, Name: h.cfg.Name, Zone: h.cfg.Zone, Weight: h.cfg.Weight, Format: h.cfg.Format},
 	})
 	h.learn(l.Ledger, true)
 }
@@ -560,6 +575,25 @@
 	}
 }
 
+// anew takes an operator's word that a shard cannot go on. A group that has reported itself lately does go on.
+func (h *Host) anew(shard uint32) {
+	g, x := h.groups[LedgerGroup], groupIn(h.view, shard)
+	if g == nil || !g.led || x == nil || shard == LedgerGroup || h.Reported(shard) {
+		return
+	}
+	p := planner{Ledger: h.view, facts: h.facts, tick: h.cfg.Tick}
+	p.now = h.now
+	if all := place(shard, p.fresh(), 1); len(all) > 0 {
+		h.change(g, []*api.Change{{Renew: &api.Renew{Group: shard, Epoch: x.Epoch, Store: all[0].Number, Life: h.facts.lives[all[0].Number], Word: true}}})
+	}
+}
+
+// Reported tells whether a group's leader has told of it lately, where the ledger is led here.
+func (h *Host) Reported(group uint32) bool {
+	at, told := h.facts.told[group]
+	return told && h.now-at <= freshFor*h.cfg.Tick
+}
+
 // learn takes over a later ledger, and has the replicas here be what it says.
 func (h *Host) learn(l *api.Ledger, founded bool) {
 	if h.founding != 0 && l.Founding != h.founding || l.Founding == 0 || l.Index <= h.view.Index {
--- a/internal/copies/ledger.go
+++ b/internal/copies/ledger.go
@@ -123,6 +123,9 @@
 		l.renew(c.Renew)
 	case c.Spoil != nil:
 		l.spoil(c.Spoil)
+	case c.Format > l.Format && c.Format <= understood(l.Ledger):
+		l.Format = c.Format
+		l.note(Raised, 0, 0, uint64(c.Format), "")
 	}
 }
 
@@ -131,17 +134,20 @@
 func (l *ledger) join(s *api.Store) {
 	if known := l.store(s.Number); known != nil {
 		if !known.Gone && known.Name == s.Name {
-			known.Zone, known.Weight = s.Zone, s.Weight
+			known.Zone, known.Weight, known.Format = s.Zone, s.Weight, s.Format
 		}
 		return
 	}
+	if s.Format < l.Format {
+		return // it would not understand what it was given
+	}
 	for _, other := range l.Stores {
 		if other.Name == s.Name {
 			l.gone(other.Number)
 		}
 	}
 	l.forget()
-	l.Stores = append(l.Stores, &api.Store{Number: s.Number, Name: s.Name, Zone: s.Zone, Weight: s.Weight})
+	l.Stores = append(l.Stores, &api.Store{Number: s.Number, Name: s.Name, Zone: s.Zone, Weight: s.Weight, Format: s.Format})
 	l.note(Joined, 0, 0, s.Number, s.Name)
 }
 
@@ -227,7 +233,7 @@
 // renew begins a group anew: what it held is lost, and known to be.
 func (l *ledger) renew(r *api.Renew) {
 	g, s := l.group(r.Group, r.Epoch), l.store(r.Store)
-	if g == nil || s == nil || s.Gone || r.Group == LedgerGroup || !beyond(l.Ledger, g) {
+	if g == nil || s == nil || s.Gone || r.Group == LedgerGroup || !r.Word && !beyond(l.Ledger, g) {
 		return
 	}
 	l.note(LostGroup, r.Group, g.Epoch, 0, s.Name)
--- a/internal/copies/overview.go
+++ b/internal/copies/overview.go
@@ -7,6 +7,7 @@
 	Founding uint64
 	Index    uint64 // of the ledger that is known
 	Copies   int
+	Format   uint32 // of records, the latest that may be used
 	Store    uint64 // of this gateway's disk; 0: it holds nothing
 	Failed   string // why it holds nothing any more
 	Calls    int    // of its own that wait
@@ -78,7 +79,7 @@
 // Overview tells how the host stands.
 func (h *Host) Overview() Overview {
 	o := Overview{
-		Founding: h.founding, Index: h.view.Index, Copies: int(h.view.Copies), Store: h.store, Failed: h.failed, Calls: len(h.calls),
+		Founding: h.founding, Index: h.view.Index, Copies: int(h.view.Copies), Format: max(h.view.Format, FirstFormat), Store: h.store, Failed: h.failed, Calls: len(h.calls),
 	}
 	for _, s := range h.view.Stores {
 		o.Stores = append(o.Stores, StoreView{s.Number, s.Name, s.Zone, s.Weight, s.Gone})
--- a/internal/copies/plan.go
+++ b/internal/copies/plan.go
@@ -22,6 +22,7 @@
 	heard   map[uint64]Micros      // last word of each store
 	lives   map[uint64]uint64      // its life, by that word
 	reports map[uint32]*api.Report // of each group's leader, the latest
+	told    map[uint32]Micros      // when that came
 	changed Micros                 // when the ledger last changed
 }
 
@@ -52,9 +53,23 @@
 	if len(p.out) == 0 && moving == 0 {
 		p.drift()
 	}
+	if f := understood(p.Ledger); f > max(p.Format, FirstFormat) {
+		p.out = append(p.out, &api.Change{Format: f})
+	}
 	return p.out
 }
 
+// understood is the latest format of records that all holders understand.
+func understood(l *api.Ledger) uint32 {
+	least := uint32(0)
+	for _, s := range l.Stores {
+		if f := max(s.Format, FirstFormat); !s.Gone && (least == 0 || f < least) { // the first versions name none
+			least = f
+		}
+	}
+	return least
+}
+
 // target is what a group's voters are to be once what is assigned is carried out.
 func target(g *api.Group) (out []uint64) {
 	for _, r := range replicas(g) {
--- a/internal/copies/records.go
+++ b/internal/copies/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"maps"
 	"slices"
 
@@ -23,6 +24,9 @@
 	time() Micros
 }
 
+// errFormat tells of records that only a later version understands.
+var errFormat = errors.New("these records are of a later version")
+
 // record is one record of a shard.
 type record struct {
 	value    []byte
@@ -50,6 +54,8 @@
 	ends    []ending // a heap; some are out of date
 	clients map[uint64]*client
 	bytes   int64
+	knows   uint32 // the latest format of records that is understood here
+	format  uint32 // the latest that was used
 }
 
 // ending is when a record may end.
@@ -61,8 +67,8 @@
 // epochBits is where the epoch stands in a version, so that versions grow over the loss of a shard, too.
 const epochBits = 40
 
-func newShard(most int64, epoch uint32, anew bool) *shard {
-	return &shard{most: most, anew: anew, writes: uint64(epoch) << epochBits, records: map[string]record{}, clients: map[uint64]*client{}}
+func newShard(most int64, knows, epoch uint32, anew bool) *shard {
+	return &shard{most: most, knows: knows, anew: anew, writes: uint64(epoch) << epochBits, records: map[string]record{}, clients: map[uint64]*client{}}
 }
 
 func (s *shard) time() Micros { return s.now }
@@ -77,6 +83,7 @@
 	s.expire()
 	var out []*api.Reply
 	for _, c := range e.Commands {
+		s.format = max(s.format, c.Format)
 		out = append(out, s.command(c))
 	}
 	return out
@@ -236,7 +243,7 @@
 }
 
 func (s *shard) snapshot() []byte {
-	out := &api.Shard{Time: int64(s.now), Lost: int64(s.lost), Writes: s.writes}
+	out := &api.Shard{Time: int64(s.now), Lost: int64(s.lost), Writes: s.writes, Format: s.format}
 	if s.anew {
 		out.Lost = -1
 	}
@@ -264,7 +271,11 @@
 	if err := proto.Unmarshal(b, &in); err != nil {
 		return err
 	}
-	*s = *newShard(s.most, 0, in.Lost < 0)
+	if in.Format > s.knows {
+		return errFormat
+	}
+	*s = *newShard(s.most, s.knows, 0, in.Lost < 0)
+	s.format = in.Format
 	s.now, s.lost, s.writes = Micros(in.Time), Micros(max(in.Lost, 0)), in.Writes
 	for _, x := range in.Records {
 		r := record{value: x.Value, version: x.Version, position: x.Position, mark: x.Mark, end: Micros(x.End)}
--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -34,6 +34,7 @@
 	HealRate   int // bytes a second of what nobody waits for
 	MostBytes  int64
 	LeastLog   int64
+	Format     uint32          // of records, the latest that this gateway understands; 0: the one of this version
 	Others     func() []string // the gateways that are there; asked once a second
 }
 
@@ -120,7 +121,7 @@
 	}
 	cfg := copies.Config{
 		Name: s.Node, Zone: s.Zone, Weight: s.Weight, Holds: s.Holds, Tick: micros(s.Tick), HealAfter: micros(s.HealAfter),
-		HealAtOnce: s.HealAtOnce, LeastLog: s.LeastLog, MostBytes: s.MostBytes, MostCalls: mostCalls, Client: draw(), NewStore: draw(),
+		HealAtOnce: s.HealAtOnce, Format: s.Format, LeastLog: s.LeastLog, MostBytes: s.MostBytes, MostCalls: mostCalls, Client: draw(), NewStore: draw(),
 		Founding: draw(), Life: uint64(time.Now().UnixMicro()),
 	}
 	var err error
@@ -429,7 +430,7 @@
 	h.Counts.Noticed[n.What].Add(1)
 	level := h.log.Info()
 	switch n.What {
-	case copies.LostGroup, copies.DiskLost, copies.Foreign, copies.Stale, copies.StoreGone, copies.Renumbered:
+	case copies.LostGroup, copies.DiskLost, copies.Foreign, copies.Stale, copies.StoreGone, copies.Renumbered, copies.Older:
 		level = h.log.Warn()
 	case copies.Sure:
 		level = h.log.Debug()
@@ -483,10 +484,35 @@
 
 // Gone is an operator's word that a gateway's disk will not come back.
 func (h *Holders) Gone(name string) error {
-	return h.tell(func(o copies.Overview) error {
+	return h.decide(func(o copies.Overview) error {
 		if !slices.ContainsFunc(o.Stores, func(s copies.StoreView) bool { return s.Name == name && !s.Gone }) {
 			return fmt.Errorf("no gateway %q holds anything", name)
 		}
+		h.host.Handle(h.clock.Now(), copies.Gone{Name: name})
+		return nil
+	})
+}
+
+// Anew is an operator's word that a shard cannot go on.
+func (h *Holders) Anew(shard uint32) error {
+	return h.decide(func(o copies.Overview) error {
+		switch {
+		case shard == copies.LedgerGroup || int(shard) >= len(o.Groups):
+			return fmt.Errorf("there is no shard %d", shard)
+		case h.host.Reported(shard):
+			return fmt.Errorf("shard %d has a leader, and goes on", shard)
+		}
+		h.host.Handle(h.clock.Now(), copies.Anew{Shard: shard})
+		return nil
+	})
+}
+
+// decide has the ledger's leader do something; elsewhere it tells where that is.
+func (h *Holders) decide(do func(copies.Overview) error) error {
+	return h.tell(func(o copies.Overview) error {
+		if len(o.Groups) == 0 {
+			return errors.New("there is no store yet")
+		}
 		if g := o.Groups[copies.LedgerGroup]; g.Here == nil || g.Here.Leader != h.s.Node {
 			leader := "not known now"
 			if g.Here != nil && g.Here.Leader != "" {
@@ -494,8 +520,7 @@
 			}
 			return fmt.Errorf("the ledger is led elsewhere (%s): say it there", leader)
 		}
-		h.host.Handle(h.clock.Now(), copies.Gone{Name: name})
-		return nil
+		return do(o)
 	})
 }
 
--- a/internal/program/copies.go
+++ b/internal/program/copies.go
@@ -31,6 +31,7 @@
 	Status() CopiesStatus
 	Found(shards, copies int, first bool) error
 	Gone(node string) error
+	Anew(shard uint32) error
 	Print()
 	Leave()
 	Close()
@@ -178,6 +179,12 @@
 			return nil, fmt.Errorf("%s is no name", words[1])
 		}
 		return "noted", g.store.Gone(name)
+	case words[0] == "anew" && len(words) == 2:
+		shard, err := strconv.ParseUint(words[1], 10, 32)
+		if err != nil {
+			return nil, fmt.Errorf("%s is no shard", words[1])
+		}
+		return "noted", g.store.Anew(uint32(shard))
 	}
 	return nil, fmt.Errorf("unknown question %.40q", "copies "+strings.Join(words, " "))
 }
--- a/internal/program/status.go
+++ b/internal/program/status.go
@@ -6,7 +6,8 @@
 	Founding string        `json:"founding"` // empty: there is no store
 	Index    uint64        `json:"ledger_index"`
 	Copies   int           `json:"copies"`
-	Disk     string        `json:"disk"` // this gateway's; empty: it holds nothing
+	Format   uint32        `json:"format"` // of records, the latest that may be used
+	Disk     string        `json:"disk"`   // this gateway's; empty: it holds nothing
 	Failed   string        `json:"failed,omitempty"`
 	Waiting  int           `json:"waiting"`
 	Disks    []CopiesDisk  `json:"disks"`
--- a/internal/rig/copies.go
+++ b/internal/rig/copies.go
@@ -18,6 +18,7 @@
 	Memory               bool // no disks
 	Fast                 bool // answers do not wait for their promise
 	NoMarks              bool // nobody uses them
+	Holders              int  // how many gateways hold replicas, the first ones; 0: all
 }
 
 // DefaultCopies are sizes that suit a few gateways and a short run.
@@ -28,7 +29,14 @@
 // section is the copies section of a gateway's operators' file.
 func (c *Copies) section(n *Node) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "copies\n holders all\n copies %d\n shards %d\n heartbeat %v\n heal-after %v\n heal-at-once 8\n", c.Copies, c.Shards, c.Heartbeat, c.HealAfter)
+	holders := "all"
+	for i := range c.Holders {
+		if i == 0 {
+			holders = ""
+		}
+		holders += n.f.Nodes[i].Name() + " "
+	}
+	fmt.Fprintf(&b, "copies\n holders %s\n copies %d\n shards %d\n heartbeat %v\n heal-after %v\n heal-at-once 8\n", holders, c.Copies, c.Shards, c.Heartbeat, c.HealAfter)
 	if c.Memory {
 		fmt.Fprintf(&b, " store memory\n")
 	} else {
@@ -50,6 +58,7 @@
 type CopiesView struct {
 	Founding string
 	Copies   int
+	Format   uint32
 	Disk     string
 	Failed   string
 	Disks    []struct {
--- a/internal/rig/copies_test.go
+++ b/internal/rig/copies_test.go
@@ -39,6 +39,42 @@
 			return false
 		})
 	}
+	// heldUp cuts ways of a leader, lets writes come to where the cut holds them up, and kills it there.
+	heldUp := func(f *Fleet, ways func(leader, holders, others string) string) error {
+		n, err := leader(f)
+		if err != nil {
+			return err
+		}
+		v, err := n.Copies()
+		if err != nil {
+			return err
+		}
+		var holders, others []string
+		for _, m := range f.Nodes {
+			switch name := fmt.Sprint(m.Number); {
+			case m == n:
+			case v.Groups[1].On(m):
+				holders = append(holders, name)
+			default:
+				others = append(others, name)
+			}
+		}
+		if err := during(f, ways(fmt.Sprint(n.Number), strings.Join(holders, ","), strings.Join(others, ",")), func() error {
+			time.Sleep(200 * time.Millisecond) // shorter than an election takes to begin
+			undo, err := f.inflict(mustFault(fmt.Sprint("at 0s kill ", n.Number)))
+			if err != nil {
+				return err
+			}
+			n.Wait()
+			return undo()
+		}); err != nil {
+			return err
+		}
+		if err := f.AwaitReady(settleBy); err != nil {
+			return err
+		}
+		return f.AwaitWhole(settleBy)
+	}
 	for _, c := range []struct {
 		name   string
 		memory bool
@@ -70,6 +106,72 @@
 			}
 			return nil
 		}},
+		{"the leader is killed at each step of a write", false, false, func(f *Fleet) error {
+			for _, ways := range []func(leader, holders, others string) string{
+				func(l, h, o string) string { return fmt.Sprintf("at 0s cut %s -> all", l) },        // taken, on its own disk, with nobody else
+				func(l, h, o string) string { return fmt.Sprintf("at 0s cut %s -> %s", h, l) },      // with a quorum, of which it does not know
+				func(l, h, o string) string { return fmt.Sprintf("at 0s cut %s -> %s", l, o) },      // promised, and its callers not told
+				func(l, h, o string) string { return fmt.Sprintf("at 0s delay %s -> %s 0s", l, h) }, // told
+			} {
+				if err := heldUp(f, ways); err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+		{"one of five only asks, and leaders are killed", false, false, func(f *Fleet) error {
+			if v, err := f.Nodes[4].Copies(); err != nil || v.Disk != "" || len(v.Disks) != 4 {
+				return fmt.Errorf("gateway 5 holds something: %+v, %v", v, err)
+			}
+			for i := range 3 {
+				if n := f.LeaderOf(1 + i); n != nil {
+					if err := down(f, n, "kill", func() error { return nil }); err != nil {
+						return err
+					}
+				}
+				if err := f.AwaitReady(settleBy); err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+		{"two versions of the records together", false, false, func(f *Fleet) error {
+			formats := func(want uint32) error {
+				return poll(fmt.Sprint("all use format ", want), func() bool {
+					for _, n := range f.Nodes {
+						if v, err := n.Copies(); err != nil || v.Format != want {
+							return false
+						}
+					}
+					return true
+				})
+			}
+			for i, n := range f.Nodes {
+				if err := formats(1); err != nil {
+					return err
+				}
+				n.Binary = another
+				if err := down(f, n, "term", func() error { return nil }); err != nil {
+					return err
+				}
+				if err := f.AwaitWhole(settleBy); err != nil {
+					return fmt.Errorf("%d of the later version: %w", i+1, err)
+				}
+			}
+			if err := formats(2); err != nil {
+				return err
+			}
+			n := f.Nodes[2] // back to the earlier version, with an empty disk: it serves, and holds nothing
+			n.Binary = ""
+			if err := down(f, n, "kill", func() error { return n.disk("empty") }); err != nil {
+				return err
+			}
+			if err := believes(f, "format_too_old"); err != nil {
+				return err
+			}
+			n.Binary = another
+			return down(f, n, "kill", func() error { return nil })
+		}},
 		{"disks are lost, one after the other", false, false, func(f *Fleet) error {
 			for _, n := range f.Nodes {
 				if err := down(f, n, "kill", func() error { return n.disk("empty") }); err != nil {
@@ -222,6 +324,9 @@
 				o.Nodes = 9
 			}
 			o.Copies.Memory = c.memory
+			if strings.Contains(c.name, "only asks") {
+				o.Copies.Holders = 4
+			}
 			var history bytes.Buffer
 			o.History = &history
 			f, err := New(o)
--- a/internal/withcopies/withcopies.go
+++ b/internal/withcopies/withcopies.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"marblespan/brain"
@@ -17,6 +18,9 @@
 // leastLog is how long a shard's log gets before a snapshot takes its place, in bytes.
 const leastLog = 1 << 20
 
+// Format, if it is not empty, is the format of records that this program says to understand: tests link another one in.
+var Format string
+
 // Use has gateways of this process open stores.
 func Use() {
 	program.OpenStore, program.CheckStore = open, check
@@ -28,10 +32,11 @@
 		Time: func(t copies.Micros) time.Time { return s.Clock.Time(brain.Micros(t)) },
 	}
 	c := s.Copies
+	format, _ := strconv.ParseUint(Format, 10, 32)
 	h, err := holders.Start(holders.Settings{
 		Node: s.Node, Zone: s.Zone, Weight: s.Weight, Holds: c.Holds(s.Node), Path: c.Path(), Witness: c.Witness, Tick: c.Heartbeat,
 		HealAfter: c.HealAfter, HealAtOnce: c.HealAtOnce, HealRate: int(c.HealRate), MostBytes: int64(c.Memory), LeastLog: leastLog,
-		Others: s.Others,
+		Format: uint32(format), Others: s.Others,
 	}, clock, s.Streams, s.Log)
 	if err != nil {
 		return nil, err
@@ -58,7 +63,7 @@
 func (o opened) Status() program.CopiesStatus {
 	x := o.Overview()
 	s := program.CopiesStatus{
-		Node: o.Node(), Founding: hex(x.Founding), Index: x.Index, Copies: x.Copies, Disk: hex(x.Store), Failed: x.Failed, Waiting: x.Calls,
+		Node: o.Node(), Founding: hex(x.Founding), Index: x.Index, Copies: x.Copies, Format: x.Format, Disk: hex(x.Store), Failed: x.Failed, Waiting: x.Calls,
 		Disks: []program.CopiesDisk{}, Groups: []program.CopiesGroup{},
 	}
 	for _, d := range x.Stores {
