--- /dev/null
+++ b/internal/doubt/desk.go
@@ -0,0 +1,647 @@
+package doubt
+
+import "slices"
+
+// Desk is what one gateway knows of the bookings that it has in hand. Its zero value is not ready; New makes one.
+type Desk struct {
+	cfg      Config
+	now      Micros
+	nextCall uint64
+	entries  []entry
+	ended    []Ended // the latest life of each gateway that is known to be over
+	out      []Action
+}
+
+// phase is where a booking stands here.
+type phase uint8
+
+const (
+	claiming   phase = iota // a claim is asked for
+	reading                 // what the store has is asked for
+	waiting                 // another gateway has it, and may yet say what became of it
+	taking                  // the claim of another one is taken over
+	looking                 // a read is asked whether it ran
+	routed                  // claimed and on its way
+	confirming              // likewise, and asked whether the claim is still this one's
+	settling                // what became of it is said in the store
+	rereading               // likewise: the record was another one than expected, and is read again
+	following               // this gateway has it for another request already
+)
+
+// entry is one booking that is in hand.
+type entry struct {
+	ask      Asked
+	came     Micros
+	phase    phase
+	call     uint64 // under way; 0: none
+	begun    Micros // when that was asked for
+	version  uint64 // of the record as last known
+	record   Record // as last known, or as it is to be
+	sure     Micros // until when it may be sent without asking
+	barred   bool   // it may not be sent any more
+	let      bool   // it was let go out once
+	attempt  uint64 // that waits for its permission
+	asksBy   Micros // until when that waits
+	again    Micros // when to look again
+	late     Micros // from then on the record's owner cannot settle it any more
+	until    Micros // of settling
+	after    uint64 // the request that it follows
+	answered bool   // its client has its final answer, or is gone
+	retaken  bool   // a record that was gone was claimed anew already
+	taker    bool   // it was taken over from here
+}
+
+// New makes a desk.
+func New(cfg Config) *Desk { return &Desk{cfg: cfg} }
+
+// Clone is the same desk again.
+func (d *Desk) Clone() *Desk {
+	c := *d
+	c.entries, c.ended, c.out = slices.Clone(d.entries), slices.Clone(d.ended), nil
+	return &c
+}
+
+// Open is how many bookings are in hand.
+func (d *Desk) Open() int { return len(d.entries) }
+
+// Unanswered is how many of them have clients that wait.
+func (d *Desk) Unanswered() (n int) {
+	for i := range d.entries {
+		if !d.entries[i].answered {
+			n++
+		}
+	}
+	return n
+}
+
+// Next is when a Tick is due; false: never, as it stands.
+func (d *Desk) Next() (at Micros, ok bool) {
+	for i := range d.entries {
+		e := &d.entries[i]
+		due, any := e.due()
+		if any && (!ok || due < at) {
+			at, ok = due, true
+		}
+	}
+	return at, ok
+}
+
+// due is when an entry wants to be looked at.
+func (e *entry) due() (Micros, bool) {
+	switch e.phase {
+	case waiting:
+		return min(e.again, e.ask.By), true
+	case settling, rereading:
+		if e.call == 0 {
+			return min(e.again, e.until), true
+		}
+		return 0, false
+	case following:
+		return e.ask.By, true
+	case confirming:
+		return e.asksBy, true
+	}
+	return 0, false
+}
+
+// Handle takes in one event and returns what is to be done.
+func (d *Desk) Handle(now Micros, ev Event) []Action {
+	d.now, d.out = max(d.now, now), nil
+	switch ev := ev.(type) {
+	case Asked:
+		d.asked(ev)
+	case Stored:
+		if i := slices.IndexFunc(d.entries, func(e entry) bool { return e.call == ev.Call && ev.Call != 0 }); i >= 0 {
+			e := &d.entries[i]
+			e.call = 0
+			d.stored(e, ev)
+		}
+	case Sending:
+		d.sending(ev)
+	case Told:
+		if e := d.find(ev.ID); e != nil && (e.phase == routed || e.phase == confirming) {
+			d.told(e, ev)
+		}
+	case Ended:
+		d.gatewayEnded(ev)
+	case Looked:
+		if e := d.find(ev.ID); e != nil && e.phase == looking {
+			d.looked(e, ev)
+		}
+	case Gone:
+		d.gone(ev.ID)
+	case Tick:
+	}
+	d.expire()
+	d.follow()
+	d.entries = slices.DeleteFunc(d.entries, func(e entry) bool { return e.phase == over })
+	out := d.out
+	d.out = nil
+	return out
+}
+
+// over marks an entry that is done with.
+const over phase = 255
+
+func (d *Desk) find(id uint64) *entry {
+	if i := slices.IndexFunc(d.entries, func(e entry) bool { return e.ask.ID == id }); i >= 0 {
+		return &d.entries[i]
+	}
+	return nil
+}
+
+func (d *Desk) do(a Action) { d.out = append(d.out, a) }
+
+func (d *Desk) note(e *entry, what Notice) {
+	d.do(Noticed{What: what, Key: e.ask.Key, Request: e.ask.Request, Record: e.record})
+}
+
+// reply gives the final answer, once.
+func (d *Desk) reply(e *entry, kind Kind, value []byte) {
+	if !e.answered {
+		e.answered = true
+		d.do(Reply{ID: e.ask.ID, Kind: kind, Value: value})
+	}
+}
+
+// finish replies and is done with an entry of which nothing has to be said in the store.
+func (d *Desk) finish(e *entry, kind Kind, value []byte) {
+	d.reply(e, kind, value)
+	e.phase = over
+}
+
+func (d *Desk) newCall(e *entry) uint64 {
+	d.nextCall++
+	e.call, e.begun = d.nextCall, d.now
+	return e.call
+}
+
+func (d *Desk) put(e *entry, by Micros) {
+	d.do(Put{Call: d.newCall(e), Key: e.ask.Key, Version: e.version, Record: e.record, Span: e.ask.Policy.Span, By: by})
+}
+
+func (d *Desk) get(e *entry, by Micros) { d.do(Get{Call: d.newCall(e), Key: e.ask.Key, By: by}) }
+
+// asked takes in a booking.
+func (d *Desk) asked(a Asked) {
+	d.entries = append(d.entries, entry{ask: a, came: d.now})
+	e := &d.entries[len(d.entries)-1]
+	if len(d.entries) > d.cfg.Most {
+		d.note(e, Overfull)
+		d.finish(e, d.unsent(e), nil)
+		return
+	}
+	for i := range d.entries[:len(d.entries)-1] {
+		if o := &d.entries[i]; o.ask.Key == a.Key && o.phase != over && o.phase != following {
+			// Two at once are one booking, marked or not: what runs beside it could be it.
+			e.phase, e.after = following, o.ask.ID
+			d.note(e, Awaited)
+			return
+		}
+	}
+	d.claim(e, 0, 0)
+}
+
+// unsent is the answer to a request of which nothing was sent. One that is marked as asked again must not hear that nothing ran:
+// the first one may have.
+func (d *Desk) unsent(e *entry) Kind {
+	if e.ask.Repeat {
+		return Failed
+	}
+	return Refused
+}
+
+// claim asks for a claim, over a record of a version.
+func (d *Desk) claim(e *entry, version uint64, attempt uint32) {
+	e.phase, e.version = claiming, version
+	e.record = Record{
+		State: Open, Owner: d.cfg.Name, Life: d.cfg.Life, ID: e.ask.Request, Class: e.ask.Class, Group: e.ask.Group, Server: e.ask.Server,
+		Attempt: attempt + 1, Left: max(e.ask.By-d.now, 0),
+	}
+	d.put(e, e.ask.By)
+}
+
+// stored takes in what came of an entry's call.
+func (d *Desk) stored(e *entry, s Stored) {
+	switch e.phase {
+	case claiming:
+		d.claimStored(e, s)
+	case reading:
+		d.read(e, s)
+	case waiting:
+		if s.Result != OK { // asked again in a while
+			e.again = d.now + d.cfg.Poll
+			return
+		}
+		d.read(e, s)
+	case taking:
+		d.taken(e, s)
+	case confirming:
+		d.confirmed(e, s)
+	case settling, rereading:
+		d.settled(e, s)
+	}
+}
+
+// mayRepeat tells whether a request may be one that is asked again.
+func (e *entry) mayRepeat() bool { return e.ask.Repeat || !e.ask.Policy.Marks }
+
+func (d *Desk) claimStored(e *entry, s Stored) {
+	switch s.Result {
+	case OK:
+		e.version = s.Version
+		switch {
+		case s.Lost && e.record.Attempt == 1 && (e.mayRepeat() || s.Since <= d.now-e.came):
+			// It may have been claimed before, in what was lost: by one that asked earlier, or by one that asked again while
+			// this one waited. Whoever came after the loss and is no repeat has no such rival.
+			d.note(e, LeftInDoubt)
+			if e.mayRepeat() {
+				d.reply(e, Failed, nil)
+			}
+			d.reply(e, Refused, nil) // this one was not sent
+			d.settle(e, Doubtful, nil, false)
+		case e.answered || d.now >= e.ask.By: // nobody waits for it
+			d.note(e, Released)
+			d.reply(e, d.unsent(e), nil)
+			d.settle(e, Unsent, nil, false)
+		default:
+			e.phase, e.sure = routed, e.begun+d.cfg.Window
+			d.note(e, Claimed)
+			d.do(Route{e.ask.ID})
+		}
+	case Conflict:
+		e.phase = reading
+		d.get(e, e.ask.By)
+	case Never:
+		d.note(e, Unclaimed)
+		d.finish(e, d.unsent(e), nil)
+	case Unknown: // the claim may come into force yet, with nobody to settle it
+		d.note(e, Unclaimed)
+		d.reply(e, d.unsent(e), nil)
+		d.settle(e, Unsent, nil, false)
+	}
+}
+
+// read goes on from what the store has of a booking.
+func (d *Desk) read(e *entry, s Stored) {
+	if s.Result != OK {
+		// There is a record, and it cannot be read.
+		d.note(e, LeftInDoubt)
+		d.finish(e, Failed, nil)
+		return
+	}
+	if s.Record == nil {
+		switch {
+		case s.Lost && e.mayRepeat(), e.retaken:
+			d.note(e, LeftInDoubt)
+			d.finish(e, Failed, nil)
+		default: // it has ended meanwhile
+			e.retaken = true
+			d.claim(e, 0, 0)
+		}
+		return
+	}
+	first := e.version != s.Version || e.record.State != s.Record.State
+	e.version, e.record = s.Version, *s.Record
+	switch e.record.State {
+	case Answered:
+		switch {
+		case !e.mayRepeat() && s.Age > d.now-e.came:
+			// Another booking of the same words, later. One that was answered while this request was here may be its own: its
+			// client may have asked again, and have been served, before the claim of the first came through.
+			d.claim(e, e.version, e.record.Attempt)
+		case e.record.Kept:
+			d.note(e, Remembered)
+			d.finish(e, Served, e.record.Value)
+		default:
+			d.note(e, LeftInDoubt)
+			d.finish(e, Failed, nil)
+		}
+	case Unsent:
+		d.claim(e, e.version, e.record.Attempt)
+	case Open:
+		if first {
+			e.late = d.now + e.record.Left + d.cfg.Settle
+		}
+		d.wait(e)
+	default:
+		d.look(e)
+	}
+}
+
+// over tells whether the owner of a claim is known to send nothing any more, but for what it may have handed to its machine.
+func (d *Desk) ownerOver(r *Record) bool {
+	if r.Owner == d.cfg.Name {
+		return r.Life != d.cfg.Life // a life of this gateway's own that is over
+	}
+	return slices.ContainsFunc(d.ended, func(x Ended) bool { return x.Owner == r.Owner && r.Life <= x.Life })
+}
+
+// wait leaves a claim to its owner, for as long as that may say what became of it.
+func (d *Desk) wait(e *entry) {
+	if d.ownerOver(&e.record) || d.now >= e.late {
+		d.take(e)
+		return
+	}
+	if e.phase != waiting {
+		e.phase = waiting
+		d.note(e, Awaited)
+	}
+	e.again = min(d.now+d.cfg.Poll, e.late)
+}
+
+// take settles another one's claim: from then on its owner finds that it is its own no more, and does not send.
+func (d *Desk) take(e *entry) {
+	e.phase = taking
+	e.record.State, e.record.By = Doubtful, d.cfg.Name
+	d.put(e, e.ask.By)
+}
+
+func (d *Desk) taken(e *entry, s Stored) {
+	switch s.Result {
+	case OK:
+		e.version, e.taker = s.Version, true
+		d.note(e, TakenOver)
+		d.look(e)
+	case Conflict:
+		e.phase = reading
+		d.get(e, e.ask.By)
+	default:
+		d.note(e, LeftInDoubt)
+		d.finish(e, Failed, nil)
+	}
+}
+
+// look asks a read whether a booking that is in doubt has run.
+func (d *Desk) look(e *entry) {
+	if !e.ask.Policy.Look || d.now >= e.ask.By || e.answered {
+		d.note(e, LeftInDoubt)
+		d.finish(e, Failed, nil)
+		return
+	}
+	e.phase = looking
+	d.do(Look{ID: e.ask.ID, Key: e.ask.Key, By: e.ask.By})
+}
+
+// looked takes in what a read has shown. That it has not run yet says nothing: its bytes may be on their way.
+func (d *Desk) looked(e *entry, l Looked) {
+	if !l.Shown {
+		d.note(e, LeftInDoubt)
+		d.finish(e, Failed, nil)
+		return
+	}
+	d.note(e, FoundOut)
+	d.reply(e, Served, l.Value)
+	d.settle(e, Answered, l.Value, true)
+}
+
+// sending answers whether an attempt may be written.
+func (d *Desk) sending(s Sending) {
+	e := d.find(s.ID)
+	switch {
+	case e == nil || e.phase != routed || e.barred || d.now >= s.By:
+		d.do(Permit{s.ID, s.Attempt, false})
+	case d.now <= e.sure:
+		e.let = true
+		d.do(Permit{s.ID, s.Attempt, true})
+	default:
+		e.phase, e.attempt, e.asksBy = confirming, s.Attempt, s.By
+		d.get(e, s.By)
+	}
+}
+
+// permit ends the asking of an attempt.
+func (d *Desk) permit(e *entry, ok bool) {
+	e.phase, e.let = routed, e.let || ok
+	d.do(Permit{e.ask.ID, e.attempt, ok})
+}
+
+// confirmed takes in whether a claim is still this one's.
+func (d *Desk) confirmed(e *entry, s Stored) {
+	switch {
+	case s.Result == OK && s.Record != nil && s.Version == e.version:
+		if e.sure = e.begun + d.cfg.Window; d.now > e.sure {
+			e.phase = routed // it took too long, or this gateway stood still
+			d.sending(Sending{ID: e.ask.ID, Attempt: e.attempt, By: e.asksBy})
+			return
+		}
+		d.permit(e, true)
+	case s.Result == OK:
+		e.barred = true
+		d.note(e, Barred)
+		if s.Record != nil {
+			e.version = s.Version
+		}
+		d.permit(e, false)
+	default:
+		d.permit(e, false) // a later attempt may ask again
+	}
+}
+
+// told takes in routing's answer.
+func (d *Desk) told(e *entry, t Told) {
+	if e.phase == confirming {
+		e.call = 0
+		d.permit(e, false)
+	}
+	switch t.Kind {
+	case Served:
+		if !e.ask.Policy.Safe {
+			d.reply(e, Served, nil)
+		}
+		d.settle(e, Answered, t.Value, t.Kept)
+	case Refused:
+		d.note(e, Released)
+		d.reply(e, Refused, nil)
+		d.settle(e, Unsent, nil, false)
+	default:
+		d.reply(e, Failed, nil)
+		d.settle(e, Doubtful, nil, false)
+	}
+}
+
+// settle says in the store what became of a booking.
+func (d *Desk) settle(e *entry, state State, value []byte, kept bool) {
+	e.phase, e.barred = settling, true
+	e.record.State, e.record.Value, e.record.Kept = state, value, kept
+	if e.record.Owner != d.cfg.Name || e.record.Life != d.cfg.Life {
+		e.record.By = d.cfg.Name
+	}
+	if e.until = d.now + d.cfg.Keep; !e.answered {
+		e.until = max(e.ask.By, d.now)
+	}
+	d.put(e, e.until)
+}
+
+// settled goes on until the store has it, or has something that says as much.
+func (d *Desk) settled(e *entry, s Stored) {
+	if e.phase == settling {
+		switch s.Result {
+		case OK:
+			d.closed(e)
+			return
+		case Conflict:
+			e.phase = rereading
+			d.get(e, e.until)
+			return
+		}
+		e.again = d.now + d.cfg.Poll
+		return
+	}
+	if s.Result != OK {
+		e.again = d.now + d.cfg.Poll
+		return
+	}
+	e.phase = settling
+	if s.Record == nil {
+		if s.Lost || e.record.State != Unsent {
+			d.closed(e) // it has ended, or is lost: nothing that is said now is of use
+			return
+		}
+		e.version = 0 // the claim has not come into force, and must not any more
+		d.put(e, e.until)
+		return
+	}
+	if !mayFollow(&e.record, s.Record) {
+		d.closed(e)
+		return
+	}
+	e.version = s.Version
+	d.put(e, e.until)
+}
+
+// mayFollow tells whether what this gateway knows is to take the place of what the store has. Only the claim's own owner says
+// that it was never sent; an answer takes the place of a doubt, whoever has it; and no later claim is touched.
+func mayFollow(mine, there *Record) bool {
+	same := there.Owner == mine.Owner && there.Life == mine.Life && there.ID == mine.ID && there.Attempt == mine.Attempt
+	if !same {
+		return false
+	}
+	switch there.State {
+	case Open:
+		return true
+	case Doubtful:
+		return mine.State != Doubtful
+	}
+	return false
+}
+
+// closed ends an entry whose record is as it should be.
+func (d *Desk) closed(e *entry) {
+	switch e.record.State {
+	case Answered:
+		d.reply(e, Served, nil)
+	case Unsent:
+		d.reply(e, d.unsent(e), nil)
+	default:
+		d.reply(e, Failed, nil)
+	}
+	e.phase = over
+}
+
+// gatewayEnded remembers which lives are over, and has what waits for them go on.
+func (d *Desk) gatewayEnded(x Ended) {
+	i := slices.IndexFunc(d.ended, func(y Ended) bool { return y.Owner == x.Owner })
+	if i < 0 {
+		d.ended = append(d.ended, x)
+	} else {
+		d.ended[i].Life = max(d.ended[i].Life, x.Life)
+	}
+	for i := range d.entries {
+		if e := &d.entries[i]; e.phase == waiting && e.call == 0 && d.ownerOver(&e.record) {
+			d.take(e)
+		}
+	}
+}
+
+// gone lets a client go. What it has begun is brought to an end: a booking that was let go out is still waited for, so that
+// whoever asks again has its answer; any other one goes out no more.
+func (d *Desk) gone(id uint64) {
+	e := d.find(id)
+	if e == nil || e.answered {
+		return
+	}
+	e.answered = true
+	switch e.phase {
+	case following, waiting, reading, looking:
+		e.phase = over
+	case routed, confirming:
+		e.barred = !e.let
+	}
+}
+
+// expire goes on with what is due.
+func (d *Desk) expire() {
+	for i := range d.entries {
+		e := &d.entries[i]
+		at, any := e.due()
+		if !any || at > d.now {
+			continue
+		}
+		switch e.phase {
+		case waiting:
+			switch {
+			case d.now >= e.ask.By:
+				d.note(e, LeftInDoubt)
+				d.finish(e, Failed, nil)
+			case e.call != 0:
+				e.again = d.now + d.cfg.Poll
+			case d.now >= e.late:
+				d.take(e)
+			default:
+				e.again = d.now + d.cfg.Poll
+				d.get(e, e.ask.By)
+			}
+		case following:
+			d.note(e, LeftInDoubt)
+			d.finish(e, Failed, nil)
+		case confirming:
+			e.call = 0
+			d.permit(e, false)
+		case settling, rereading:
+			switch {
+			case d.now >= e.until && !e.answered: // it has its answer, kept or not
+				e.until = d.now + d.cfg.Keep
+				d.answerAs(e)
+				fallthrough
+			case d.now < e.until:
+				if e.again = d.now + d.cfg.Poll; e.phase == settling {
+					d.put(e, e.until)
+				} else {
+					d.get(e, e.until)
+				}
+			default:
+				d.note(e, Unsettled)
+				d.closed(e)
+			}
+		}
+	}
+}
+
+// answerAs gives a client the answer that its booking has, whether it is kept or not.
+func (d *Desk) answerAs(e *entry) {
+	switch e.record.State {
+	case Answered:
+		d.reply(e, Served, nil)
+	default:
+		d.reply(e, Failed, nil)
+	}
+}
+
+// follow tells those that follow a booking of this gateway's what became of it, once its own client knows.
+func (d *Desk) follow() {
+	for i := range d.entries {
+		e := &d.entries[i]
+		if e.phase != following {
+			continue
+		}
+		o := d.find(e.after)
+		switch {
+		case o == nil || o.phase == over:
+			d.claim(e, 0, 0) // the store knows
+		case o.answered && o.phase == settling && o.record.State == Answered && o.record.Kept:
+			d.note(e, Remembered)
+			d.finish(e, Served, o.record.Value)
+		}
+	}
+}
--- /dev/null
+++ b/internal/doubt/doubt.go
@@ -0,0 +1,241 @@
+// Package doubt decides what becomes of bookings whose gateway may have died with them: what is promised before a booking may be
+// sent, who may send it, what is told to whom asks for it again, and when.
+//
+// It is pure: requests, results of the store, ends and times go in; calls of the store, permissions and answers come out. It owns
+// no clock, socket or goroutine, and draws nothing. Times are whole microseconds of a clock that never
+// steps back. One Desk stands in each gateway. docs/doubt.md has the design, and why no order of events books twice.
+package doubt
+
+// Micros is a point or a span of time in whole microseconds.
+type Micros int64
+
+// State is what is promised of a booking.
+type State uint8
+
+// The states of a record.
+const (
+	Open     State = 1 + iota // its owner may send it, or has
+	Answered                  // it ran; the answer stands in the record, unless it was too large
+	Unsent                    // its owner's word: no attempt ran, and it sends none any more
+	Doubtful                  // it may have run, or may yet
+	States
+)
+
+var stateNames = [States]string{"", "open", "answered", "unsent", "in_doubt"}
+
+// String is the state's name in logs.
+func (s State) String() string { return stateNames[s%States] }
+
+// Record is what the store keeps of a booking.
+type Record struct {
+	State   State
+	Owner   string // the gateway that last claimed it
+	Life    uint64 // of the owner
+	ID      string // of the request that it was claimed for
+	Class   string
+	Group   int
+	Server  string // that was to get it when it was claimed; for whoever looks into it
+	Attempt uint32 // how often it was claimed
+	Left    Micros // of its owner's time when it was claimed
+	Value   []byte // the answer
+	Kept    bool   // Value is all of it
+	By      string // the gateway that settled it, if that is another one
+}
+
+// Config is one gateway.
+type Config struct {
+	Name string
+	Life uint64 // another one after each start
+	Most int    // requests in hand; beyond it bookings are refused unsent
+	// Window is for how long after a claim was asked for, or confirmed, its owner may send without asking again.
+	Window Micros
+	// Poll is how often a record that another gateway holds is looked at.
+	Poll Micros
+	// Settle is how long after its time an owner's record may still change of itself: what its servers take to give up.
+	Settle Micros
+	// Keep is how long after its client has its answer the desk goes on trying to say so in the store.
+	Keep Micros
+}
+
+// Policy is what the operators' file says of a class.
+type Policy struct {
+	Marks bool   // its clients mark what they ask again
+	Safe  bool   // an answer waits until it is kept
+	Look  bool   // a read shows whether it ran
+	Span  Micros // for how long a booking is remembered
+}
+
+// Event is one of the events below.
+type Event interface{ event() }
+
+// Asked is a booking that a client asks for.
+type Asked struct {
+	ID      uint64 // of this desk's own; not used before
+	Key     string // two with the same are the same booking
+	Request string // the client's id for it
+	Class   string
+	Group   int
+	Server  string // that is likely to get it
+	Repeat  bool   // marked so
+	By      Micros // when its client stops waiting
+	Policy  Policy
+}
+
+// Stored is what came of a call of the store.
+type Stored struct {
+	Call    uint64
+	Result  Result
+	Version uint64  // of the record, after a change or as found
+	Record  *Record // found; nil: none
+	Age     Micros  // since the record was last changed, at the least
+	Lost    bool    // what is not found may have been lost, no longer ago than a booking is remembered
+	Since   Micros  // the loss, at the least
+}
+
+// Result is what came of a call.
+type Result uint8
+
+// The results.
+const (
+	OK       Result = iota
+	Conflict        // the version was another one
+	Never           // it was not carried out, and is not any more
+	Unknown         // no answer in time: a change may come into force all the same
+)
+
+// Sending asks whether the last byte of an attempt may be written now. Permit answers it, once.
+type Sending struct {
+	ID, Attempt uint64
+	By          Micros // when it is of no use any more
+}
+
+// Told is the final answer that routing gives.
+type Told struct {
+	ID    uint64
+	Kind  Kind
+	Value []byte // served; nil if it is too large to be kept
+	Kept  bool   // Value is all of it
+}
+
+// Kind is a kind of final answer.
+type Kind uint8
+
+// The kinds.
+const (
+	Served Kind = iota
+	Refused
+	Failed
+)
+
+// Ended tells that a gateway's life is over for good, or that it lives on in a later one: it sends nothing any more.
+type Ended struct {
+	Owner string
+	Life  uint64 // and all before
+}
+
+// Looked is what a read has shown.
+type Looked struct {
+	ID    uint64
+	Shown bool
+	Value []byte // what the booking's own answer would have been
+}
+
+// Gone tells that a client waits no longer. What was begun for it is brought to an end.
+type Gone struct{ ID uint64 }
+
+// Tick tells that time has passed. It comes when Next says, and may come oftener.
+type Tick struct{}
+
+func (Asked) event()   {}
+func (Stored) event()  {}
+func (Sending) event() {}
+func (Told) event()    {}
+func (Ended) event()   {}
+func (Looked) event()  {}
+func (Gone) event()    {}
+func (Tick) event()    {}
+
+// Action is one of the actions below, to be carried out in order.
+type Action interface{ action() }
+
+// Put changes a record, if its version is this one (0: if there is none).
+type Put struct {
+	Call    uint64
+	Key     string
+	Version uint64
+	Record  Record
+	Span    Micros // until it ends
+	By      Micros
+}
+
+// Get reads a record as it stands once all that was promised before is in it.
+type Get struct {
+	Call uint64
+	Key  string
+	By   Micros
+}
+
+// Route has a booking that is claimed go its way.
+type Route struct{ ID uint64 }
+
+// Permit answers Sending.
+type Permit struct {
+	ID, Attempt uint64
+	OK          bool
+}
+
+// Reply is a client's final answer. One that Route went out for gets it after its Told only.
+type Reply struct {
+	ID    uint64
+	Kind  Kind
+	Value []byte // served; nil: as Told had it
+}
+
+// Look asks for a read that shows whether a booking ran, at the primary, as of now.
+type Look struct {
+	ID  uint64
+	Key string
+	By  Micros
+}
+
+// Noticed tells what became of a booking, for log and counters.
+type Noticed struct {
+	What    Notice
+	Key     string
+	Request string
+	Record  Record
+}
+
+func (Put) action()     {}
+func (Get) action()     {}
+func (Route) action()   {}
+func (Permit) action()  {}
+func (Reply) action()   {}
+func (Look) action()    {}
+func (Noticed) action() {}
+
+// Notice is what may be noticed.
+type Notice uint8
+
+// The notices.
+const (
+	Claimed     Notice = iota // it is promised that this gateway may send it
+	Unclaimed                 // no promise in time: refused unsent
+	Remembered                // asked again, and its answer was known
+	Awaited                   // asked again, and waited for at its gateway
+	TakenOver                 // its gateway is held to have ended, or its time is over: this one has settled it
+	FoundOut                  // a read has shown that it ran
+	LeftInDoubt               // asked again, and all that can be told is that it may have run
+	Barred                    // claimed here, and somebody else's by now: nothing more is sent
+	Released                  // it never ran, and the store says so
+	Unsettled                 // what became of it could not be said in the store
+	Overfull                  // refused: too many are in hand
+	Notices
+)
+
+var noticeNames = [Notices]string{
+	"claimed", "not_promised", "known", "awaited", "taken_over", "found_out", "in_doubt", "barred", "released", "unsettled", "too_many",
+}
+
+// String is the notice's code in the log.
+func (n Notice) String() string { return noticeNames[n] }
--- /dev/null
+++ b/internal/doubt/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package doubt
+
+const fewer = 1
--- /dev/null
+++ b/internal/doubt/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package doubt
+
+// fewer divides the number of states: one goroutine looks at all of them.
+const fewer = 10
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -28,6 +28,7 @@
 	"internal/vrrp":               {},
 	"internal/explore":            {},
 	"internal/duties":             {},
+	"internal/doubt":              {},
 	"internal/transport":          {},
 	"internal/config":             {"internal/config/lines", "internal/settings", "internal/protocol/discovery"},
 	"internal/config/lines":       {},
