Copies tell how old a record is and how long ago its shard was lost

Need: bookings in doubt tell a request that came before a change of its record from one that came after (docs to follow).

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -197,6 +197,9 @@
 	// Lost tells that a record that is not found may have been there, and lost: nobody may take it for one that never was. A number
 	// that is found may have been higher.
 	Lost bool
+	// Since is how long ago that was, at the least, and Age how long ago a record that is found was last changed: by the
+	// shard's time, which goes no faster than any clock.
+	Since, Age Micros
 }
 
 // Noticed tells of a change of state, for log and counters.
--- a/internal/copies/host.go
+++ b/internal/copies/host.go
@@ -938,9 +938,14 @@
 	}
 	h.leads[c.ask.Shard] = from
 	h.over(r.Id, c)
-	h.out = append(h.out, Answer{
+	a := Answer{
 		ID: c.ask.ID, Status: Status(r.Status), Version: r.Version, Value: r.Value, Position: r.Position, Found: r.Found, Lost: r.Lost != 0,
-	})
+		Age: Micros(r.Age),
+	}
+	if r.Lost > 1 {
+		a.Since = max(Micros(r.Time-r.Lost), 0)
+	}
+	h.out = append(h.out, a)
 }
 
 // over forgets a call.
--- a/internal/copies/records.go
+++ b/internal/copies/records.go
@@ -34,6 +34,7 @@
 	position uint64
 	mark     bool
 	end      Micros
+	at       Micros // when it was last changed
 }
 
 // client is what is kept of one caller, so that a call that comes again has one effect.
@@ -163,12 +164,25 @@
 		return &api.Reply{Status: uint32(Full), Version: old.version, Position: old.position}
 	}
 	s.writes++
-	r.version = s.writes
+	r.version, r.at = s.writes, s.now
 	s.bytes, s.records[key] = grown, r
 	if !there || r.end < old.end {
 		s.push(ending{r.end, key}) // a later end is found when the earlier one has come
 	}
-	return &api.Reply{Version: r.version}
+	reply := &api.Reply{Version: r.version}
+	if !there {
+		reply.Lost = s.lostSince()
+	}
+	return reply
+}
+
+// lostSince is when this shard was begun anew because what it held was lost; 0: it was not, or so long ago that nothing of it
+// would be there any more.
+func (s *shard) lostSince() int64 {
+	if s.anew || s.lost > 0 && s.now-s.lost < MostSpan {
+		return int64(max(s.lost, 1))
+	}
+	return 0
 }
 
 func (s *shard) remove(key string) {
@@ -233,11 +247,11 @@
 	out := &api.Reply{Time: int64(s.now)}
 	r, there := s.records[string(key)]
 	if there {
-		out.Found, out.Value, out.Version, out.Position = true, r.value, r.version, r.position
+		out.Found, out.Value, out.Version, out.Position, out.Age = true, r.value, r.version, r.position, int64(s.now-r.at)
 	}
 	// Of a number that was raised since, nobody knows whether it had been higher.
-	if (!there || r.mark) && (s.anew || s.lost > 0 && s.now-s.lost < MostSpan) {
-		out.Lost = int64(max(s.lost, 1))
+	if !there || r.mark {
+		out.Lost = s.lostSince()
 	}
 	return out
 }
@@ -250,7 +264,7 @@
 	for _, key := range slices.Sorted(maps.Keys(s.records)) {
 		r := s.records[key]
 		out.Records = append(out.Records, &api.Record{
-			Key: []byte(key), Value: r.value, Version: r.version, Position: r.position, Mark: r.mark, End: int64(r.end),
+			Key: []byte(key), Value: r.value, Version: r.version, Position: r.position, Mark: r.mark, End: int64(r.end), At: int64(r.at),
 		})
 	}
 	for _, number := range slices.Sorted(maps.Keys(s.clients)) {
@@ -258,7 +272,7 @@
 		x := &api.Client{Number: number, Heard: int64(c.heard), Done: c.done}
 		for _, sequence := range slices.Sorted(maps.Keys(c.results)) {
 			r := c.results[sequence]
-			x.Results = append(x.Results, &api.Result{Sequence: sequence, Status: r.Status, Version: r.Version, Position: r.Position})
+			x.Results = append(x.Results, &api.Result{Sequence: sequence, Status: r.Status, Version: r.Version, Position: r.Position, Lost: r.Lost})
 		}
 		out.Clients = append(out.Clients, x)
 	}
@@ -278,7 +292,7 @@
 	s.format = in.Format
 	s.now, s.lost, s.writes = Micros(in.Time), Micros(max(in.Lost, 0)), in.Writes
 	for _, x := range in.Records {
-		r := record{value: x.Value, version: x.Version, position: x.Position, mark: x.Mark, end: Micros(x.End)}
+		r := record{value: x.Value, version: x.Version, position: x.Position, mark: x.Mark, end: Micros(x.End), at: Micros(x.At)}
 		s.records[string(x.Key)] = r
 		s.bytes += cost(string(x.Key), r)
 		s.push(ending{r.end, string(x.Key)})
@@ -286,7 +300,7 @@
 	for _, x := range in.Clients {
 		c := &client{heard: Micros(x.Heard), done: x.Done, results: map[uint64]*api.Reply{}}
 		for _, r := range x.Results {
-			c.results[r.Sequence] = &api.Reply{Status: r.Status, Version: r.Version, Position: r.Position, Time: in.Time}
+			c.results[r.Sequence] = &api.Reply{Status: r.Status, Version: r.Version, Position: r.Position, Lost: r.Lost, Time: in.Time}
 		}
 		s.clients[x.Number] = c
 	}
