--- /dev/null
+++ b/internal/bookings/bookings.go
@@ -0,0 +1,397 @@
+// Package bookings joins the desk of bookings in doubt (internal/doubt) to the world: one goroutine around it, the store of copies,
+// the clients' side of each booking, and reads that show whether one ran. It decides nothing.
+package bookings
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"marblespan/internal/doubt"
+)
+
+// Store keeps records (internal/holders). None of its methods blocks; done is called once, on any goroutine.
+type Store interface {
+	// Put changes a record if its version is this one; 0: if there is none.
+	Put(key, value []byte, version uint64, span time.Duration, by time.Time, done func(Stored))
+	Get(key []byte, by time.Time, done func(Stored))
+}
+
+// Stored is what came of a call.
+type Stored struct {
+	Result     doubt.Result
+	Version    uint64
+	Value      []byte
+	Found      bool
+	Lost       bool          // what is not found may have been lost
+	Age, Since time.Duration // of a record since its last change, and since a loss, at the least
+}
+
+// Class is what the operators' file says of one.
+type Class struct {
+	doubt.Policy
+	Look  string // the class of reads that show whether a booking ran; empty: none does
+	Shows string // a text that such a read's value has if it did; empty: the value that the booking wrote
+}
+
+// Settings are those of a gateway.
+type Settings struct {
+	Node    string
+	Life    uint64
+	Classes map[string]Class
+	Now     func() doubt.Micros
+	Time    func(doubt.Micros) time.Time
+	Log     zerolog.Logger
+	// Look reads a key at the primary, as of now. done is told the row's value and the answer as it would be passed on; it is
+	// called once, on any goroutine.
+	Look func(class, key string, group int, by time.Time, done func(row, answer []byte, ok bool))
+}
+
+// The desk's bounds and spans.
+const (
+	mostInHand = 4096
+	window     = 250 * time.Millisecond
+	poll       = 100 * time.Millisecond
+	settle     = 500 * time.Millisecond
+	keep       = 5 * time.Second
+)
+
+// MostKept is the largest answer that is kept, in bytes.
+const MostKept = 4 << 10
+
+// Client is the side of a booking that its client is on. Its methods are called on the goroutine of the desk, and must not block
+// for long.
+type Client interface {
+	// Route sends the booking on its way. Its final answer is to be given to Told.
+	Route()
+	// Drop tells that it will not be routed.
+	Drop()
+	// Reply is the final answer for the client. Without a value a served one is as Told had it.
+	Reply(kind doubt.Kind, value []byte)
+}
+
+// Asked is a booking that a client asks for.
+type Asked struct {
+	Request string // the client's id
+	Class   string
+	Group   int
+	Name    string // the key in its statement
+	Words   []byte // the statement without its comment
+	Wrote   []byte // the value in it
+	Repeat  bool
+	By      time.Time
+}
+
+// Booking is one that is in hand.
+type Booking struct {
+	all    *Bookings
+	id     uint64
+	ask    Asked
+	client Client
+	routed bool      // by the goroutine only, as the next one is
+	permit chan bool // of the attempt that waits; nil: none does
+}
+
+// Counts are the counters since the start, by what was noticed.
+type Counts struct{ Noticed [doubt.Notices]atomic.Int64 }
+
+// Bookings has all of them in hand.
+type Bookings struct {
+	Counts Counts
+
+	s     Settings
+	desk  *doubt.Desk
+	store atomic.Pointer[Store]
+	next  atomic.Uint64
+
+	mu      sync.Mutex
+	waiting []func() // bounded by what is in hand
+	wake    chan struct{}
+	quit    chan struct{}
+	done    chan struct{}
+
+	open map[uint64]*Booking // by the goroutine only
+}
+
+// New starts the goroutine.
+func New(s Settings) *Bookings {
+	b := &Bookings{
+		s: s, wake: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}), open: map[uint64]*Booking{},
+		desk: doubt.New(doubt.Config{
+			Name: s.Node, Life: s.Life, Most: mostInHand, Window: micros(window), Poll: micros(poll), Settle: micros(settle), Keep: micros(keep),
+		}),
+	}
+	go b.run()
+	return b
+}
+
+func micros(d time.Duration) doubt.Micros { return doubt.Micros(d.Microseconds()) }
+
+// Use gives it its store. Before it has one nothing can be promised.
+func (b *Bookings) Use(s Store) { b.store.Store(&s) }
+
+// Concerns tells whether bookings of a class are claimed before they are sent.
+func (b *Bookings) Concerns(class string) bool {
+	if b == nil {
+		return false
+	}
+	_, does := b.s.Classes[class]
+	return does
+}
+
+// Key is the name that a booking has in the store: what makes two requests the same booking.
+func Key(class string, group int, words []byte) string {
+	sum := sha256.New()
+	fmt.Fprintf(sum, "%q %d ", class, group)
+	sum.Write(words)
+	return "booking " + string(sum.Sum(nil))
+}
+
+// New makes a booking, of which nothing happens before Ask.
+func (b *Bookings) New(a Asked, client Client) *Booking {
+	return &Booking{all: b, id: b.next.Add(1), ask: a, client: client}
+}
+
+// Ask takes the booking in hand. Its client is told at once, or later, to route it, or its answer.
+func (x *Booking) Ask() {
+	b, a := x.all, &x.ask
+	by := b.s.Now() + micros(time.Until(a.By))
+	b.post(func() {
+		b.open[x.id] = x
+		b.handle(doubt.Asked{
+			ID: x.id, Key: Key(a.Class, a.Group, a.Words), Request: a.Request, Class: a.Class, Group: a.Group, Repeat: a.Repeat, By: by,
+			Policy: b.s.Classes[a.Class].Policy,
+		})
+	})
+}
+
+// Told takes routing's final answer. Value is nil where it is too large to be kept.
+func (x *Booking) Told(kind doubt.Kind, value []byte) {
+	x.all.post(func() { x.all.handle(doubt.Told{ID: x.id, Kind: kind, Value: value, Kept: value != nil}) })
+}
+
+// Gone tells that the client waits no longer.
+func (x *Booking) Gone() { x.all.post(func() { x.all.handle(doubt.Gone{ID: x.id}) }) }
+
+// May tells whether the last byte of an attempt may be written now, and waits for the word.
+func (x *Booking) May(ctx context.Context, server string, by time.Time) bool {
+	b, permit := x.all, make(chan bool, 1)
+	until := b.s.Now() + micros(time.Until(by))
+	b.post(func() {
+		x.permit = permit
+		b.handle(doubt.Sending{ID: x.id, Server: server, By: until})
+	})
+	late := time.NewTimer(time.Until(by))
+	defer late.Stop()
+	select {
+	case ok := <-permit:
+		return ok
+	case <-ctx.Done():
+	case <-late.C:
+	case <-b.quit:
+	}
+	return false
+}
+
+// Ended tells that a gateway's life is over, and all before.
+func (b *Bookings) Ended(node string, life uint64) {
+	if b != nil {
+		b.post(func() { b.handle(doubt.Ended{Owner: node, Life: life}) })
+	}
+}
+
+// post has the goroutine do something. It never blocks: the owner of the decision module calls it.
+func (b *Bookings) post(do func()) {
+	b.mu.Lock()
+	b.waiting = append(b.waiting, do)
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *Bookings) run() {
+	defer close(b.done)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if at, due := b.desk.Next(); due {
+			timer.Reset(max(time.Until(b.s.Time(at)), 0))
+		}
+		select {
+		case <-b.quit:
+			return
+		case <-timer.C:
+			b.handle(doubt.Tick{})
+		case <-b.wake:
+		}
+		b.mu.Lock()
+		all := b.waiting
+		b.waiting = nil
+		b.mu.Unlock()
+		for _, do := range all {
+			do()
+		}
+	}
+}
+
+// handle hands the desk an event and carries out what comes of it.
+func (b *Bookings) handle(ev doubt.Event) {
+	for _, a := range b.desk.Handle(b.s.Now(), ev) {
+		switch a := a.(type) {
+		case doubt.Put:
+			b.put(a)
+		case doubt.Get:
+			b.get(a)
+		case doubt.Route:
+			if x := b.open[a.ID]; x != nil {
+				x.routed = true
+				x.client.Route()
+			}
+		case doubt.Permit:
+			if x := b.open[a.ID]; x != nil && x.permit != nil {
+				x.permit <- a.OK
+				x.permit = nil
+			}
+		case doubt.Reply:
+			if x := b.open[a.ID]; x != nil {
+				x.client.Reply(a.Kind, a.Value)
+			}
+		case doubt.Look:
+			b.look(a)
+		case doubt.Over:
+			if x := b.open[a.ID]; x != nil && !x.routed {
+				x.client.Drop()
+			}
+			delete(b.open, a.ID)
+		case doubt.Noticed:
+			b.noticed(a)
+		}
+	}
+}
+
+// record is a record as it is kept: JSON, so that a later version may add to it.
+type record struct {
+	State   doubt.State  `json:"state"`
+	Owner   string       `json:"owner"`
+	Life    uint64       `json:"life"`
+	ID      string       `json:"id"`
+	Class   string       `json:"class"`
+	Group   int          `json:"group"`
+	Server  string       `json:"server,omitempty"`
+	Attempt uint32       `json:"attempt"`
+	Left    doubt.Micros `json:"left"`
+	Value   []byte       `json:"value,omitempty"`
+	Kept    bool         `json:"kept,omitempty"`
+	By      string       `json:"by,omitempty"`
+}
+
+func (b *Bookings) put(p doubt.Put) {
+	s := b.store.Load()
+	raw, err := json.Marshal(record(p.Record))
+	if s == nil || err != nil {
+		b.post(func() { b.handle(doubt.Stored{Call: p.Call, Result: doubt.Never}) })
+		return
+	}
+	(*s).Put([]byte(p.Key), raw, p.Version, time.Duration(p.Span)*time.Microsecond, b.s.Time(p.By), b.stored(p.Call))
+}
+
+func (b *Bookings) get(g doubt.Get) {
+	s := b.store.Load()
+	if s == nil {
+		b.post(func() { b.handle(doubt.Stored{Call: g.Call, Result: doubt.Never}) })
+		return
+	}
+	(*s).Get([]byte(g.Key), b.s.Time(g.By), b.stored(g.Call))
+}
+
+func (b *Bookings) stored(call uint64) func(Stored) {
+	return func(x Stored) {
+		ev := doubt.Stored{Call: call, Result: x.Result, Version: x.Version, Lost: x.Lost, Age: micros(x.Age), Since: micros(x.Since)}
+		if x.Found {
+			var r record
+			if json.Unmarshal(x.Value, &r) != nil { // of a version that this one cannot read: all that is known is that it is there
+				r = record{State: doubt.Doubtful}
+			}
+			into := doubt.Record(r)
+			ev.Record = &into
+		}
+		b.post(func() { b.handle(ev) })
+	}
+}
+
+func (b *Bookings) look(l doubt.Look) {
+	x := b.open[l.ID]
+	class := b.s.Classes[x.ask.Class]
+	b.s.Look(class.Look, x.ask.Name, x.ask.Group, b.s.Time(l.By), func(row, answer []byte, ok bool) {
+		shown := ok && (class.Shows != "" && bytes.Contains(row, []byte(class.Shows)) || class.Shows == "" && bytes.Equal(row, x.ask.Wrote))
+		b.post(func() { b.handle(doubt.Looked{ID: l.ID, Shown: shown, Value: answer}) })
+	})
+}
+
+// noticed tells the log of what is not ordinary, by words that one booking can be followed by through all gateways.
+func (b *Bookings) noticed(n doubt.Noticed) {
+	b.Counts.Noticed[n.What].Add(1)
+	line := b.s.Log.Info()
+	switch n.What {
+	case doubt.Claimed, doubt.Released:
+		line = b.s.Log.Debug()
+	case doubt.Unsettled:
+		line = b.s.Log.Warn()
+	}
+	line.Stringer("what", n.What).Str("booking", Short(n.Key)).Str("id", n.Request).Stringer("state", n.Record.State).
+		Str("owner", n.Record.Owner).Uint64("life", n.Record.Life).Uint32("attempt", n.Record.Attempt).Str("claimed_for", n.Record.ID).Msg("booking in doubt")
+}
+
+// Short is a booking's name as logs and commands have it.
+func Short(key string) string {
+	if len(key) < 16 {
+		return key
+	}
+	return hex.EncodeToString([]byte(key[len(key)-8:]))
+}
+
+// Views lists what is in hand.
+func (b *Bookings) Views() (all []doubt.View) {
+	ran := make(chan struct{})
+	b.post(func() {
+		all = b.desk.Views(b.s.Now())
+		close(ran)
+	})
+	select {
+	case <-ran:
+		return all
+	case <-b.quit:
+		return nil
+	}
+}
+
+// Settle waits until nothing is in hand, within a bound. It tells whether it came to that.
+func (b *Bookings) Settle(bound time.Duration) bool {
+	if b == nil {
+		return true
+	}
+	for late := time.Now().Add(bound); len(b.Views()) > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(late) {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends it.
+func (b *Bookings) Close() {
+	if b != nil {
+		close(b.quit)
+		<-b.done
+	}
+}
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -20,11 +20,12 @@
 // Operators is the operators' own file. What it does not name is off; without the file everything in it is.
 type Operators struct {
 	lines.Where
-	Control string   `conf:"control" validate:"max=100"` // a local socket for questions
-	Members *Members `section:"members" validate:"-"`
-	Copies  *Copies  `section:"copies" validate:"-"`
-	VRRP    *VRRP    `section:"vrrp" validate:"-"`
-	Groups  []Group  `section:"group" validate:"-"`
+	Control string    `conf:"control" validate:"max=100"` // a local socket for questions
+	Members *Members  `section:"members" validate:"-"`
+	Copies  *Copies   `section:"copies" validate:"-"`
+	VRRP    *VRRP     `section:"vrrp" validate:"-"`
+	Groups  []Group   `section:"group" validate:"-"`
+	InDoubt []InDoubt `section:"in-doubt" validate:"-"`
 
 	file string
 }
@@ -90,6 +91,25 @@
 	return ""
 }
 
+// InDoubt is what is promised of the bookings of a class before they are sent.
+type InDoubt struct {
+	lines.Where
+	Class    string        `title:"true" validate:"required,max=64"`
+	Clients  string        `conf:"clients" validate:"oneof=mark do-not-mark"` // what they ask again
+	Order    string        `conf:"order" validate:"oneof=safe fast"`
+	Remember time.Duration `conf:"remember"`
+	Look     []string      `conf:"look" validate:"max=2,dive,min=1,max=64"` // a class of reads, and a text that shows that it ran
+}
+
+// Defaults are what an in-doubt section has that it does not name.
+func (d *InDoubt) Defaults() { d.Clients, d.Order, d.Remember = "mark", "fast", 10*time.Minute }
+
+// The bounds of how long a booking is remembered. It must outlast the longest time that a client gives one.
+const (
+	leastRemember = 10 * time.Second
+	mostRemember  = 24 * time.Hour
+)
+
 // The bounds of the spans of a copies section.
 const (
 	leastHeartbeat = 20 * time.Millisecond
@@ -274,6 +294,19 @@
 			at(c.Where, "marks-last", 0, "%v is not from 1s to %v", c.MarksLast, mostMarksLast)
 		}
 	}
+	classes := map[string]bool{}
+	for _, d := range o.InDoubt {
+		if o.Copies == nil {
+			at(d.Where, "in-doubt", 0, "there is no copies section: what is promised is kept in copies")
+		}
+		if classes[d.Class] {
+			at(d.Where, "in-doubt", 0, "%s is there twice", d.Class)
+		}
+		classes[d.Class] = true
+		if d.Remember < leastRemember || d.Remember > mostRemember {
+			at(d.Where, "remember", 0, "%v is not from %v to %v", d.Remember, leastRemember, mostRemember)
+		}
+	}
 	vrids, names, listens := map[uint8]string{}, map[string]bool{}, map[netip.AddrPort]string{}
 	for _, g := range o.Groups {
 		if o.VRRP == nil {
@@ -321,6 +354,7 @@
 		differ("members advertise", m.Advertise == n.Advertise)
 	}
 	differ("copies", reflect.DeepEqual(unplaced(o.Copies), unplaced(next.Copies)))
+	differ("in-doubt", reflect.DeepEqual(unlined(o.InDoubt), unlined(next.InDoubt)))
 	differ("vrrp", (o.VRRP == nil) == (next.VRRP == nil))
 	if o.VRRP != nil && next.VRRP != nil {
 		differ("vrrp node", o.VRRP.Node == next.VRRP.Node)
@@ -337,6 +371,15 @@
 	return fixed
 }
 
+// unlined are sections without the lines that they stand in.
+func unlined(all []InDoubt) (out []InDoubt) {
+	for _, d := range all {
+		d.Where = lines.Where{}
+		out = append(out, d)
+	}
+	return out
+}
+
 // unplaced is a section without the lines that it stands in.
 func unplaced(c *Copies) Copies {
 	if c == nil {
@@ -356,6 +399,9 @@
 	if o.Copies != nil {
 		on = append(on, "copies")
 	}
+	for _, d := range o.InDoubt {
+		on = append(on, "in-doubt "+d.Class)
+	}
 	if o.VRRP != nil {
 		on = append(on, "vrrp")
 	}
--- a/internal/doubt/desk.go
+++ b/internal/doubt/desk.go
@@ -64,16 +64,6 @@
 // Open is how many bookings are in hand.
 func (d *Desk) Open() int { return len(d.entries) }
 
-// Unanswered is how many of them have clients that wait.
-func (d *Desk) Unanswered() (n int) {
-	for i := range d.entries {
-		if !d.entries[i].answered {
-			n++
-		}
-	}
-	return n
-}
-
 // Next is when a Tick is due; false: never, as it stands.
 func (d *Desk) Next() (at Micros, ok bool) {
 	for i := range d.entries {
@@ -134,7 +124,12 @@
 	}
 	d.expire()
 	d.follow()
-	d.entries = slices.DeleteFunc(d.entries, func(e entry) bool { return e.phase == over })
+	d.entries = slices.DeleteFunc(d.entries, func(e entry) bool {
+		if e.phase == over {
+			d.do(Over{e.ask.ID})
+		}
+		return e.phase == over
+	})
 	out := d.out
 	d.out = nil
 	return out
@@ -398,6 +393,9 @@
 // sending answers whether an attempt may be written.
 func (d *Desk) sending(s Sending) {
 	e := d.find(s.ID)
+	if e != nil && s.Server != "" {
+		e.record.Server = s.Server
+	}
 	switch {
 	case e == nil || e.phase != routed || e.barred || d.now >= s.By:
 		d.do(Permit{s.ID, s.Attempt, false})
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -106,6 +106,7 @@
 // Sending asks whether the last byte of an attempt may be written now. Permit answers it, once.
 type Sending struct {
 	ID, Attempt uint64
+	Server      string // that gets it
 	By          Micros // when it is of no use any more
 }
 
@@ -198,6 +199,9 @@
 	By  Micros
 }
 
+// Over tells that a booking is in hand no more.
+type Over struct{ ID uint64 }
+
 // Noticed tells what became of a booking, for log and counters.
 type Noticed struct {
 	What    Notice
@@ -212,6 +216,7 @@
 func (Permit) action()  {}
 func (Reply) action()   {}
 func (Look) action()    {}
+func (Over) action()    {}
 func (Noticed) action() {}
 
 // Notice is what may be noticed.
--- a/internal/holders/uses.go
+++ b/internal/holders/uses.go
@@ -59,6 +59,20 @@
 	})
 }
 
+// Call makes a call about a key, a command or, without one, a read. done is told its answer, as Ask tells it.
+func (h *Holders) Call(key []byte, command *api.Command, by time.Time, done func(copies.Answer)) {
+	shards := int(h.shards.Load())
+	if shards == 0 {
+		done(copies.Answer{Status: copies.NotSent})
+		return
+	}
+	a := copies.Ask{Shard: copies.ShardOf(key, shards), Command: command}
+	if command == nil {
+		a.Get = &api.Get{Key: key}
+	}
+	h.Ask(a, by, done)
+}
+
 // Print writes the counters.
 func (h *Holders) Print() {
 	c := &h.Counts
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -29,6 +29,7 @@
 	"internal/explore":            {},
 	"internal/duties":             {},
 	"internal/doubt":              {},
+	"internal/bookings":           {"internal/doubt"},
 	"internal/transport":          {},
 	"internal/config":             {"internal/config/lines", "internal/settings", "internal/protocol/discovery"},
 	"internal/config/lines":       {},
@@ -38,7 +39,7 @@
 		"brain", "internal/settings", "internal/protocol/discovery", "internal/transport",
 	},
 	"internal/session": {
-		"brain", "internal/settings", "internal/protocol/postgres", "internal/protocol/discovery",
+		"brain", "internal/bookings", "internal/doubt", "internal/settings", "internal/protocol/postgres", "internal/protocol/discovery",
 		"internal/routing", "internal/transport",
 	},
 	"internal/control":   {},
@@ -47,12 +48,14 @@
 	"internal/peers": {
 		"internal/datagrams", "internal/membership", "internal/protocol/members", "internal/protocol/sealed", "internal/streams", "internal/transport",
 	},
-	"internal/floating":   {"internal/datagrams", "internal/protocol/sealed", "internal/protocol/vrrp", "internal/vrrp"},
-	"internal/store":      {"internal/copies"},
-	"internal/holders":    {"api/copies", "internal/copies", "internal/store", "internal/streams"},
-	"internal/withcopies": {"brain", "internal/copies", "internal/holders", "internal/program", "internal/store"},
+	"internal/floating": {"internal/datagrams", "internal/protocol/sealed", "internal/protocol/vrrp", "internal/vrrp"},
+	"internal/store":    {"internal/copies"},
+	"internal/holders":  {"api/copies", "internal/copies", "internal/store", "internal/streams"},
+	"internal/withcopies": {
+		"api/copies", "brain", "internal/bookings", "internal/copies", "internal/doubt", "internal/holders", "internal/program", "internal/store",
+	},
 	"internal/program": {
-		"brain", "internal/config", "internal/control", "internal/floating", "internal/membership", "internal/peers",
+		"brain", "internal/bookings", "internal/config", "internal/control", "internal/doubt", "internal/floating", "internal/membership", "internal/peers",
 		"internal/protocol/members", "internal/protocol/sealed", "internal/protocol/vrrp", "internal/routing",
 		"internal/session", "internal/settings", "internal/streams", "internal/transport", "internal/vrrp",
 	},
--- /dev/null
+++ b/internal/program/bookings.go
@@ -0,0 +1,88 @@
+package program
+
+import (
+	"errors"
+	"time"
+
+	"marblespan/brain"
+	"marblespan/internal/bookings"
+	"marblespan/internal/doubt"
+)
+
+// newBookings takes bookings in hand where the operators' file has an in-doubt section; nil: none are.
+func newBookings(g *Gateway) *bookings.Bookings {
+	if len(g.ops.InDoubt) == 0 {
+		return nil
+	}
+	s := bookings.Settings{
+		Node: g.ops.Members.Node, Life: g.life, Classes: map[string]bookings.Class{}, Log: g.log,
+		Now:  func() doubt.Micros { return doubt.Micros(g.clock.Now()) },
+		Time: func(t doubt.Micros) time.Time { return g.clock.Time(brain.Micros(t)) },
+		Look: func(class, key string, group int, by time.Time, done func(row, answer []byte, ok bool)) {
+			g.clients.Look(class, key, group, by, done)
+		},
+	}
+	for _, d := range g.ops.InDoubt {
+		c := bookings.Class{Policy: doubt.Policy{
+			Marks: d.Clients == "mark", Safe: d.Order == "safe", Look: len(d.Look) > 0, Span: doubt.Micros(d.Remember.Microseconds()),
+		}}
+		if c.Policy.Look {
+			c.Look = d.Look[0]
+		}
+		if len(d.Look) > 1 {
+			c.Shows = d.Look[1]
+		}
+		s.Classes[d.Class] = c
+	}
+	return bookings.New(s)
+}
+
+// IntentsStatus is which bookings a gateway has in hand, for whoever asks.
+type IntentsStatus struct {
+	Node   string           `json:"node"`
+	Open   []Intent         `json:"open"`
+	Counts map[string]int64 `json:"counts"` // since the start, by what was noticed
+}
+
+// Intent is one booking in hand.
+type Intent struct {
+	Booking string `json:"booking"` // its name in the logs of all gateways
+	ID      string `json:"id"`      // of the request
+	Class   string `json:"class"`
+	Phase   string `json:"phase"`
+	ForMS   int64  `json:"for_ms"`
+	State   string `json:"state,omitempty"` // of its record, as last known
+	Owner   string `json:"owner,omitempty"`
+	Server  string `json:"server,omitempty"`
+	Attempt uint32 `json:"attempt,omitempty"`
+}
+
+// intents answers which bookings are in hand.
+func (g *Gateway) intents() (any, error) {
+	if g.bookings == nil {
+		return nil, errors.New("this gateway has no in-doubt section")
+	}
+	s := IntentsStatus{Node: g.ops.Members.Node, Open: []Intent{}, Counts: map[string]int64{}}
+	for _, v := range g.bookings.Views() {
+		s.Open = append(s.Open, Intent{
+			Booking: bookings.Short(v.Key), ID: v.Request, Class: v.Class, Phase: v.Phase, ForMS: int64(v.For) / 1000, State: v.Record.State.String(),
+			Owner: v.Record.Owner, Server: v.Record.Server, Attempt: v.Record.Attempt,
+		})
+	}
+	for n := range doubt.Notices {
+		s.Counts[n.String()] = g.bookings.Counts.Noticed[n].Load()
+	}
+	return s, nil
+}
+
+// printBookings writes the counters of bookings.
+func (g *Gateway) printBookings() {
+	if g.bookings == nil {
+		return
+	}
+	line := g.log.Info()
+	for n := range doubt.Notices {
+		line = line.Int64(n.String(), g.bookings.Counts.Noticed[n].Load())
+	}
+	line.Msg("bookings counters")
+}
--- a/internal/program/copies.go
+++ b/internal/program/copies.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"marblespan/brain"
+	"marblespan/internal/bookings"
 	"marblespan/internal/config"
 	"marblespan/internal/membership"
 	"marblespan/internal/routing"
@@ -28,6 +29,7 @@
 	Raise(key []byte, to uint64, last time.Duration, by time.Time, done func(bool))
 	// Read reads it. known is false where it could not be had in time, or may have been lost.
 	Read(key []byte, by time.Time, done func(value uint64, known bool))
+	bookings.Store
 	Status() CopiesStatus
 	Found(shards, copies int, first bool) error
 	Gone(node string) error
@@ -160,6 +162,9 @@
 	if g.marks != nil {
 		g.marks.store.Store(&g.store)
 	}
+	if g.bookings != nil {
+		g.bookings.Use(s)
+	}
 	return nil
 }
 
@@ -209,6 +214,11 @@
 	if c.Name == m.g.ops.Members.Node {
 		return
 	}
+	if c.State.Ended() {
+		m.g.bookings.Ended(c.Name, c.Life)
+	} else if c.Life > 0 {
+		m.g.bookings.Ended(c.Name, c.Life-1) // whatever it was before
+	}
 	var next []string
 	for _, name := range m.names() {
 		if name != c.Name {
--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -26,6 +26,7 @@
 	g.floats.print()
 	g.members.print()
 	g.printStore()
+	g.printBookings()
 }
 
 func (g *Gateway) printOwner(c *routing.Core) {
--- a/internal/program/members.go
+++ b/internal/program/members.go
@@ -41,7 +41,7 @@
 	var err error
 	s := peersSettings(g.ops)
 	s.Buffers, s.Fds = g.buffers, g.fds
-	if m.peers, err = peers.Start(s, clock, uint64(time.Now().UnixMicro()), m.self, m.changed, g.log); err != nil {
+	if m.peers, err = peers.Start(s, clock, g.life, m.self, m.changed, g.log); err != nil {
 		return nil, err
 	}
 	g.fds.Hold(2) // a socket and a listener
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"marblespan/brain"
+	"marblespan/internal/bookings"
 	"marblespan/internal/config"
 	"marblespan/internal/control"
 	"marblespan/internal/routing"
@@ -91,10 +92,12 @@
 	clients   *session.Clients
 	servers   *session.Servers
 	discovery *session.Discovery
-	floats    *floats  // nil without a floating address
-	members   *members // nil without a members section
-	store     Store    // nil without a copies section
-	marks     *marks   // nil where no session is kept
+	floats    *floats            // nil without a floating address
+	members   *members           // nil without a members section
+	store     Store              // nil without a copies section
+	marks     *marks             // nil where no session is kept
+	bookings  *bookings.Bookings // nil where none is claimed before it is sent
+	life      uint64             // microseconds of Unix time at the start
 	control   *control.Server
 	ready     atomic.Bool
 	accepting chan struct{}
@@ -193,6 +196,8 @@
 	}
 	g.owner = routing.NewOwner(g.clock)
 	g.marks = newMarks(ops, g.clock)
+	g.life = uint64(time.Now().UnixMicro())
+	g.bookings = newBookings(g)
 	g.clients = g.newClients(&session.ClientCounts{}, session.DefaultTimeouts)
 	g.servers = &session.Servers{
 		Owner: g.owner, Facts: g.facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
@@ -233,6 +238,7 @@
 	if g.marks != nil {
 		c.Marks = g.marks
 	}
+	c.Bookings = g.bookings
 	return c
 }
 
@@ -271,6 +277,8 @@
 		return g.members.status(false)
 	case "members streams":
 		return g.members.status(true)
+	case "intents":
+		return g.intents()
 	}
 	if words := strings.Fields(question); len(words) > 0 && words[0] == "copies" {
 		return g.askStore(words[1:])
@@ -339,6 +347,7 @@
 		wait(leave+stopMargin/2, func() int { return g.clients.Open() + g.floats.open() })
 	}
 	g.listener.Release()
+	g.bookings.Settle(max(time.Until(start.Add(leave+stopMargin/2)), stopMargin/2))
 	g.owner.Ask(g.printOwner)
 	g.end()
 	g.printSockets()
@@ -350,6 +359,7 @@
 func (g *Gateway) end() {
 	g.control.Close()
 	g.floats.close()
+	g.bookings.Close()
 	if g.store != nil {
 		g.store.Close()
 	}
--- a/internal/protocol/postgres/statement.go
+++ b/internal/protocol/postgres/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"strconv"
@@ -216,6 +217,45 @@
 	return b, s.waitTo
 }
 
+// Words is what a statement says beside its comment, and the value that an INSERT writes, decoded. The statement must have been
+// parsed before.
+func Words(body []byte) (words, wrote []byte) {
+	_, words, _ = bytes.Cut(body, []byte(commentClose))
+	if _, value, insert := bytes.Cut(words, []byte(insertValue)); insert {
+		wrote, _ = hex.DecodeString(string(bytes.TrimSuffix(value, []byte(insertClose))))
+	}
+	return words, wrote
+}
+
+// SelectStatement is a read of the gateway's own, as a client would send it.
+func SelectStatement(id, class, key string, group int, waitMillis int64) []byte {
+	return fmt.Appendf(nil, "%sid=%s,c=%s,d=%d,cluster=%d%s%s%s%s", commentOpen, id, class, waitMillis, group, commentClose, selectOpen, key, selectClose)
+}
+
+// Inserted makes the answer to an INSERT of the answer to a read of the same row, and the row's value. It takes whole messages,
+// as they are passed on.
+func Inserted(read []byte) (row, answer []byte) {
+	for len(read) >= HeaderSize {
+		h, err := ParseHeader(read)
+		if err != nil || len(read) < HeaderSize+h.Body {
+			return nil, nil
+		}
+		message := read[:HeaderSize+h.Body]
+		read = read[len(message):]
+		switch h.Type {
+		case TypeDataRow:
+			row = []byte(RowValue(message[HeaderSize:]))
+			fallthrough
+		case TypeRowDescription:
+			answer = append(answer, message...)
+		case TypeCommandComplete:
+			b, at := begin(answer, TypeCommandComplete)
+			answer = finish(text(b, "INSERT 0 1"), at)
+		}
+	}
+	return row, answer
+}
+
 // AppendQuery writes a query of the gateway's own.
 func AppendQuery(b []byte, sql string) []byte {
 	b, at := begin(b, TypeQuery)
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -32,7 +32,7 @@
 // checkers are all rules that a history must keep. A later part of the program adds its own.
 var checkers = []checker{
 	{"answers", answers}, {"bookings", bookings}, {"drains", drains}, {"stale", stale}, {"linearizable", linearizable},
-	{"crashes", crashes}, {"address", address}, {"members", members}, {"sessions", sessions},
+	{"crashes", crashes}, {"address", address}, {"members", members}, {"sessions", sessions}, {"told", toldRightly},
 }
 
 // Check reads a history and lists what it breaks, in the order of time.
@@ -158,6 +158,8 @@
 	for _, id := range h.order {
 		r := h.requests[id]
 		switch {
+		case r.asked == nil && strings.HasPrefix(id, lookPrefix):
+			continue // a gateway's own read, which shows whether a booking ran
 		case r.asked == nil:
 			out = append(out, Violation{At: first(r), Text: fmt.Sprintf("%s was sent or answered, and nobody asked", id)})
 			continue
@@ -173,7 +175,7 @@
 		node, from, x := r.asked.Node, r.asked.At, r.heard[0]
 		switch x.What {
 		case EndServed:
-			if x.Value != id+There && x.Value != id+Absent && !strings.HasPrefix(x.Value, id+" ") {
+			if !h.madeFor(r, id, x.Value) {
 				out = append(out, Violation{At: x.At, Text: fmt.Sprintf("%s was served %q", id, x.Value)})
 			}
 		case EndClosed, EndReset:
@@ -194,6 +196,20 @@
 	return out
 }
 
+// lookPrefix begins the ids of reads that gateways make to find out about a booking.
+const lookPrefix = "look-"
+
+// madeFor tells whether a value was made for a request: by its own run, or, for a booking that was asked for again, by the run of
+// an earlier request for the same, or a read that showed it.
+func (h *reading) madeFor(r *request, id, value string) bool {
+	by, _, _ := strings.Cut(value, " ")
+	if by == id {
+		return true
+	}
+	other := h.requests[by]
+	return other != nil && r.asked.Class == ClassBooking && slices.ContainsFunc(other.ran, func(e Event) bool { return e.Key == r.asked.Key })
+}
+
 func first(r *request) int64 {
 	at := int64(math.MaxInt64)
 	for _, list := range [][]Event{r.heard, r.sent, r.ran} {
@@ -218,6 +234,8 @@
 			continue
 		}
 		switch end := r.heard[0]; {
+		case end.What == EndServed && len(r.ran) == 0 && !strings.HasPrefix(end.Value, id+" ") && h.madeFor(r, id, end.Value):
+			// its answer was known
 		case end.What == EndServed && len(r.ran) != 1:
 			out = append(out, Violation{At: end.At, Text: fmt.Sprintf("%s was served and ran %d times", id, len(r.ran))})
 		case end.What == EndRefused && len(r.ran) > 0:
@@ -232,6 +250,26 @@
 	return out
 }
 
+// toldRightly: whoever asks again for a booking that ran is not told that it did not.
+func toldRightly(h *reading) (out []Violation) {
+	ran := map[string]int64{}
+	for _, e := range h.events {
+		if e.Kind == Ran && e.Class == ClassBooking && ran[e.Key] == 0 {
+			ran[e.Key] = e.At
+		}
+	}
+	for _, id := range h.order {
+		r := h.requests[id]
+		if r.asked == nil || !strings.HasSuffix(r.asked.Text, askedBefore) || len(r.heard) == 0 || r.heard[0].What != EndRefused {
+			continue
+		}
+		if at := ran[r.asked.Key]; at > 0 && at < r.heard[0].At {
+			out = append(out, Violation{At: r.heard[0].At, Text: fmt.Sprintf("%s asked again for %s and was refused, and it ran at %.3fs", id, r.asked.Key, float64(at)/1e6)})
+		}
+	}
+	return out
+}
+
 // drains: nothing new goes to a server once its drain was told for as long as the settings allow. What a gateway cannot hear,
 // or cannot act on because it does not run, it is told when it can.
 func drains(h *reading) (out []Violation) {
--- a/internal/rig/check_test.go
+++ b/internal/rig/check_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// again asks once more for a booking, and hears something of it; nothing runs.
+func again(ms int64, id, key, end, value string) story {
+	return story{
+		at(ms, Event{Kind: Asked, Node: 2, ID: id, Client: "c", Class: ClassBooking, Key: key, Within: 1_000_000, Text: askedBefore}),
+		at(ms+9, Event{Kind: Heard, Node: 2, ID: id, Client: "c", Class: ClassBooking, Key: key, What: end, Value: value}),
+	}
+}
+
+// looked is a gateway's own read.
+func looked(ms int64, key string) Event {
+	return at(ms, Event{Kind: Ran, Node: 2, ID: "look-1", Class: ClassSeat, Key: key, Server: "p"})
+}
+
 func fault(from, to int64, line string) story {
 	return story{at(from, Event{Kind: Begins, What: line}), at(to, Event{Kind: Ends, What: line})}
 }
@@ -117,6 +130,12 @@
 		{"a session that does not see what it has booked", "sessions", join(booked(100, "a", "k", EndServed), viewed(200, "b", ClassMine, "r1", Absent, 1))},
 		{"a session that may not have booked", "", join(booked(100, "a", "k", EndFailed), viewed(200, "b", ClassMine, "r1", Absent, 1))},
 		{"a session asked while it books", "", join(booked(100, "a", "k", EndServed), viewed(105, "b", ClassMine, "r1", Absent, 1))},
+		{"asked again, and the answer is known", "", join(booked(100, "a", "k", EndFailed), again(200, "b", "k", EndServed, "a"+There))},
+		{"asked again, and a read shows it", "", join(booked(100, "a", "k", EndFailed), story{looked(205, "k")}, again(200, "b", "k", EndServed, "look-1"+There))},
+		{"asked again, and a read of another key", "answers", join(booked(100, "a", "k", EndFailed), story{looked(205, "j")}, again(200, "b", "k", EndServed, "look-1"+There))},
+		{"asked again, and another booking's answer", "answers", join(booked(100, "a", "j", EndServed), again(200, "b", "k", EndServed, "a"+There))},
+		{"asked again and refused, and it ran", "told", join(booked(100, "a", "k", EndFailed), again(200, "b", "k", EndRefused, ""))},
+		{"asked again and refused, and it never ran", "", join(without(without(booked(100, "a", "k", EndFailed), Ran), Sent), again(200, "b", "k", EndRefused, ""))},
 		{"a crash", "crashes", join(story{ended(100, "exit status 2")})},
 		{"a crash while it was told to end", "crashes", join(fault(90, 300, "at 1s term 1"), story{ended(200, "exit status 2")})},
 		{"an end that was asked for", "", join(fault(90, 300, "at 1s term 1"), story{ended(200, "exit status 0")})},
--- /dev/null
+++ b/internal/rig/doubt.go
@@ -0,0 +1,44 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"strings"
+)
+
+// InDoubt says how bookings are claimed before they are sent.
+type InDoubt struct {
+	Safe bool // answers wait until they are kept
+	Look bool // a look for a seat shows whether a booking ran
+}
+
+// section is the section of a gateway's operators' file.
+func (d *InDoubt) section() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "in-doubt %s\n remember 5m\n", ClassBooking)
+	if d.Safe {
+		b.WriteString(" order safe\n")
+	}
+	if d.Look {
+		fmt.Fprintf(&b, " look %s \"%s\"\n", ClassSeat, There)
+	}
+	return b.String()
+}
+
+// Intents is what a gateway answers about bookings in hand.
+type Intents struct {
+	Open []struct {
+		Booking, ID, Phase string
+	}
+	Counts map[string]int64
+}
+
+// Intents asks a gateway which bookings it has in hand.
+func (n *Node) Intents() (v Intents, err error) {
+	out, err := exec.Command(n.f.Binary, "intents", "--json", "--socket", n.Socket()).Output()
+	if err == nil {
+		err = json.Unmarshal(out, &v)
+	}
+	return v, err
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -74,6 +74,7 @@
 	Probe      time.Duration // of a probe among members; 0: they have no members section
 	Priorities []int         // of each gateway; nil: falling from 200
 	Copies     *Copies       // what they hold for each other; nil: nothing
+	InDoubt    *InDoubt      // what is promised of bookings before they are sent; nil: nothing
 	CutOnMove  bool          // the switch resets flows when the floating address moves
 }
 
@@ -319,6 +320,9 @@
 	if f.Copies != nil {
 		b.WriteString(f.Copies.section(n))
 	}
+	if f.InDoubt != nil {
+		b.WriteString(f.InDoubt.section())
+	}
 	if n.Number > 1 && len(f.Nodes) > mostPeers+1 {
 		return b.String() // VRRP names its peers, sixteen at most: in larger fleets the first one has the address alone
 	}
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	once   sync.Once
 	done   sync.WaitGroup
 	ledger standin.Ledger
+	again  bool
 }
 
 // LoadOptions say how many clients there are of each kind, and how long each pauses between two things.
@@ -27,6 +29,7 @@
 	Seats    int // that look for what was booked, and must see it
 	Mine     int // that look in the sessions of bookings, at any gateway
 	Think    time.Duration
+	Again    bool // bookings that may have run are asked for again, at the next gateway
 }
 
 // DefaultLoad is a light load.
@@ -50,7 +53,7 @@
 
 // Load starts clients.
 func (f *Fleet) Load(o LoadOptions) *Load {
-	l := &Load{f: f, quit: make(chan struct{})}
+	l := &Load{f: f, quit: make(chan struct{}), again: o.Again}
 	var mu sync.Mutex
 	var booked []string
 	recent := func(add string) string {
@@ -89,6 +92,7 @@
 		b := &standin.Booker{
 			Name: fmt.Sprint(kind, i), Class: class, Group: Group, Patience: patience, Tries: 20, Wait: clientWait, Ledger: &l.ledger,
 			Addr: func() string { turn++; return f.Nodes[turn%len(f.Nodes)].Listen }, Tell: l.tell,
+			Again: l.again && class == ClassBooking,
 		}
 		if floating {
 			b.Addr, b.Via = f.Switch.Addr, f.Switch.Led
@@ -118,6 +122,9 @@
 	if x.Reused {
 		e.Text = reused
 	}
+	if x.Marked {
+		e.Text = strings.TrimSpace(e.Text + " " + askedBefore)
+	}
 	if x.End != "" {
 		e.Kind, e.What, e.Value = Heard, x.End, x.Value
 	}
@@ -128,6 +135,9 @@
 // never read.
 const reused = "reused"
 
+// askedBefore marks a request that says that it was asked before.
+const askedBefore = "again"
+
 // Stop has every client finish what it is at, and waits for it.
 func (l *Load) Stop() {
 	l.once.Do(func() { close(l.quit) })
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"bytes"
 	"errors"
 	"hash/fnv"
 	"net"
@@ -8,6 +9,8 @@
 	"time"
 
 	"marblespan/brain"
+	"marblespan/internal/bookings"
+	"marblespan/internal/doubt"
 	"marblespan/internal/protocol/postgres"
 	"marblespan/internal/routing"
 	"marblespan/internal/settings"
@@ -26,6 +29,10 @@
 	gone    bool
 	reserve int // bytes set aside for it
 	mark    *mark
+
+	claim   *bookings.Booking // of a booking that must be claimed before it is sent; nil: it need not be
+	request *routing.Request  // that goes out once it is claimed
+	held    *routing.Answer   // routing's, until the claim's answer is given; guarded by the client's lock
 }
 
 // Marks keeps the last commit of sessions where every gateway finds it. None of its methods blocks; what is to be done is told
@@ -49,9 +56,66 @@
 	by      time.Time
 }
 
-// Answer takes the final answer. That of a write whose commit is to be kept waits for that: if it is not, the client must not
-// rely on it.
+// Answer takes the final answer from routing. Where the booking is claimed, what is told to its client follows from that.
 func (q *asked) Answer(a routing.Answer) {
+	if q.claim == nil {
+		q.answered(a)
+		return
+	}
+	kind, value := doubt.Failed, []byte(nil)
+	switch a.Kind {
+	case routing.Served:
+		kind = doubt.Served
+		if a.Value.Size() <= bookings.MostKept {
+			value = bytes.Join(a.Value.From(0), nil)
+		}
+	case routing.Refused, routing.Rejected:
+		kind = doubt.Refused
+	}
+	q.client.mu.Lock()
+	gone := q.gone
+	if !gone {
+		q.held = &a
+	}
+	q.client.mu.Unlock()
+	if gone {
+		a.Value.Free()
+	}
+	q.claim.Told(kind, value)
+}
+
+// Route sends a booking that is claimed on its way.
+func (q *asked) Route() { q.client.all.Owner.Post(q.request) }
+
+// Drop lets go of one that is not sent.
+func (q *asked) Drop() { q.request.Payload.Free() }
+
+// Reply takes the final answer of a booking that is claimed, or was not to be.
+func (q *asked) Reply(kind doubt.Kind, value []byte) {
+	c := q.client
+	c.mu.Lock()
+	held := q.held
+	q.held = nil
+	c.mu.Unlock()
+	a := routing.Answer{Kind: routing.Failed}
+	switch {
+	case kind == doubt.Served && value != nil:
+		a = routing.Answer{Kind: routing.Served, Value: c.all.Buffers.NewMessage()}
+		a.Value.Append(value)
+	case kind == doubt.Served && held != nil, kind == doubt.Refused && held != nil && held.Kind != routing.Served:
+		a, held = *held, nil
+	case kind == doubt.Refused:
+		a.Kind = routing.Refused
+	}
+	if held != nil {
+		held.Value.Free()
+	}
+	q.answered(a)
+}
+
+// answered takes the answer that the client is to have. That of a write whose commit is to be kept waits for that: if it is not,
+// the client must not rely on it.
+func (q *asked) answered(a routing.Answer) {
 	if q.mark == nil || a.Kind != routing.Served {
 		q.leave(a)
 		return
@@ -221,11 +285,19 @@
 		if q.answer != nil {
 			q.answer.Value.Free()
 		}
+		if q.held != nil {
+			q.held.Value.Free()
+			q.held = nil
+		}
 	}
 	c.mu.Unlock()
 	for _, q := range queue {
 		c.all.Buffers.Release(q.reserve)
-		if q.text == nil && q.answer == nil {
+		switch {
+		case q.text != nil || q.answer != nil:
+		case q.claim != nil: // what has gone out is still waited for: whoever asks again has its answer
+			q.claim.Gone()
+		default:
 			c.all.Owner.Post(routing.Gone{Client: q})
 		}
 	}
@@ -284,9 +356,10 @@
 		ReadAt: c.all.Clock.Now(),
 		Wait:   brain.Micros(st.Wait) * 1000, After: brain.Micros(st.After) * 1000,
 	}
+	claims := st.Write && c.all.Bookings.Concerns(st.Class)
 	if c.all.Marks == nil || !arrival.HasSession || !c.all.Marks.Concerns(st.Class) {
 		c.push(q)
-		c.all.Owner.Post(r)
+		c.send(q, r, claims)
 		return 0, nil
 	}
 	patience := time.Duration(st.Wait) * time.Millisecond
@@ -300,7 +373,7 @@
 		}
 		q.mark = &mark{c.all.Marks, arrival.Group, arrival.Session, time.Now().Add(patience)}
 		c.push(q)
-		c.all.Owner.Post(r)
+		c.send(q, r, claims)
 		return 0, nil
 	}
 	c.push(q)
@@ -311,6 +384,24 @@
 	return 0, nil
 }
 
+// send hands a request to routing, a booking that must be claimed first to the desk of bookings.
+func (c *client) send(q *asked, r *routing.Request, claims bool) {
+	if !claims {
+		c.all.Owner.Post(r)
+		return
+	}
+	payload := r.Payload.(*query)
+	st := &payload.statement
+	words, wrote := postgres.Words(bytes.Join(payload.text.From(0), nil))
+	q.request = r
+	q.claim = c.all.Bookings.New(bookings.Asked{
+		Request: st.ID, Class: st.Class, Group: st.Group, Name: st.Key, Words: words, Wrote: wrote, Repeat: st.Repeat,
+		By: time.Now().Add(time.Duration(st.Wait) * time.Millisecond),
+	}, q)
+	payload.claim = q.claim
+	q.claim.Ask()
+}
+
 // markPart is the part of its time that a read waits for its session's mark: what is left goes to the primary, which needs none.
 const markPart = 4
 
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"marblespan/internal/bookings"
 	"marblespan/internal/protocol/postgres"
 	"marblespan/internal/routing"
 	"marblespan/internal/settings"
@@ -66,8 +67,10 @@
 	Ready   func() bool // whether a request could be routed
 	Gate    func() bool // whether a request may still be taken; nil: always
 	Marks   Marks       // nil: sessions are kept nowhere but here
-	Limits  Timeouts
-	Counts  *ClientCounts
+	// Bookings are claimed before they are sent; nil: none are.
+	Bookings *bookings.Bookings
+	Limits   Timeouts
+	Counts   *ClientCounts
 
 	mu       sync.Mutex
 	open     map[*client]struct{}
@@ -75,6 +78,7 @@
 	ending   transport.Reason // of a drain
 	cut      bool
 	started  uint32
+	looks    atomic.Int64
 }
 
 // ClientCounts count what clients sent that never became a request.
--- a/internal/session/link.go
+++ b/internal/session/link.go
@@ -274,12 +274,12 @@
 		parts, total = t.Payload.(*query).parts(int64(max(t.Until-clock.Now(), 1000)) / 1000)
 		value = l.all.Buffers.NewMessage()
 	}
-	if n, err := l.conn.Write(until, parts); n < total {
+	if reason, err := l.put(t, parts, total, until); err != nil {
 		value.Free()
 		if t.cancelled() {
 			return ended{result: brain.ResultCancelled}, transport.EndAbandoned, nil
 		}
-		return ended{result: brain.ResultConnectFailed}, transport.ReasonOf(err), err
+		return ended{result: brain.ResultConnectFailed}, reason, err
 	}
 	var reply postgres.Reply
 	report, err := l.read(&reply, until, t, value)
@@ -307,6 +307,34 @@
 	return e, reason, err
 }
 
+// errBarred tells that a booking may not be sent from here any more.
+var errBarred = errors.New("the booking is claimed by another gateway, or its claim could not be confirmed")
+
+// put writes a request. Of one that needs a claim the last byte is held back until the claim is known to be this gateway's: a
+// server begins with the last byte, and this gateway may have stood still before any of the others.
+func (l *link) put(t *task, parts net.Buffers, total int64, until time.Time) (transport.Reason, error) {
+	write := func(parts net.Buffers, total int64) (transport.Reason, error) {
+		if n, err := l.conn.Write(until, parts); n < total {
+			return transport.ReasonOf(err), err
+		}
+		return 0, nil
+	}
+	q, _ := t.Payload.(*query)
+	if q == nil || q.claim == nil {
+		return write(parts, total)
+	}
+	at := len(parts) - 1
+	last := parts[at][len(parts[at])-1:]
+	parts[at] = parts[at][:len(parts[at])-1]
+	if reason, err := write(parts, total-1); err != nil {
+		return reason, err
+	}
+	if !q.claim.May(t.ctx, l.place.endpoint, until) {
+		return transport.EndAbandoned, errBarred
+	}
+	return write(net.Buffers{last}, 1)
+}
+
 // errProtocol marks what a server must not send.
 var errProtocol = errors.New("protocol broken")
 
--- /dev/null
+++ b/internal/session/look.go
@@ -0,0 +1,54 @@
+package session
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"marblespan/brain"
+	"marblespan/internal/protocol/postgres"
+	"marblespan/internal/routing"
+)
+
+// look is the client of a read of the gateway's own.
+type look struct {
+	done func(row, answer []byte, ok bool)
+}
+
+// Answer takes the final answer.
+func (l *look) Answer(a routing.Answer) {
+	if a.Kind != routing.Served {
+		l.done(nil, nil, false)
+		return
+	}
+	row, answer := postgres.Inserted(bytes.Join(a.Value.From(0), nil))
+	a.Value.Free()
+	l.done(row, answer, answer != nil)
+}
+
+// Look reads a key as of now, as a client would, which shows whether a booking ran. done is told the row and the answer that the
+// booking itself would have had; it must not block.
+func (s *Clients) Look(class, key string, group int, by time.Time, done func(row, answer []byte, ok bool)) {
+	facts := s.Facts.Load()
+	index, known := facts.Classes[class]
+	wait := time.Until(by).Milliseconds()
+	if !known || facts.Writes(index) || wait <= 0 {
+		done(nil, nil, false)
+		return
+	}
+	id := "look-" + strconv.FormatInt(s.looks.Add(1), 36) + "-" + strconv.FormatInt(int64(s.Clock.Now()), 36)
+	statement := postgres.SelectStatement(id, class, key, group, wait)
+	text := s.Buffers.NewMessage()
+	text.Append(statement)
+	st, err := postgres.ParseStatement(text.From(0))
+	if err != nil {
+		text.Free()
+		done(nil, nil, false)
+		return
+	}
+	now := s.Clock.Now()
+	s.Owner.Post(&routing.Request{
+		Client: &look{done}, ID: id, Payload: &query{text: text, statement: st}, Facts: facts, ReadAt: now, After: now,
+		Arrival: brain.Arrival{Class: index, Group: group}, Wait: brain.Micros(wait) * 1000,
+	})
+}
--- a/internal/session/query.go
+++ b/internal/session/query.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 
+	"marblespan/internal/bookings"
 	"marblespan/internal/protocol/postgres"
 	"marblespan/internal/routing"
 	"marblespan/internal/transport"
@@ -12,6 +13,7 @@
 type query struct {
 	text      *transport.Message
 	statement postgres.Statement
+	claim     *bookings.Booking // that must still be this gateway's when the last byte goes out; nil: none is needed
 }
 
 // Share adds a holder.
--- a/internal/standin/booker.go
+++ b/internal/standin/booker.go
@@ -145,6 +145,7 @@
 	Meaning string
 	Via     string // as Booker.Via tells it, or else the address connected to
 	Reused  bool   // the connection had served another request before
+	Marked  bool   // it says that it was asked before
 	End     string // empty at the beginning; "served", "refused", "failed", or how the connection ended without an answer
 	Value   string // served
 }
@@ -162,6 +163,8 @@
 	Wait     time.Duration // after a refusal or a connection that did not come up, half as much again at random
 	Ledger   *Ledger
 	Tell     func(Exchange) // is told of each request and of each end; may be nil
+	// Again has it ask again, marked as asked before, what may have run: until it is served, or its tries are over.
+	Again bool
 
 	conn   *net.TCPConn
 	via    string
@@ -182,10 +185,16 @@
 }
 
 func (b *Booker) do(meaning, statement string) Outcome {
-	o := Refused
+	o, marked := Refused, false
 	for range b.Tries {
-		again, out := b.try(meaning, statement)
-		if o = out; !again {
+		again, out := b.try(meaning, statement, marked)
+		if b.Again && (out == Unknown || out == Failed) {
+			again, marked = true, true
+		}
+		if !marked || out != Refused { // what may have run once is not refused by a later word
+			o = out
+		}
+		if !again {
 			break
 		}
 		time.Sleep(b.Wait + time.Duration(rand.Int64N(int64(b.Wait)/2+1)))
@@ -203,7 +212,7 @@
 }
 
 // try makes one try and tells whether another may follow.
-func (b *Booker) try(meaning, statement string) (again bool, o Outcome) {
+func (b *Booker) try(meaning, statement string, marked bool) (again bool, o Outcome) {
 	if b.conn != nil && !quiet(b.conn) { // it was closed, or told to go, while idle
 		b.Close()
 	}
@@ -215,8 +224,13 @@
 	b.Ledger.add(&b.Ledger.tries)
 	x := Exchange{
 		At: time.Now(), Client: b.Name, ID: fmt.Sprint("b", ids.Add(1)), Class: b.Class, Meaning: meaning, Via: b.via, Reused: b.reused,
+		Marked: marked,
+	}
+	mark := ""
+	if marked {
+		mark = ",r=1"
 	}
-	sql := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d */ %s\x00", x.ID, b.Class, b.Patience.Milliseconds(), b.Group, statement)
+	sql := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d%s */ %s\x00", x.ID, b.Class, b.Patience.Milliseconds(), b.Group, mark, statement)
 	if _, err := b.conn.Write(frame('Q', []byte(sql)...)); err != nil {
 		b.Close()
 		b.end = ending(err)
