Bookings in doubt under faults at each step, with real processes

Need: the issue's hard cases: killed and standing still before the promise, between promise and first byte, while the server is at it, before the answer is kept; a holder killed in each; two of three holders lost with their disks; rolling restarts. Change: seven cases with five processes; copies' and bookings' cases share one run (ordeal); marblelab chaos --in-doubt.

--- a/cmd/marblelab/main.go
+++ b/cmd/marblelab/main.go
@@ -69,7 +69,7 @@
 
 func chaosCommand() *cobra.Command {
 	o := chaos.Defaults()
-	quiet, holds := false, false
+	quiet, holds, claims := false, false, false
 	cmd := &cobra.Command{
 		Use: "chaos", Short: "Run gateways under load and faults, and check what happened", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -79,6 +79,13 @@
 			if holds {
 				o.Rig.Copies, o.Load.Mine = rig.DefaultCopies(), 4
 			}
+			if claims {
+				o.Rig.InDoubt, o.Load.Again = &rig.InDoubt{Look: true}, true
+				if o.Rig.Copies == nil {
+					o.Rig.Copies = rig.DefaultCopies()
+					o.Rig.Copies.NoMarks = true
+				}
+			}
 			all, err := chaos.Run(o, interrupted())
 			if err != nil {
 				return err
@@ -98,6 +105,7 @@
 	flags.StringVar(&o.Rig.Binary, "binary", beside(), "the gateway's program")
 	flags.IntVar(&o.Rig.Nodes, "nodes", o.Rig.Nodes, "gateways")
 	flags.BoolVar(&holds, "copies", false, "gateways keep the marks of sessions for each other")
+	flags.BoolVar(&claims, "in-doubt", false, "bookings are claimed before they are sent, and asked for again")
 	flags.IntVar(&o.Rig.Replicas, "replicas", o.Rig.Replicas, "replicas of the one group of servers")
 	flags.StringVar(&o.Script, "script", "", "a file of faults; without one they are drawn")
 	flags.Uint64Var(&o.Seed, "seed", o.Seed, "of what is drawn")
--- a/internal/rig/copies_test.go
+++ b/internal/rig/copies_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -29,16 +30,6 @@
 	down := func(f *Fleet, n *Node, verb string, meanwhile func() error) error {
 		return during(f, fmt.Sprintf("at 0s %s %d", verb, n.Number), func() error { n.Wait(); return meanwhile() })
 	}
-	believes := func(f *Fleet, what string) error {
-		return f.History.Await("a gateway believes "+what, settleBy, func(all []Event) bool {
-			for _, e := range all {
-				if e.Kind == Belief && e.What == "copies "+what {
-					return true
-				}
-			}
-			return false
-		})
-	}
 	// heldUp cuts ways of a leader, lets writes come to where the cut holds them up, and kills it there.
 	heldUp := func(f *Fleet, ways func(leader, holders, others string) string) error {
 		n, err := leader(f)
@@ -279,40 +270,7 @@
 			}
 			return f.Nodes[2].Found(false)
 		}},
-		{"two of a shard's three disks are lost at once", false, true, func(f *Fleet) error {
-			v, err := f.Nodes[0].Copies()
-			if err != nil {
-				return err
-			}
-			for _, g := range v.Groups[1:] {
-				var both []*Node
-				ledgers := 0
-				for _, n := range f.Nodes {
-					if len(both) < 2 && g.On(n) {
-						both = append(both, n)
-						if v.Groups[0].On(n) {
-							ledgers++
-						}
-					}
-				}
-				if ledgers == 2 {
-					continue
-				}
-				if err := during(f, fmt.Sprintf("at 0s kill %d,%d", both[0].Number, both[1].Number), func() error {
-					for _, n := range both {
-						n.Wait()
-						if err := n.disk("empty"); err != nil {
-							return err
-						}
-					}
-					return nil
-				}); err != nil {
-					return err
-				}
-				return believes(f, "lost")
-			}
-			return nil // every shard shares two holders with the ledger
-		}},
+		{"two of a shard's three disks are lost at once", false, true, loseTwo},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -327,41 +285,93 @@
 			if strings.Contains(c.name, "only asks") {
 				o.Copies.Holders = 4
 			}
-			var history bytes.Buffer
-			o.History = &history
-			f, err := New(o)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer f.Close()
 			load := DefaultLoad()
 			load.Mine = 4
-			l := f.Load(load)
-			lag, err := f.Begin(mustFault("at 0s lag r1 2s"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := c.do(f); err != nil {
-				t.Error(err)
-			}
-			healed := time.Now()
-			if err := f.settles(4); err != nil {
-				t.Error(err)
+			ordeal(t, "copies "+c.name, o, load, "at 0s lag r1 2s", c.do)
+		})
+	}
+}
+
+// ordeal starts a fleet with copies, has something done to it under load, and checks what happened once it has come to rest.
+// Meanwhile is a fault that lasts all along; empty: none does.
+func ordeal(t *testing.T, name string, o Options, load LoadOptions, meanwhile string, do func(*Fleet) error) {
+	t.Helper()
+	var history bytes.Buffer
+	o.History = &history
+	f, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	l := f.Load(load)
+	over := func() error { return nil }
+	if meanwhile != "" {
+		if over, err = f.Begin(mustFault(meanwhile)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := do(f); err != nil {
+		t.Error(err)
+	}
+	healed := time.Now()
+	if err := f.settles(load.classes()); err != nil {
+		t.Error(err)
+	}
+	t.Logf("at rest %v after the fault", time.Since(healed))
+	f.History.Add(Event{Kind: Phase, What: "settled"})
+	l.Stop()
+	l.Reread()
+	over()
+	f.History.Add(Event{Kind: Phase, What: "done"})
+	f.History.End()
+	for _, v := range Check(f.History.Events()) {
+		t.Error(v)
+	}
+	t.Logf("%+v", l.Totals())
+	kept(t, name, f, history.Bytes())
+}
+
+// believes waits until some gateway has noticed something of its copies.
+func believes(f *Fleet, what string) error {
+	return f.History.Await("a gateway believes "+what, settleBy, func(all []Event) bool {
+		return slices.ContainsFunc(all, func(e Event) bool { return e.Kind == Belief && e.What == "copies "+what })
+	})
+}
+
+// loseTwo has two of a shard's three disks be lost at once, of gateways that do not hold the ledger both.
+func loseTwo(f *Fleet) error {
+	v, err := f.Nodes[0].Copies()
+	if err != nil {
+		return err
+	}
+	for _, g := range v.Groups[1:] {
+		var both []*Node
+		ledgers := 0
+		for _, n := range f.Nodes {
+			if len(both) < 2 && g.On(n) {
+				both = append(both, n)
+				if v.Groups[0].On(n) {
+					ledgers++
+				}
 			}
-			t.Logf("at rest %v after the fault", time.Since(healed))
-			f.History.Add(Event{Kind: Phase, What: "settled"})
-			l.Stop()
-			l.Reread()
-			lag()
-			f.History.Add(Event{Kind: Phase, What: "done"})
-			f.History.End()
-			for _, v := range Check(f.History.Events()) {
-				t.Error(v)
+		}
+		if ledgers == 2 {
+			continue
+		}
+		if err := during(f, fmt.Sprintf("at 0s kill %d,%d", both[0].Number, both[1].Number), func() error {
+			for _, n := range both {
+				n.Wait()
+				if err := n.disk("empty"); err != nil {
+					return err
+				}
 			}
-			t.Logf("%+v", l.Totals())
-			kept(t, "copies "+c.name, f, history.Bytes())
-		})
+			return nil
+		}); err != nil {
+			return err
+		}
+		return believes(f, "lost")
 	}
+	return nil // every shard shares two holders with the ledger
 }
 
 // kept keeps what a failed test has left.
--- a/internal/rig/doubt_test.go
+++ b/internal/rig/doubt_test.go
@@ -1,10 +1,16 @@
 package rig
 
 import (
-	"bytes"
+	"fmt"
 	"testing"
+	"time"
 )
 
+// atEachStep has a gateway killed, or stand still, before a booking is promised; promised, and not sent; sent, while its server is
+// at it; and before its answer can be kept.
+const atEachStep = "at 300ms cut 1 -> all for 700ms\nat 500ms %[1]s 1 for %[2]s\nat 2500ms sever 2 -> p for 600ms\nat 2800ms %[1]s 2 for %[2]s\n" +
+	"at 4700ms %[1]s 3 for %[2]s\nat 6500ms cut 4 -> all for 700ms\nat 6600ms %[1]s 4 for %[2]s"
+
 // Bookings that are claimed before they are sent, with five processes under load that asks again: none runs twice, and nobody is
 // told wrongly.
 func TestInDoubt(t *testing.T) {
@@ -14,15 +20,19 @@
 	for _, c := range []struct {
 		name   string
 		how    InDoubt
+		work   time.Duration // of a server
 		script string
+		do     func(f *Fleet) error
 	}{
-		{"calm", InDoubt{}, ""},
-		{"answers are kept first", InDoubt{Safe: true}, "at 500ms kill 1 for 500ms\nat 2s kill 2 for 500ms"},
-		{"kills", InDoubt{}, "at 500ms kill 1 for 500ms\nat 2s kill 2,3 for 500ms\nat 4s kill 4 for 1s"},
-		{"kills, and a read that shows", InDoubt{Look: true}, "at 500ms kill 1 for 500ms\nat 2s kill 2,3 for 500ms\nat 4s kill 4 for 1s"},
-		{"pauses", InDoubt{Look: true}, "at 500ms stop 1 for 3s\nat 1s stop 2 for 2s"},
-		{"cut from the servers, and from the others", InDoubt{Look: true}, "at 500ms sever 1 -> p for 1s\nat 2s split 2 | 1,3,4,5 for 2s\nat 4s cut 3 -> all for 1s"},
-		{"orderly restarts", InDoubt{}, "at 500ms term 1 for 100ms\nat 1500ms term 2 for 100ms"},
+		{"orderly restarts, and cut ways to the primary", InDoubt{}, 20 * time.Millisecond,
+			"at 300ms sever all -> p for 300ms\nat 1s term 1 for 100ms\nat 2s term 2 for 100ms", nil},
+		{"kills, answers kept first", InDoubt{Safe: true}, 0, "at 500ms kill 1 for 500ms\nat 2s kill 2,3 for 500ms\nat 4s kill 4 for 1s", nil},
+		{"pauses and cuts", InDoubt{Look: true}, 0, "at 300ms stop 1 for 2s\nat 800ms stop 2 for 2s\nat 3s split 2 | 1,3,4,5 for 1500ms\nat 5s cut 3 -> all for 1s", nil},
+		{"killed at each step, and a read that shows", InDoubt{Look: true}, 150 * time.Millisecond, fmt.Sprintf(atEachStep, "kill", "300ms"), nil},
+		{"standing still at each step", InDoubt{Look: true}, 150 * time.Millisecond, fmt.Sprintf(atEachStep, "stop", "2s"), nil},
+		{"a holder is killed at each step too", InDoubt{}, 150 * time.Millisecond,
+			fmt.Sprintf(atEachStep, "kill", "300ms") + "\nat 400ms kill 5 for 400ms\nat 2700ms kill 5 for 400ms\nat 4700ms kill 5 for 400ms\nat 6600ms kill 5 for 400ms", nil},
+		{"two of three holders are lost with their disks", InDoubt{Look: true}, 0, "", loseTwo},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -31,22 +41,20 @@
 			o := options()
 			o.Nodes, o.Dir, o.Copies, o.InDoubt = 5, t.TempDir(), DefaultCopies(), &c.how
 			o.Copies.NoMarks = true
-			var history bytes.Buffer
-			o.History = &history
-			faults, err := ParseScript("script", c.script)
-			if err != nil {
-				t.Fatal(err)
+			if c.work > 0 {
+				o.Work = c.work
+			}
+			do := c.do
+			if do == nil {
+				faults, err := ParseScript("script", c.script)
+				if err != nil {
+					t.Fatal(err)
+				}
+				do = func(f *Fleet) error { return f.Play(faults, nil) }
 			}
 			load := DefaultLoad()
 			load.Again = true
-			out := Run(o, load, faults, nil)
-			if out.Err != nil {
-				t.Error(out.Err)
-			}
-			for _, v := range out.Broken {
-				t.Error(v)
-			}
-			t.Logf("%+v", out.Totals)
+			ordeal(t, "in doubt "+c.name, o, load, "", do)
 		})
 	}
 }
