--- a/internal/rig/copies_test.go
+++ b/internal/rig/copies_test.go
@@ -274,8 +274,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			room <- true
-			defer func() { <-room }()
+			wide <- true
+			defer func() { <-wide }()
 			o := options()
 			o.Nodes, o.Dir, o.Copies = 5, t.TempDir(), DefaultCopies()
 			if strings.Contains(c.name, "nine") {
--- a/internal/rig/doubt_test.go
+++ b/internal/rig/doubt_test.go
@@ -36,8 +36,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			room <- true
-			defer func() { <-room }()
+			wide <- true
+			defer func() { <-wide }()
 			o := options()
 			o.Nodes, o.Dir, o.Copies, o.InDoubt = 5, t.TempDir(), DefaultCopies(), &c.how
 			o.Copies.NoMarks = true
--- a/internal/rig/members_test.go
+++ b/internal/rig/members_test.go
@@ -345,3 +345,6 @@
 
 // room bounds how many fleets run at a time: each has nine processes that are not to be starved by the others.
 var room = make(chan bool, 2)
+
+// wide bounds the fleets that run at the same time where nothing is judged by when it happened.
+var wide = make(chan bool, 4)
