--- /dev/null
+++ b/internal/bookings/bookings_test.go
@@ -0,0 +1,154 @@
+package bookings
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"marblespan/internal/doubt"
+)
+
+// late is when a test gives up.
+const late = 20 * time.Second
+
+// kept is a store in memory, as its contract has it.
+type kept struct {
+	mu       sync.Mutex
+	versions uint64
+	records  map[string]Stored
+}
+
+func (k *kept) Put(key, value []byte, version uint64, _ time.Duration, _ time.Time, done func(Stored)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.records[string(key)].Version != version {
+		go done(Stored{Result: doubt.Conflict})
+		return
+	}
+	k.versions++
+	k.records[string(key)] = Stored{Version: k.versions, Value: value, Found: true}
+	go done(Stored{Version: k.versions})
+}
+
+func (k *kept) Get(key []byte, _ time.Time, done func(Stored)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	go done(k.records[string(key)])
+}
+
+// asker is the client's side of one booking.
+type asker struct {
+	routed, dropped chan bool
+	reply           chan doubt.Kind
+	value           string
+}
+
+func (a *asker) Route() { a.routed <- true }
+func (a *asker) Drop()  { a.dropped <- true }
+func (a *asker) Reply(kind doubt.Kind, value []byte) {
+	a.value = string(value)
+	a.reply <- kind
+}
+
+func newAsker() *asker {
+	return &asker{make(chan bool, 1), make(chan bool, 1), make(chan doubt.Kind, 2), ""}
+}
+
+func gateway(t *testing.T, name string, store Store, look func(done func(row, answer []byte, ok bool))) *Bookings {
+	t.Helper()
+	begin := time.Now()
+	b := New(Settings{
+		Node: name, Life: 1, Log: zerolog.New(io.Discard), Now: func() doubt.Micros { return doubt.Micros(time.Since(begin).Microseconds()) },
+		Classes: map[string]Class{"order": {Policy: doubt.Policy{Marks: true, Look: look != nil, Span: 60_000_000}, Look: "seat", Shows: "there"}},
+		Time:    func(m doubt.Micros) time.Time { return begin.Add(time.Duration(m) * time.Microsecond) },
+		Look:    func(_, _ string, _ int, _ time.Time, done func(row, answer []byte, ok bool)) { go look(done) },
+	})
+	if store != nil {
+		b.Use(store)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+func ask(b *Bookings, a *asker, words string, repeat bool) *Booking {
+	x := b.New(Asked{Request: "r", Class: "order", Group: 7, Name: words, Words: []byte(words), Repeat: repeat, By: time.Now().Add(late)}, a)
+	x.Ask()
+	return x
+}
+
+func wait[T any](t *testing.T, from chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(late):
+		t.Fatalf("%s never came", what)
+	}
+	return v
+}
+
+// A booking is claimed, let go out, answered and kept; asked again at another gateway it has the same answer. One whose gateway
+// has ended is taken over, and a read shows whether it ran.
+func TestBookings(t *testing.T) {
+	store := &kept{records: map[string]Stored{}}
+	shows := func(done func(row, answer []byte, ok bool)) { done([]byte("is there"), []byte("read"), true) }
+	a, b, c := gateway(t, "a", store, nil), gateway(t, "b", store, nil), gateway(t, "c", store, shows)
+	first := newAsker()
+	x := ask(a, first, "one", false)
+	wait(t, first.routed, "its way")
+	if !x.May(context.Background(), "p", time.Now().Add(late)) {
+		t.Fatal("not let go out")
+	}
+	x.Told(doubt.Served, []byte("answer"))
+	if k := wait(t, first.reply, "its answer"); k != doubt.Served {
+		t.Errorf("%v", k)
+	}
+	if !a.Settle(late) {
+		t.Fatal("never settled")
+	}
+	again := newAsker()
+	ask(b, again, "one", true)
+	if k := wait(t, again.reply, "the known answer"); k != doubt.Served || again.value != "answer" {
+		t.Errorf("%v %q", k, again.value)
+	}
+	wait(t, again.dropped, "the word that it is not routed")
+
+	second := newAsker()
+	y := ask(a, second, "two", false)
+	wait(t, second.routed, "its way")
+	if v := a.Views(); len(v) != 1 || v[0].Phase != "under_way" || v[0].Record.State != doubt.Open {
+		t.Errorf("%+v", v)
+	}
+	y.Gone()
+	shown := newAsker()
+	ask(c, shown, "two", true)
+	if k := wait(t, shown.reply, "what a read shows"); k != doubt.Served || shown.value != "read" {
+		t.Errorf("%v %q", k, shown.value)
+	}
+	if y.May(context.Background(), "p", time.Now().Add(late)) {
+		t.Error("let go out, though its client has gone")
+	}
+
+	third := newAsker()
+	ask(a, third, "three", false)
+	wait(t, third.routed, "its way")
+	b.Ended("a", 1)
+	taken := newAsker()
+	ask(b, taken, "three", true)
+	if k := wait(t, taken.reply, "a word"); k != doubt.Failed {
+		t.Errorf("%v", k)
+	}
+	var r record
+	if s := store.records[Key("order", 7, []byte("three"))]; json.Unmarshal(s.Value, &r) != nil || r.State != doubt.Doubtful || r.Owner != "a" || r.By != "b" {
+		t.Errorf("%+v", r)
+	}
+	none := newAsker()
+	ask(gateway(t, "d", nil, nil), none, "four", false)
+	if k := wait(t, none.reply, "a refusal without a store"); k != doubt.Refused {
+		t.Errorf("%v", k)
+	}
+}
--- a/internal/config/operators_test.go
+++ b/internal/config/operators_test.go
@@ -54,6 +54,12 @@
     witness /run/c
     heal-after 30s
     session-marks order basket
+
+in-doubt order
+    clients do-not-mark
+    order safe
+    remember 1m
+    look seat " there"
 `
 
 // memberLines are the sample's members section.
@@ -74,6 +80,10 @@
 	if c := o.Copies; c.Copies != 5 || c.Shards != 16 || c.Path() != "/var/c.db" || !c.Holds("gw-2") || c.Holds("gw-3") || len(c.Marks) != 2 || c.MarksOrder != "safe" {
 		t.Errorf("%+v", c)
 	}
+	if d := o.InDoubt; len(d) != 1 || d[0].Class != "order" || d[0].Clients != "do-not-mark" || d[0].Order != "safe" || d[0].Remember != time.Minute ||
+		len(d[0].Look) != 2 || d[0].Look[1] != " there" {
+		t.Errorf("%+v", d)
+	}
 	if m := o.Members; m.Node != "gw-1" || len(m.Join) != 2 || m.Weight != 1 || m.Interval != 300*time.Millisecond || m.Via[0].Via.Port() != 7001 {
 		t.Errorf("%+v", m)
 	}
@@ -156,6 +166,10 @@
 		{"healing at each restart", edit("heal-after 30s", "heal-after 1s"), `x:42: heal-after: 1s is below 2s, or 20 heartbeats`},
 		{"a heartbeat", edit("heal-after 30s", "heartbeat 3s"), `x:42: heartbeat: 3s is not from 20ms to 2s`},
 		{"marks for ever", edit("heal-after 30s", "marks-last 25h"), `x:42: marks-last: 25h0m0s is not from 1s to 24h0m0s`},
+		{"remembered too shortly", edit("remember 1m", "remember 1s"), `x:48: remember: 1s is not from 10s to 24h0m0s`},
+		{"clients that do neither", edit("clients do-not-mark", "clients maybe"), `x:46: clients: must be one of mark, do-not-mark`},
+		{"a class twice", sampleConf + "in-doubt order\n", `x:50: in-doubt: order is there twice`},
+		{"claims without copies", "in-doubt order\n", `x:1: in-doubt: there is no copies section: what is promised is kept in copies`},
 		{"bytes", "control \x01\n", `x:1: column 9: invalid input text "\x01"`},
 	} {
 		_, err := ParseOperators("x", c.text)
--- a/internal/rig/copies.go
+++ b/internal/rig/copies.go
@@ -42,6 +42,9 @@
 	} else {
 		fmt.Fprintf(&b, " store disk %s\n witness %s\n", n.StoreFile(), n.dir+"/witness")
 	}
+	if n.f.InDoubt != nil {
+		b.WriteString(" memory 16m\n") // for all bookings of a run
+	}
 	if !c.NoMarks {
 		fmt.Fprintf(&b, " session-marks %s %s\n", ClassBooking, ClassMine)
 	}
