On SIGTERM a floating address is let go once what is under way there is answered

Change: before the address is given up its clients are refused unsent, and requests under way are waited for, let-go of the group at the most (50 ms by default). A better gateway's take-over cannot wait: that one is active when it is heard.

--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -160,6 +160,7 @@
 	PreemptDelay time.Duration  `conf:"preempt-delay" validate:"max=3600000000000"`
 	Track        []Track        `conf:"track" validate:"unique=Condition,dive"`
 	Damp         Damp           `conf:"damp"`
+	LetGo        time.Duration  `conf:"let-go" validate:"min=0,max=1000000000"` // how long an orderly end waits for requests under way
 }
 
 // Track lowers the priority by a step while a condition holds.
@@ -186,7 +187,7 @@
 
 // Defaults are what a group has that its section does not name.
 func (g *Group) Defaults() {
-	g.Priority, g.Interval, g.Preempt = defaultPriority, defaultInterval, true
+	g.Priority, g.Interval, g.Preempt, g.LetGo = defaultPriority, defaultInterval, true, 50*time.Millisecond
 	g.Damp = Damp{Window: 2 * time.Second, First: 500 * time.Millisecond, Most: 5 * time.Second}
 }
 
--- a/internal/program/floating.go
+++ b/internal/program/floating.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,7 @@
 	clients  *session.Clients
 	listener *transport.Listener
 	freed    chan struct{} // its listener is closed
+	ending   atomic.Bool   // nothing new is taken
 }
 
 // startFloats binds the speaker's socket and begins to take part.
@@ -182,7 +184,7 @@
 		return err
 	}
 	t := &tenure{listener: l, clients: f.g.newClients(&f.counts, f.g.clients.Limits), freed: make(chan struct{})}
-	t.clients.Gate = gate
+	t.clients.Gate = func() bool { return gate() && !t.ending.Load() }
 	f.mu.Lock()
 	f.tenures[t], f.holding[group] = struct{}{}, t
 	f.mu.Unlock()
@@ -228,10 +230,31 @@
 func (f *floats) giveUp(last bool) {
 	if f != nil {
 		f.stopping.Store(true)
+		f.finish(last)
 		f.speaker.GiveUp(last)
 	}
 }
 
+// finish has the addresses that are about to be given up take nothing new, and waits for what is under way there: a network that
+// cuts flows when an address moves would leave it in doubt. Harm: for so long new requests are refused unsent.
+func (f *floats) finish(last bool) {
+	var bound time.Duration
+	var ending []*tenure
+	f.mu.Lock()
+	for _, g := range f.g.ops.Groups {
+		lingers := slices.ContainsFunc(g.Track, func(t config.Track) bool { return t.Condition == vrrp.ConditionNames[vrrp.Draining] })
+		if t := f.holding[g.Name]; t != nil && g.LetGo > 0 && (last || !lingers) {
+			t.ending.Store(true)
+			ending, bound = append(ending, t), max(bound, g.LetGo)
+		}
+	}
+	f.mu.Unlock()
+	busy := func(t *tenure) bool { return t.clients.Busy() > 0 }
+	for late := time.Now().Add(bound); slices.ContainsFunc(ending, busy) && time.Now().Before(late); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // open is the number of clients that are left.
 func (f *floats) open() (n int) {
 	if f == nil {
