A booking that routing gives up on before it was let go out is known as unsent

Need: routing's 'failed' for a booking whose last byte was never permitted (its time was over while it waited) was kept as in doubt, though the desk knows better: whoever asks again may have it sent. Change: the desk goes by its own permission; the explorer has the move. Log lines about bookings are bounded to 200 a second.

--- a/internal/bookings/bookings.go
+++ b/internal/bookings/bookings.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"marblespan/internal/doubt"
 )
@@ -64,6 +65,9 @@
 	keep       = 5 * time.Second
 )
 
+// mostLines bounds the log, in lines a second.
+const mostLines = 200
+
 // MostKept is the largest answer that is kept, in bytes.
 const MostKept = 4 << 10
 
@@ -109,6 +113,7 @@
 
 	s     Settings
 	desk  *doubt.Desk
+	lines *rate.Limiter
 	store atomic.Pointer[Store]
 	next  atomic.Uint64
 
@@ -124,7 +129,7 @@
 // New starts the goroutine.
 func New(s Settings) *Bookings {
 	b := &Bookings{
-		s: s, wake: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}), open: map[uint64]*Booking{},
+		s: s, wake: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}), open: map[uint64]*Booking{}, lines: rate.NewLimiter(mostLines, 2*mostLines),
 		desk: doubt.New(doubt.Config{
 			Name: s.Node, Life: s.Life, Most: mostInHand, Window: micros(window), Poll: micros(poll), Settle: micros(settle), Keep: micros(keep),
 		}),
@@ -341,6 +346,9 @@
 // noticed tells the log of what is not ordinary, by words that one booking can be followed by through all gateways.
 func (b *Bookings) noticed(n doubt.Noticed) {
 	b.Counts.Noticed[n.What].Add(1)
+	if !b.lines.Allow() {
+		return // clients that ask again in haste must not flood the log; the counters have all
+	}
 	line := b.s.Log.Info()
 	switch n.What {
 	case doubt.Claimed, doubt.Released:
--- a/internal/doubt/desk.go
+++ b/internal/doubt/desk.go
@@ -462,8 +462,13 @@
 		d.note(e, Released)
 		d.reply(e, Refused, nil)
 		d.settle(e, Unsent, nil, false)
-	default:
+	case Failed:
 		d.reply(e, Failed, nil)
+		if !e.let { // none of its attempts was let go out, whatever routing knows
+			d.note(e, Released)
+			d.settle(e, Unsent, nil, false)
+			return
+		}
 		d.settle(e, Doubtful, nil, false)
 	}
 }
--- a/internal/doubt/explore_test.go
+++ b/internal/doubt/explore_test.go
@@ -461,6 +461,7 @@
 			m.handle(w, x.gw, Sending{ID: x.id, Attempt: 1, By: w.now + patience})
 		})
 		add("no connection", func(w *world) { end(w, Told{Kind: Refused}) })
+		add("given up on", func(w *world) { end(w, Told{Kind: Failed}) })
 	case permitted:
 		add("last byte", func(w *world) { w.attempts[i].stage = inKernel })
 	case inKernel:
