A repeat that crosses with its connection's close is not told of its booking; one that is read is looked up

The word was 57P03, 'the address has moved to another gateway', with which a gateway that has lost the address closes a connection between two requests (session, sendAway); the repeat had just been written and was not read. The protocol's page allows that close, and the client asks again; nothing was said of the booking. The checker took it for an answer. Change: the checker leaves out that word, and that word only (forged history). A repeat that is read after the address was lost is looked up like any other, instead of refused (53300): whoever asks, the store knows, and a claim fences what is sent.

--- a/internal/rig/check_test.go
+++ b/internal/rig/check_test.go
@@ -49,6 +49,12 @@
 	}
 }
 
+// closing has the last word be that of a connection that is closed.
+func closing(s story) story {
+	s[len(s)-1].Text = askedBefore + " " + closedUnread + " the address has moved to another gateway"
+	return s
+}
+
 // looked is a gateway's own read.
 func looked(ms int64, key string) Event {
 	return at(ms, Event{Kind: Ran, Node: 2, ID: "look-1", Class: ClassSeat, Key: key, Server: "p"})
@@ -135,6 +141,7 @@
 		{"asked again, and a read of another key", "answers,bookings", join(booked(100, "a", "k", EndFailed), story{looked(205, "j")}, again(200, "b", "k", EndServed, "look-1"+There))},
 		{"asked again, and another booking's answer", "answers,bookings", join(booked(100, "a", "j", EndServed), again(200, "b", "k", EndServed, "a"+There))},
 		{"asked again and refused, and it ran", "told", join(booked(100, "a", "k", EndFailed), again(200, "b", "k", EndRefused, ""))},
+		{"asked again as the connection is closed, and it ran", "", join(booked(100, "a", "k", EndFailed), closing(again(200, "b", "k", EndRefused, "")))},
 		{"asked again and refused, and it never ran", "", join(without(without(booked(100, "a", "k", EndFailed), Ran), Sent), again(200, "b", "k", EndRefused, ""))},
 		{"a crash", "crashes", join(story{ended(100, "exit status 2")})},
 		{"a crash while it was told to end", "crashes", join(fault(90, 300, "at 1s term 1"), story{ended(200, "exit status 2")})},
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -129,6 +129,7 @@
 	}
 	if x.End != "" {
 		e.Kind, e.What, e.Value = Heard, x.End, x.Value
+		e.Text = strings.TrimSpace(e.Text + " " + x.Said)
 	}
 	l.f.History.Add(e)
 }
@@ -137,6 +138,9 @@
 // never read.
 const reused = "reused"
 
+// closedUnread is the code with which a gateway closes a connection between two requests.
+const closedUnread = "57P03"
+
 // askedBefore marks a request that says that it was asked before.
 const askedBefore = "again"
 
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -339,9 +339,10 @@
 		}
 		return 0, nil
 	}
-	if c.all.Gate != nil && !c.all.Gate() {
+	claims := st.Write && c.all.Bookings.Concerns(st.Class)
+	if c.all.Gate != nil && !(claims && st.Repeat) && !c.all.Gate() {
 		// The process stood still, and another gateway may have the address by now. Nothing was sent for this request, so
-		// its client may ask there.
+		// its client may ask there. What is asked again and known to all gateways is answered by any.
 		text.Free()
 		c.all.Buffers.Release(reserve)
 		c.all.Counts.Moved.Add(1)
@@ -356,7 +357,6 @@
 		ReadAt: c.all.Clock.Now(),
 		Wait:   brain.Micros(st.Wait) * 1000, After: brain.Micros(st.After) * 1000,
 	}
-	claims := st.Write && c.all.Bookings.Concerns(st.Class)
 	if c.all.Marks == nil || !arrival.HasSession || !c.all.Marks.Concerns(st.Class) {
 		c.push(q)
 		c.send(q, r, claims)
--- a/internal/standin/booker.go
+++ b/internal/standin/booker.go
@@ -148,6 +148,7 @@
 	Marked  bool   // it says that it was asked before
 	End     string // empty at the beginning; "served", "refused", "failed", or how the connection ended without an answer
 	Value   string // served
+	Said    string // of an error: its code and message
 }
 
 // Booker is one client that books or reads, a thing at a time. It tries again after a refusal, and where nothing was written;
@@ -269,6 +270,7 @@
 			b.Ledger.add(&b.Ledger.extra)
 		case kind == 'E':
 			code = field(body, 'C')
+			x.Said = code + " " + field(body, 'M')
 		case kind == 'C':
 			o = Served
 		case kind == 'D' && len(body) > 6:
