--- a/internal/rig/copies_test.go
+++ b/internal/rig/copies_test.go
@@ -30,6 +30,19 @@
 	down := func(f *Fleet, n *Node, verb string, meanwhile func() error) error {
 		return during(f, fmt.Sprintf("at 0s %s %d", verb, n.Number), func() error { n.Wait(); return meanwhile() })
 	}
+	killLeaders := func(f *Fleet, times int) error {
+		for i := range times {
+			if n := f.LeaderOf(1 + i%f.Options.Copies.Shards); n != nil {
+				if err := down(f, n, "kill", func() error { return nil }); err != nil {
+					return err
+				}
+			}
+			if err := f.AwaitReady(settleBy); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 	// heldUp cuts ways of a leader, lets writes come to where the cut holds them up, and kills it there.
 	heldUp := func(f *Fleet, ways func(leader, holders, others string) string) error {
 		n, err := leader(f)
@@ -84,19 +97,7 @@
 			}
 			return nil
 		}},
-		{"leaders are killed", false, false, func(f *Fleet) error {
-			for i := range 4 {
-				if n := f.LeaderOf(1 + i%f.Options.Copies.Shards); n != nil {
-					if err := down(f, n, "kill", func() error { return nil }); err != nil {
-						return err
-					}
-				}
-				if err := f.AwaitReady(settleBy); err != nil {
-					return err
-				}
-			}
-			return nil
-		}},
+		{"leaders are killed", false, false, func(f *Fleet) error { return killLeaders(f, 4) }},
 		{"the leader is killed at each step of a write", false, false, func(f *Fleet) error {
 			for _, ways := range []func(leader, holders, others string) string{
 				func(l, h, o string) string { return fmt.Sprintf("at 0s cut %s -> all", l) },        // taken, on its own disk, with nobody else
@@ -114,17 +115,7 @@
 			if v, err := f.Nodes[4].Copies(); err != nil || v.Disk != "" || len(v.Disks) != 4 {
 				return fmt.Errorf("gateway 5 holds something: %+v, %v", v, err)
 			}
-			for i := range 3 {
-				if n := f.LeaderOf(1 + i); n != nil {
-					if err := down(f, n, "kill", func() error { return nil }); err != nil {
-						return err
-					}
-				}
-				if err := f.AwaitReady(settleBy); err != nil {
-					return err
-				}
-			}
-			return nil
+			return killLeaders(f, 3)
 		}},
 		{"two versions of the records together", false, false, func(f *Fleet) error {
 			formats := func(want uint32) error {
