The gateway without a store links no bookings in doubt

Change: session and program know them by bookings.Desk and bookings.Claim; withcopies sets program.OpenBookings.

--- a/internal/bookings/bookings.go
+++ b/internal/bookings/bookings.go
@@ -94,6 +94,30 @@
 	By      time.Time
 }
 
+// Claim is a booking as its client's side has it. Told, Gone and Ask do not block.
+type Claim interface {
+	// Ask takes the booking in hand. Its client is told at once, or later, to route it, or its answer.
+	Ask()
+	// Told takes routing's final answer. Value is nil where it is too large to be kept.
+	Told(kind doubt.Kind, value []byte)
+	// Gone tells that the client waits no longer.
+	Gone()
+	// May tells whether the last byte of an attempt may be written now, and waits for the word.
+	May(ctx context.Context, server string, by time.Time) bool
+}
+
+// Desk is all bookings, as the gateway knows them: a gateway without them links none of this.
+type Desk interface {
+	Concerns(class string) bool
+	New(Asked, Client) Claim
+	Use(Store)
+	Ended(node string, life uint64)
+	Views() []doubt.View
+	Noticed(doubt.Notice) int64
+	Settle(bound time.Duration) bool
+	Close()
+}
+
 // Booking is one that is in hand.
 type Booking struct {
 	all    *Bookings
@@ -104,18 +128,15 @@
 	permit chan bool // of the attempt that waits; nil: none does
 }
 
-// Counts are the counters since the start, by what was noticed.
-type Counts struct{ Noticed [doubt.Notices]atomic.Int64 }
-
 // Bookings has all of them in hand.
 type Bookings struct {
-	Counts Counts
-
 	s     Settings
 	desk  *doubt.Desk
 	lines *rate.Limiter
-	store atomic.Pointer[Store]
-	next  atomic.Uint64
+
+	counts [doubt.Notices]atomic.Int64
+	store  atomic.Pointer[Store]
+	next   atomic.Uint64
 
 	mu      sync.Mutex
 	waiting []func() // bounded by what is in hand
@@ -145,9 +166,6 @@
 
 // Concerns tells whether bookings of a class are claimed before they are sent.
 func (b *Bookings) Concerns(class string) bool {
-	if b == nil {
-		return false
-	}
 	_, does := b.s.Classes[class]
 	return does
 }
@@ -161,7 +179,7 @@
 }
 
 // New makes a booking, of which nothing happens before Ask.
-func (b *Bookings) New(a Asked, client Client) *Booking {
+func (b *Bookings) New(a Asked, client Client) Claim {
 	return &Booking{all: b, id: b.next.Add(1), ask: a, client: client}
 }
 
@@ -208,11 +226,12 @@
 
 // Ended tells that a gateway's life is over, and all before.
 func (b *Bookings) Ended(node string, life uint64) {
-	if b != nil {
-		b.post(func() { b.handle(doubt.Ended{Owner: node, Life: life}) })
-	}
+	b.post(func() { b.handle(doubt.Ended{Owner: node, Life: life}) })
 }
 
+// Noticed is how often something was noticed since the start.
+func (b *Bookings) Noticed(n doubt.Notice) int64 { return b.counts[n].Load() }
+
 // post has the goroutine do something. It never blocks: the owner of the decision module calls it.
 func (b *Bookings) post(do func()) {
 	b.mu.Lock()
@@ -345,7 +364,7 @@
 
 // noticed tells the log of what is not ordinary, by words that one booking can be followed by through all gateways.
 func (b *Bookings) noticed(n doubt.Noticed) {
-	b.Counts.Noticed[n.What].Add(1)
+	b.counts[n.What].Add(1)
 	if !b.lines.Allow() {
 		return // clients that ask again in haste must not flood the log; the counters have all
 	}
@@ -385,9 +404,6 @@
 
 // Settle waits until nothing is in hand, within a bound. It tells whether it came to that.
 func (b *Bookings) Settle(bound time.Duration) bool {
-	if b == nil {
-		return true
-	}
 	for late := time.Now().Add(bound); len(b.Views()) > 0; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(late) {
 			return false
@@ -398,8 +414,6 @@
 
 // Close ends it.
 func (b *Bookings) Close() {
-	if b != nil {
-		close(b.quit)
-		<-b.done
-	}
+	close(b.quit)
+	<-b.done
 }
--- a/internal/bookings/bookings_test.go
+++ b/internal/bookings/bookings_test.go
@@ -75,7 +75,7 @@
 	return b
 }
 
-func ask(b *Bookings, a *asker, words string, repeat bool) *Booking {
+func ask(b *Bookings, a *asker, words string, repeat bool) Claim {
 	x := b.New(Asked{Request: "r", Class: "order", Group: 7, Name: words, Words: []byte(words), Repeat: repeat, By: time.Now().Add(late)}, a)
 	x.Ask()
 	return x
--- a/internal/program/bookings.go
+++ b/internal/program/bookings.go
@@ -9,9 +9,19 @@
 	"marblespan/internal/doubt"
 )
 
+// OpenBookings takes bookings in hand. It is set before the gateway starts, by the program that has a store for them.
+var OpenBookings func(bookings.Settings) bookings.Desk
+
+// settleBookings waits, within a bound, until nothing that is in hand has to be said in the store any more.
+func (g *Gateway) settleBookings(bound time.Duration) {
+	if g.bookings != nil {
+		g.bookings.Settle(bound)
+	}
+}
+
 // newBookings takes bookings in hand where the operators' file has an in-doubt section; nil: none are.
-func newBookings(g *Gateway) *bookings.Bookings {
-	if len(g.ops.InDoubt) == 0 {
+func newBookings(g *Gateway) bookings.Desk {
+	if len(g.ops.InDoubt) == 0 || OpenBookings == nil {
 		return nil
 	}
 	s := bookings.Settings{
@@ -34,7 +44,7 @@
 		}
 		s.Classes[d.Class] = c
 	}
-	return bookings.New(s)
+	return OpenBookings(s)
 }
 
 // IntentsStatus is which bookings a gateway has in hand, for whoever asks.
@@ -70,7 +80,7 @@
 		})
 	}
 	for n := range doubt.Notices {
-		s.Counts[n.String()] = g.bookings.Counts.Noticed[n].Load()
+		s.Counts[n.String()] = g.bookings.Noticed(n)
 	}
 	return s, nil
 }
@@ -82,7 +92,7 @@
 	}
 	line := g.log.Info()
 	for n := range doubt.Notices {
-		line = line.Int64(n.String(), g.bookings.Counts.Noticed[n].Load())
+		line = line.Int64(n.String(), g.bookings.Noticed(n))
 	}
 	line.Msg("bookings counters")
 }
--- a/internal/program/copies.go
+++ b/internal/program/copies.go
@@ -214,10 +214,10 @@
 	if c.Name == m.g.ops.Members.Node {
 		return
 	}
-	if c.State.Ended() {
-		m.g.bookings.Ended(c.Name, c.Life)
-	} else if c.Life > 0 {
-		m.g.bookings.Ended(c.Name, c.Life-1) // whatever it was before
+	if b := m.g.bookings; b != nil && c.State.Ended() {
+		b.Ended(c.Name, c.Life)
+	} else if b != nil && c.Life > 0 {
+		b.Ended(c.Name, c.Life-1) // whatever it was before
 	}
 	var next []string
 	for _, name := range m.names() {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -92,12 +92,12 @@
 	clients   *session.Clients
 	servers   *session.Servers
 	discovery *session.Discovery
-	floats    *floats            // nil without a floating address
-	members   *members           // nil without a members section
-	store     Store              // nil without a copies section
-	marks     *marks             // nil where no session is kept
-	bookings  *bookings.Bookings // nil where none is claimed before it is sent
-	life      uint64             // microseconds of Unix time at the start
+	floats    *floats       // nil without a floating address
+	members   *members      // nil without a members section
+	store     Store         // nil without a copies section
+	marks     *marks        // nil where no session is kept
+	bookings  bookings.Desk // nil where none is claimed before it is sent
+	life      uint64        // microseconds of Unix time at the start
 	control   *control.Server
 	ready     atomic.Bool
 	accepting chan struct{}
@@ -347,7 +347,7 @@
 		wait(leave+stopMargin/2, func() int { return g.clients.Open() + g.floats.open() })
 	}
 	g.listener.Release()
-	g.bookings.Settle(max(time.Until(start.Add(leave+stopMargin/2)), stopMargin/2))
+	g.settleBookings(max(time.Until(start.Add(leave+stopMargin/2)), stopMargin/2))
 	g.owner.Ask(g.printOwner)
 	g.end()
 	g.printSockets()
@@ -359,7 +359,9 @@
 func (g *Gateway) end() {
 	g.control.Close()
 	g.floats.close()
-	g.bookings.Close()
+	if g.bookings != nil {
+		g.bookings.Close()
+	}
 	if g.store != nil {
 		g.store.Close()
 	}
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -30,9 +30,9 @@
 	reserve int // bytes set aside for it
 	mark    *mark
 
-	claim   *bookings.Booking // of a booking that must be claimed before it is sent; nil: it need not be
-	request *routing.Request  // that goes out once it is claimed
-	held    *routing.Answer   // routing's, until the claim's answer is given; guarded by the client's lock
+	claim   bookings.Claim   // of a booking that must be claimed before it is sent; nil: it need not be
+	request *routing.Request // that goes out once it is claimed
+	held    *routing.Answer  // routing's, until the claim's answer is given; guarded by the client's lock
 }
 
 // Marks keeps the last commit of sessions where every gateway finds it. None of its methods blocks; what is to be done is told
@@ -339,7 +339,7 @@
 		}
 		return 0, nil
 	}
-	claims := st.Write && c.all.Bookings.Concerns(st.Class)
+	claims := st.Write && c.all.Bookings != nil && c.all.Bookings.Concerns(st.Class)
 	if c.all.Gate != nil && !(claims && st.Repeat) && !c.all.Gate() {
 		// The process stood still, and another gateway may have the address by now. Nothing was sent for this request, so
 		// its client may ask there. What is asked again and known to all gateways is answered by any.
--- a/internal/withcopies/withcopies.go
+++ b/internal/withcopies/withcopies.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"marblespan/brain"
+	"marblespan/internal/bookings"
 	"marblespan/internal/copies"
 	"marblespan/internal/holders"
 	"marblespan/internal/program"
@@ -24,6 +25,7 @@
 // Use has gateways of this process open stores.
 func Use() {
 	program.OpenStore, program.CheckStore = open, check
+	program.OpenBookings = func(s bookings.Settings) bookings.Desk { return bookings.New(s) }
 }
 
 func open(s program.StoreSettings) (program.Store, error) {
