Copies: no leader twice in a term, after a restart that forgot its voters or its term

Cause, a broken promise: 400 seeds of each trouble (my look at them missed it at first: their failures stand in the middle of the log) showed at seed 53 of 'the leader is killed at each step of a write' two states of one shard at one entry. Entries 38 had one term and two contents; gateway 1 led term 3 twice. With the votes printed: it stood for no election, for after its restart it had the voters of the founding, itself alone. A commit that changes nothing else is not written to the disk (write, 'same'), so a change of voters was applied, and forgotten by a crash before the next write. Beside it, from reading the library: a candidate's requests and a new leader's entries go out before its term is on its disk, and two other votes make it leader. Change: a change of voters is applied only once the disk has its commit, and such a commit is written; messages of a term wait until the disk has the term (not pre-votes). With the second mend alone another seed showed the first fault in 'crashes of one at a time'. The state's difference is shown. Open: 'all restart at once', seed 89: three replicas wait for ever for a fourth that the ledger has taken out already; nothing is lost, the shard stands still until copies anew.

--- a/internal/copies/group.go
+++ b/internal/copies/group.go
@@ -62,7 +62,12 @@
 	hard      *pb.HardState // as on the disk, but for the commit, which may be behind there
 	logBytes  int64
 	snapBytes int64
-	writes    int // parts of writes that are not on the disk yet
+	writes    int           // parts of writes that are not on the disk yet
+	held      []*pb.Message // of a term that is not on the disk yet
+	applies   []*pb.Message // to be applied, in order
+	kept      uint64        // the commit that is on the disk
+	scanned   uint64        // up to where committed entries were looked through for changes of the voters
+	lastConf  uint64        // the last such change among them
 
 	asking *asking // until it is sure of its disk; nil: it is
 	floor  entry   // whoever is to lead must have so much, and so must this one before it stands
@@ -133,6 +138,8 @@
 	if err := g.log.Append(s.Entries); err != nil {
 		return nil, err
 	}
+	g.kept = max(g.hard.GetCommit(), g.applied)
+	g.scanned = g.kept
 	last, _ := g.log.LastIndex()
 	if last < g.hard.GetCommit() {
 		return nil, fmt.Errorf("group %d: the log ends at %d, before what is committed, %d", s.Group, last, g.hard.GetCommit())
@@ -183,10 +190,10 @@
 			case raft.LocalAppendThread:
 				g.write(m)
 			case raft.LocalApplyThread:
-				g.apply(m.Entries)
-				g.respond(m.Responses)
+				g.applies = append(g.applies, m)
+				g.applyKept()
 			default:
-				g.send(m)
+				g.sendInTerm(m)
 			}
 		}
 		g.answerReads()
@@ -235,17 +242,55 @@
 
 // write puts a message's part into the next write, or deals with it at once where nothing has to be on the disk.
 func (g *group) write(m *pb.Message) {
-	same := m.Term == nil || m.GetTerm() == g.hard.GetTerm() && m.GetVote() == g.hard.GetVote()
+	same := m.Term == nil || m.GetTerm() == g.hard.GetTerm() && m.GetVote() == g.hard.GetVote() && !g.changesVoters(m.GetCommit())
 	if len(m.Entries) == 0 && m.Snapshot == nil && same && g.writes == 0 {
-		g.written(part{g: g, message: m, responses: m.Responses})
+		g.done(part{g: g, message: m, responses: m.Responses})
 		return
 	}
 	g.writes++
 	g.h.parts = append(g.h.parts, part{g: g, message: m, responses: m.Responses})
 }
 
+// changesVoters tells whether a commit goes past a change of the voters that the disk does not know to be committed.
+func (g *group) changesVoters(commit uint64) bool {
+	last, _ := g.log.LastIndex()
+	for ; g.scanned < commit; g.scanned++ {
+		var e []*pb.Entry
+		if g.scanned < last {
+			e, _ = g.log.Entries(g.scanned+1, g.scanned+2, math.MaxUint64)
+		}
+		if len(e) == 0 || e[0].GetType() != pb.EntryNormal { // one that is not here yet may be one
+			g.lastConf = g.scanned + 1
+		}
+	}
+	return g.lastConf > g.kept
+}
+
+// applyKept applies what is committed. A change of the voters waits until the disk has its commit: a replica that forgot it in a
+// restart would have the voters of before, and if it was alone then, elect itself.
+func (g *group) applyKept() {
+	for len(g.applies) > 0 {
+		m := g.applies[0]
+		if slices.ContainsFunc(m.Entries, func(e *pb.Entry) bool { return e.GetType() != pb.EntryNormal && e.GetIndex() > g.kept }) {
+			return
+		}
+		g.applies = g.applies[1:]
+		g.apply(m.Entries)
+		g.respond(m.Responses)
+	}
+}
+
 // written is told once a part is on the disk.
 func (g *group) written(p part) {
+	if m := p.message; m != nil {
+		g.kept = max(g.kept, m.GetCommit(), m.Snapshot.GetMetadata().GetIndex())
+	}
+	g.done(p)
+	g.applyKept()
+}
+
+// done goes on after a part that is on the disk, or need not be.
+func (g *group) done(p part) {
 	m := p.message
 	if m == nil { // a snapshot of our own
 		if first, _ := g.log.FirstIndex(); p.snapshot.GetMetadata().GetIndex() > first+keepEntries {
@@ -266,10 +311,26 @@
 	if m.Term != nil {
 		g.hard = &pb.HardState{Term: new(m.GetTerm()), Vote: new(m.GetVote()), Commit: new(m.GetCommit())}
 		g.log.SetHardState(g.hard)
+		held := g.held
+		g.held = nil
+		for _, m := range held {
+			g.sendInTerm(m)
+		}
 	}
 	g.respond(p.responses)
 }
 
+// sendInTerm sends a message once the term that it speaks in is on the disk. The library lets a candidate's requests and a new
+// leader's entries go before that, and counts only its own vote after it; two other votes make a leader whose disk knows nothing of
+// its term. Restarted, it would be voted for again in that term, and put other entries in the places of the first ones.
+func (g *group) sendInTerm(m *pb.Message) {
+	if t := m.GetType(); t != pb.MsgPreVote && t != pb.MsgPreVoteResp && m.GetTerm() > g.hard.GetTerm() {
+		g.held = append(g.held, m)
+		return
+	}
+	g.send(m)
+}
+
 // respond hands on what waited for a write or for entries to be applied.
 func (g *group) respond(all []*pb.Message) {
 	for _, m := range all {
--- a/internal/copies/trouble_test.go
+++ b/internal/copies/trouble_test.go
@@ -302,7 +302,7 @@
 			if x := n.h.groups[uint32(id)]; x != nil && n.up && slices.ContainsFunc(g.Voters, func(r *api.Replica) bool { return r.Number == x.number }) {
 				state := string(x.sm.snapshot())
 				if other, known := states[x.applied]; known && other != state && w.broken == "" {
-					w.broken = fmt.Sprintf("group %d has two states at %d", id, x.applied)
+					w.broken = fmt.Sprintf("group %d has two states at %d: %s", id, x.applied, differ(other, state))
 				}
 				states[x.applied] = state
 			}
@@ -730,6 +730,20 @@
 	return "", l
 }
 
+// known are seeds that have found something, beside the first ones.
+var known = map[string]uint64{"the leader is killed at each step of a write": 53}
+
+// seeds are the ones that a trouble is run with.
+func (x trouble) seeds(n int) (all []uint64) {
+	for seed := range uint64(n) {
+		all = append(all, seed)
+	}
+	if seed, is := known[x.name]; is {
+		all = append(all, seed)
+	}
+	return all
+}
+
 // ciSeeds is how many seeds of each trouble CI runs.
 const ciSeeds = 8
 
@@ -743,7 +757,7 @@
 	for _, x := range troubles {
 		t.Run(x.name, func(t *testing.T) {
 			begin, done := time.Now(), map[Status]int{}
-			for seed := range uint64(n) {
+			for _, seed := range x.seeds(n) {
 				broken, l := play(x, seed, nil)
 				if broken != "" {
 					t.Fatal(broken)
@@ -952,3 +966,16 @@
 	broken, _ = play(x, seed, mut)
 	return broken
 }
+
+// differ shows where two states of a shard differ.
+func differ(a, b string) string {
+	var x, y api.Shard
+	proto.Unmarshal([]byte(a), &x)
+	proto.Unmarshal([]byte(b), &y)
+	x.Records, y.Records = slices.DeleteFunc(x.Records, func(r *api.Record) bool {
+		return slices.ContainsFunc(y.Records, func(o *api.Record) bool { return proto.Equal(r, o) })
+	}), slices.DeleteFunc(slices.Clone(y.Records), func(r *api.Record) bool {
+		return slices.ContainsFunc(x.Records, func(o *api.Record) bool { return proto.Equal(r, o) })
+	})
+	return fmt.Sprintf("%.600v against %.600v", &x, &y)
+}
