A gateway that still asks writes no witness, and one that does not fit is emptied

Cause: holders.write noted the witness with each write, also the first of a life whose replicas ask the others because the disk may be an older copy; a restart before the answers found it fitting and trusted the disk unasked. Seen in reading. Change: a write says whether all replicas here are sure (copies.Write.Sure), and only then is the witness noted; a witness that does not fit at a start is emptied, for the disk's count of writes would grow past it. Tests: the first write of an unsure life is not sure, of a trusted one it is; the witness's table has a disk that went on.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -173,6 +173,8 @@
 	View    []byte // nil: as it was
 	Groups  []GroupWrite
 	Retired []Ref // added to those before
+	// Sure tells that no replica here still asks whether the disk is the one that it was: only then a witness may say so.
+	Sure bool
 }
 
 // GroupWrite is one replica's part of a write, in the order of its fields.
--- a/internal/copies/host.go
+++ b/internal/copies/host.go
@@ -275,7 +275,7 @@
 		return
 	}
 	h.write++
-	w := Write{Number: h.write, Store: h.store, Life: h.life, Retired: h.newStale, Groups: h.drops}
+	w := Write{Number: h.write, Store: h.store, Life: h.life, Retired: h.newStale, Groups: h.drops, Sure: h.sure()}
 	if h.viewOld || !h.begun {
 		w.View, _ = proto.Marshal(h.view)
 		h.viewOld = false
@@ -299,6 +299,16 @@
 	h.out = append(h.out, w)
 }
 
+// sure tells whether no replica here asks the others.
+func (h *Host) sure() bool {
+	for _, g := range h.groups {
+		if g.asking != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // written goes on with what waited for a write.
 func (h *Host) written(number uint64) {
 	if number != h.write || !h.busy {
--- a/internal/copies/trouble_test.go
+++ b/internal/copies/trouble_test.go
@@ -979,3 +979,19 @@
 	})
 	return fmt.Sprintf("%.600v against %.600v", &x, &y)
 }
+
+// As long as a replica asks whether its disk is the one that it was, no write says that it is.
+func TestUnsureWrites(t *testing.T) {
+	for _, trusted := range []bool{true, false} {
+		w := newWorld(1, 3, 0, 2, nil)
+		settled(w)
+		n := w.nodes[1]
+		w.crash(n)
+		n.witness = trusted
+		w.split(map[string]bool{n.name: true}, true, true)
+		w.start(n)
+		if w.broken != "" || len(n.pending) != 1 || n.pending[0].Sure != trusted {
+			t.Errorf("trusted: %v, %q, %+v", trusted, w.broken, n.pending)
+		}
+	}
+}
--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -401,7 +401,7 @@
 			}
 			if h.disk != nil {
 				err := h.disk.Write(w)
-				if err == nil && h.witness != nil {
+				if err == nil && h.witness != nil && w.Sure {
 					err = h.witness.Note(w.Store, h.disk.Sequence())
 				}
 				if err != nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -278,7 +278,7 @@
 		store, sequence uint64
 		known           bool
 		note            uint64
-	}{{7, 0, false, 5}, {7, 5, true, 6}, {7, 7, true, 7}, {7, 6, false, 0}, {8, 9, false, 0}, {7, 7, true, 0}} {
+	}{{7, 0, false, 5}, {7, 5, true, 6}, {7, 7, true, 7}, {7, 6, false, 0}, {8, 9, false, 0}, {7, 7, false, 0}, {7, 9, false, 9}, {7, 9, true, 0}} {
 		w, known, err := OpenWitness(path, c.store, c.sequence)
 		if err != nil || known != c.known {
 			t.Errorf("%+v: %v %v", c, known, err)
--- a/internal/store/witness.go
+++ b/internal/store/witness.go
@@ -31,6 +31,12 @@
 	n, _ := file.ReadAt(raw, 0)
 	known = n == len(raw) && bytes.Equal(raw[witnessSize:], boot) && store != 0 &&
 		binary.BigEndian.Uint64(raw) == store && binary.BigEndian.Uint64(raw[8:]) <= sequence
+	if !known { // it must not fit by itself once the disk has gone on
+		if err := file.Truncate(0); err != nil {
+			file.Close()
+			return nil, false, err
+		}
+	}
 	return &Witness{file, boot}, known, nil
 }
 
