A request written to a process that has just died is not one that it lost

The checker asked whether the gateway died after the request was asked; a client that had not seen the death yet writes just behind it.

--- a/internal/rig/check_test.go
+++ b/internal/rig/check_test.go
@@ -110,6 +110,8 @@
 		{"another's value", "answers", join(viewed(100, "a", ClassView, "r1", "b"+There, 1))},
 		{"a connection reset", "answers", join(lost)},
 		{"reset by the gateway's death", "", join(lost, fault(105, 300, "at 1s kill 1"), story{ended(107, "signal: killed")})},
+		{"reset, written to one that had just died", "", join(lost, fault(20, 300, "at 1s kill 1"), story{ended(25, "signal: killed")})},
+		{"reset, long after it had died", "answers", join(booked(1100, "a", "k", EndReset), fault(20, 300, "at 1s kill 1"), story{ended(25, "signal: killed")})},
 		{"reset, and another died", "answers", join(lost, fault(105, 300, "at 1s kill 2"))},
 		{"closed by a gateway that leaves, unread", "", join(unsent, fault(90, 300, "at 1s term 1"), story{ended(300, "exit status 0")})},
 		{"closed by a gateway that leaves, sent", "answers", join(lost, fault(90, 300, "at 1s term 1"), story{ended(900, "exit status 0")})},
