The desk's last word to a client stands in one place

Cause: closed and answerAs were twins but for a state in which the client has its answer already; a comment named another function.

--- a/internal/doubt/desk.go
+++ b/internal/doubt/desk.go
@@ -324,7 +324,7 @@
 	}
 }
 
-// over tells whether the owner of a claim is known to send nothing any more, but for what it may have handed to its machine.
+// ownerOver tells whether the owner of a claim is known to send nothing any more, but for what it may have handed to its machine.
 func (d *Desk) ownerOver(r *Record) bool {
 	if r.Owner == d.cfg.Name {
 		return r.Life != d.cfg.Life // a life of this gateway's own that is over
@@ -541,14 +541,7 @@
 
 // closed ends an entry whose record is as it should be.
 func (d *Desk) closed(e *entry) {
-	switch e.record.State {
-	case Answered:
-		d.reply(e, Served, nil)
-	case Unsent:
-		d.reply(e, d.unsent(e), nil)
-	default:
-		d.reply(e, Failed, nil)
-	}
+	d.answerAs(e)
 	e.phase = over
 }
 
@@ -636,6 +629,8 @@
 	switch e.record.State {
 	case Answered:
 		d.reply(e, Served, nil)
+	case Unsent:
+		d.reply(e, d.unsent(e), nil)
 	default:
 		d.reply(e, Failed, nil)
 	}
