A closing listener takes in its backlog also where it got no processor in time

Cause: Accept does not look at the queue once its deadline has passed, so a gateway that stands still for the 5 ms between Close and its last Accept cuts off all whom the kernel had accepted. On the way out of a starved gateway that would be requests lost.

Past the deadline the listener now asks the kernel how many wait (TCP_INFO of a listening socket) and takes in just those, within a second at most; who comes later is not waited for. Where the kernel does not tell, as before.

--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // acceptPause is how long to wait when the system has no descriptor left; a connection that ends frees one.
@@ -15,6 +17,9 @@
 // backlogPause is how long a closing listener looks for connections that the kernel has already accepted.
 const backlogPause = 5 * time.Millisecond
 
+// backlogBound is how long it takes in those that are left then, where it had no processor in that time.
+const backlogBound = time.Second
+
 // Listener accepts connections for as long as the gateway runs.
 type Listener struct {
 	// Calls says that other gateways connect to it, not clients: they count as calls do. It is set before Serve.
@@ -42,18 +47,29 @@
 // of descriptors: a request counts from the moment the kernel has it, whether it was accepted here or not. A connection
 // that finds no room is handed over with the word that it cannot stay.
 func (l *Listener) Serve(serve func(conn *Conn, stays bool)) {
-	for {
+	for left := -1; left != 0; { // how many are left to take in; below 0: as many as come
 		nc, err := l.nl.AcceptTCP()
 		switch {
 		case err == nil:
+			if left > 0 {
+				left--
+			}
 			stays := l.take()
 			l.served.Add(1)
 			go func() {
 				defer l.served.Done()
 				serve(newConn(nc, l.buffers, l.fds, !l.Calls), stays)
 			}()
-		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, net.ErrClosed):
 			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			// Past its deadline Accept does not look at what is there. A gateway that stood still until then would cut off
+			// all who wait; who comes later than now is not waited for.
+			if left > 0 {
+				return
+			}
+			left = l.waiting()
+			l.nl.SetDeadline(time.Now().Add(backlogBound))
 		default:
 			l.fds.makeRoom()
 			time.Sleep(acceptPause)
@@ -61,6 +77,19 @@
 	}
 }
 
+// waiting is how many connections the kernel has accepted and nobody has taken in, 0 where it does not tell: of a
+// listening socket TCP_INFO gives them as tcpi_unacked (Linux).
+func (l *Listener) waiting() (n int) {
+	if raw, err := l.nl.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				n = int(info.Unacked)
+			}
+		})
+	}
+	return n
+}
+
 func (l *Listener) take() bool {
 	if l.Calls {
 		return l.fds.take(false)
