Copies: a replica that has started does not wait for one that the ledger has taken out

askAround asked whomever a configuration on the disk named, and knew an address only for those that the ledger names. Now a settled ledger decides: all that it names are waited for, one that it has taken out is not, and one whose number it does not know yet is. While a change is under way everything is as before, for the ledger may have given up on one that votes. Dropped: asking the host of the one taken out whether it has dropped it (it may be gone with its machine; the argument needs no word of it).

--- a/internal/copies/group.go
+++ b/internal/copies/group.go
@@ -682,22 +682,35 @@
 }
 
 // askAround asks those that have not answered. It is sure once all have that count: the voters of the latest configuration that
-// anybody knows, and those that a change behind it may have made voters. Whose disk is lost for good is not waited for.
+// anybody knows, those that a change behind it may have made voters, and those that the ledger has settled. Whose disk is lost
+// for good is not waited for.
+//
+// Nor is one that the ledger has taken out: it settles a change only once a leader has applied the whole of it, which is then in
+// the logs of a majority of the voters before and of those after. They are asked, all of them, so that of two things one holds
+// for whatever the one taken out may know and they do not: it is of an earlier term than they answer with, or it needed a
+// majority of them. While the ledger has a change under way, one that it does not name may be one that it gave up on, and a
+// voter all the same.
 func (g *group) askAround() {
 	a := g.asking
 	var names []*api.Replica
+	settled := false
 	if x := groupIn(g.h.view, g.id); x != nil && x.Epoch == g.epoch {
-		names = replicas(x)
+		names, settled = replicas(x), x.Adding == nil
 	}
 	ask := map[uint64]bool{}
 	for _, r := range names {
-		ask[r.Number] = false
+		ask[r.Number] = settled
 	}
+	wanted := func(n uint64) bool { _, named := ask[n]; return named || !settled || n >= g.h.view.Next }
 	for _, n := range a.voters {
-		ask[n] = true
+		if wanted(n) {
+			ask[n] = true
+		}
 	}
 	for n, index := range a.later {
-		ask[n] = ask[n] || index > a.applied // else it is in the configuration, or left it again
+		if index > a.applied && wanted(n) { // else it is in the configuration, or left it again
+			ask[n] = true
+		}
 	}
 	waits := len(a.voters) == 0 // its copy is from before it was taken in: it has to hear who is in the group at all
 	for _, n := range slices.Sorted(maps.Keys(ask)) {
--- a/internal/copies/trouble_test.go
+++ b/internal/copies/trouble_test.go
@@ -995,3 +995,59 @@
 		}
 	}
 }
+
+// A replica that has started waits for whom it needs, and for nobody else: not for one that the ledger has taken out, which may
+// be gone for good and never answer.
+func TestWhoIsWaitedFor(t *testing.T) {
+	voters := func(numbers ...uint64) (all []*api.Replica) {
+		for _, n := range numbers {
+			all = append(all, &api.Replica{Number: n, Store: 10 + n})
+		}
+		return all
+	}
+	known := func(of, applied uint64, voters ...uint64) *api.Known {
+		return &api.Known{Group: 1, Epoch: 1, Number: 1, Of: of, Term: 3, LastTerm: 3, LastIndex: 9, Applied: applied, Voters: voters}
+	}
+	old := []uint64{1, 2, 3}
+	settled := &api.Group{Epoch: 1, Voters: voters(1, 2, 4)}
+	for _, c := range []struct {
+		name  string
+		group *api.Group
+		heard []*api.Known
+		sure  bool
+	}{
+		{"all that the ledger names, one that it took out not", settled, []*api.Known{known(2, 5, old...), known(4, 5, old...)}, true},
+		{"one that the ledger names is missing", settled, []*api.Known{known(2, 5, old...)}, false},
+		{"one that the ledger names is missing, and was not in the configuration", settled, []*api.Known{known(2, 5, old...), known(3, 5, old...)}, false},
+		{"the ledger has not settled it", &api.Group{Epoch: 1, Voters: voters(1, 2, 3), Adding: voters(4)[0], Leaving: 3},
+			[]*api.Known{known(2, 5, old...), known(4, 5, old...)}, false},
+		{"the ledger may have given up on a voter", &api.Group{Epoch: 1, Voters: voters(1, 2, 4), Adding: voters(6)[0], Leaving: 4},
+			[]*api.Known{known(2, 8, 1, 2, 5), known(4, 5, old...)}, false},
+		{"a later configuration than the ledger has", settled, []*api.Known{known(2, 8, 1, 2, 9), known(4, 5, old...)}, false},
+		{"a later one, and its voter", settled, []*api.Known{known(2, 8, 1, 2, 9), known(4, 5, old...), known(9, 8, 1, 2, 9)}, true},
+	} {
+		l := &api.Ledger{Founding: 1, Index: 7, Copies: 3, Next: 7, Groups: []*api.Group{{Epoch: 1}, c.group}}
+		for n := range uint64(9) {
+			l.Stores = append(l.Stores, &api.Store{Number: 11 + n, Name: fmt.Sprint("g", n+1)})
+		}
+		view, err := proto.Marshal(l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h, err := New(Config{Name: "g1", Holds: true, Tick: testTick, MostBytes: 1 << 20, Client: 1, NewStore: 99, Life: 2}, second, &Stored{
+			Store: 11, Life: 1, View: view, Groups: []StoredGroup{{
+				Group: 1, Epoch: 1, Number: 1, Hard: &pb.HardState{Term: new(uint64(3)), Vote: new(uint64(2)), Commit: new(uint64(5))},
+				Snapshot: snapshotAt(5, 3, &pb.ConfState{Voters: old}, newShard(1<<20, ThisFormat, 1, false).snapshot()),
+			}},
+		}, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, k := range c.heard {
+			h.answered(k)
+		}
+		if sure := h.groups[1].asking == nil; sure != c.sure {
+			t.Errorf("%s: sure is %v", c.name, sure)
+		}
+	}
+}
