Bookings in hand are bounded by class from the file; let-go acts where an address lingers

The change: 'at-once' in an in-doubt section (4096); an address that lingers takes nothing new for its let-go, then serves on; a reload's let-go and track count from then on (they were read as at the start, internal/program/floating.go). Dropped: keeping the gate shut until the address moves, which may be never.

--- a/internal/bookings/bookings.go
+++ b/internal/bookings/bookings.go
@@ -58,7 +58,6 @@
 
 // The desk's bounds and spans.
 const (
-	mostInHand = 4096
 	window     = 250 * time.Millisecond
 	poll       = 100 * time.Millisecond
 	settle     = 500 * time.Millisecond
@@ -152,7 +151,7 @@
 	b := &Bookings{
 		s: s, wake: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}), open: map[uint64]*Booking{}, lines: rate.NewLimiter(mostLines, 2*mostLines),
 		desk: doubt.New(doubt.Config{
-			Name: s.Node, Life: s.Life, Most: mostInHand, Window: micros(window), Poll: micros(poll), Settle: micros(settle), Keep: micros(keep),
+			Name: s.Node, Life: s.Life, Window: micros(window), Poll: micros(poll), Settle: micros(settle), Keep: micros(keep),
 		}),
 	}
 	go b.run()
--- a/internal/bookings/bookings_test.go
+++ b/internal/bookings/bookings_test.go
@@ -64,7 +64,7 @@
 	begin := time.Now()
 	b := New(Settings{
 		Node: name, Life: 1, Log: zerolog.New(io.Discard), Now: func() doubt.Micros { return doubt.Micros(time.Since(begin).Microseconds()) },
-		Classes: map[string]Class{"order": {Policy: doubt.Policy{Marks: true, Look: look != nil, Span: 60_000_000}, Look: "seat", Shows: "there"}},
+		Classes: map[string]Class{"order": {Policy: doubt.Policy{Marks: true, Look: look != nil, Span: 60_000_000, Most: 4}, Look: "seat", Shows: "there"}},
 		Time:    func(m doubt.Micros) time.Time { return begin.Add(time.Duration(m) * time.Microsecond) },
 		Look:    func(_, _ string, _ int, _ time.Time, done func(row, answer []byte, ok bool)) { go look(done) },
 	})
@@ -152,3 +152,24 @@
 		t.Errorf("%v", k)
 	}
 }
+
+// Of each class as many bookings are in hand as the file allows; the next one is refused, and a repeat hears that it may have run.
+func TestAtOnce(t *testing.T) {
+	b := gateway(t, "a", &kept{records: map[string]Stored{}}, nil)
+	for _, words := range []string{"one", "two", "three", "four"} {
+		a := newAsker()
+		ask(b, a, words, false)
+		wait(t, a.routed, "its way")
+	}
+	for repeat, want := range map[bool]doubt.Kind{false: doubt.Refused, true: doubt.Failed} {
+		a := newAsker()
+		ask(b, a, "five", repeat)
+		if k := wait(t, a.reply, "its answer"); k != want {
+			t.Errorf("asked again: %v; %v, want %v", repeat, k, want)
+		}
+		wait(t, a.dropped, "the word that it is not routed")
+	}
+	if n := b.Noticed(doubt.Overfull); n != 2 {
+		t.Errorf("noticed %d times", n)
+	}
+}
--- a/internal/doubt/desk.go
+++ b/internal/doubt/desk.go
@@ -181,7 +181,13 @@
 func (d *Desk) asked(a Asked) {
 	d.entries = append(d.entries, entry{ask: a, came: d.now})
 	e := &d.entries[len(d.entries)-1]
-	if len(d.entries) > d.cfg.Most {
+	inHand := 0
+	for i := range d.entries {
+		if d.entries[i].ask.Class == a.Class {
+			inHand++
+		}
+	}
+	if inHand > a.Policy.Most {
 		d.note(e, Overfull)
 		d.finish(e, d.unsent(e), nil)
 		return
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -46,7 +46,6 @@
 type Config struct {
 	Name string
 	Life uint64 // another one after each start
-	Most int    // requests in hand; beyond it bookings are refused unsent
 	// Window is for how long after a claim was asked for, or confirmed, its owner may send without asking again.
 	Window Micros
 	// Poll is how often a record that another gateway holds is looked at.
@@ -62,6 +61,7 @@
 	Marks bool   // its clients mark what they ask again
 	Safe  bool   // an answer waits until it is kept
 	Look  bool   // a read shows whether it ran
+	Most  int    // of the class's requests in hand; beyond it they are refused unsent
 	Span  Micros // for how long a booking is remembered
 }
 
--- a/internal/doubt/explore_test.go
+++ b/internal/doubt/explore_test.go
@@ -18,7 +18,7 @@
 	horizon  = 260
 )
 
-var testConfig = Config{Most: 8, Window: 30, Poll: 45, Settle: 20, Keep: 100}
+var testConfig = Config{Window: 30, Poll: 45, Settle: 20, Keep: 100}
 
 // mutant spoils one thing about a desk.
 type mutant struct {
@@ -486,10 +486,10 @@
 }
 
 var (
-	once     = Policy{Marks: true, Span: 1000}
-	always   = Policy{Span: 1000}
-	safely   = Policy{Marks: true, Safe: true, Span: 1000}
-	lookedAt = Policy{Marks: true, Look: true, Span: 1000}
+	once     = Policy{Marks: true, Span: 1000, Most: 8}
+	always   = Policy{Span: 1000, Most: 8}
+	safely   = Policy{Marks: true, Safe: true, Span: 1000, Most: 8}
+	lookedAt = Policy{Marks: true, Look: true, Span: 1000, Most: 8}
 )
 
 var arrangements = []struct {
--- a/internal/program/bookings.go
+++ b/internal/program/bookings.go
@@ -34,7 +34,7 @@
 	}
 	for _, d := range g.ops.InDoubt {
 		c := bookings.Class{Policy: doubt.Policy{
-			Marks: d.Clients == "mark", Safe: d.Order == "safe", Look: len(d.Look) > 0, Span: doubt.Micros(d.Remember.Microseconds()),
+			Marks: d.Clients == "mark", Safe: d.Order == "safe", Look: len(d.Look) > 0, Span: doubt.Micros(d.Remember.Microseconds()), Most: d.AtOnce,
 		}}
 		if c.Policy.Look {
 			c.Look = d.Look[0]
--- a/internal/program/floating.go
+++ b/internal/program/floating.go
@@ -38,6 +38,8 @@
 	counts   session.ClientCounts
 	health   atomic.Pointer[healthSeen]
 	stopping atomic.Bool
+	stopped  atomic.Bool                    // every address is let go now
+	groups   atomic.Pointer[[]config.Group] // in force
 	quit     chan struct{}
 	polling  sync.WaitGroup
 
@@ -66,6 +68,7 @@
 		g: g, quit: make(chan struct{}), tenures: map[*tenure]struct{}{}, holding: map[string]*tenure{},
 	}
 	f.health.Store(&healthSeen{at: time.Now()})
+	f.groups.Store(&g.ops.Groups)
 	clock := floating.Clock{
 		Now:  func() vrrp.Micros { return vrrp.Micros(g.clock.Now()) },
 		Time: func(m vrrp.Micros) time.Time { return g.clock.Time(brain.Micros(m)) },
@@ -222,6 +225,7 @@
 // reload takes over what may change.
 func (f *floats) reload(ops *config.Operators) {
 	if f != nil && ops.VRRP != nil {
+		f.groups.Store(&ops.Groups)
 		f.speaker.Reload(speakerSettings(ops))
 	}
 }
@@ -230,22 +234,30 @@
 func (f *floats) giveUp(last bool) {
 	if f != nil {
 		f.stopping.Store(true)
+		f.stopped.Store(last)
 		f.finish(last)
 		f.speaker.GiveUp(last)
 	}
 }
 
 // finish has the addresses that are about to be given up take nothing new, and waits for what is under way there: a network that
-// cuts flows when an address moves would leave it in doubt. Harm: for so long new requests are refused unsent.
+// cuts flows when an address moves would leave it in doubt. Harm: for so long new requests are refused unsent. One that lingers
+// moves as soon as a better gateway hears of the drain; until then, or for its let-go, it takes nothing new either, and serves on
+// after that.
 func (f *floats) finish(last bool) {
 	var bound time.Duration
 	var ending []*tenure
 	f.mu.Lock()
-	for _, g := range f.g.ops.Groups {
-		lingers := slices.ContainsFunc(g.Track, func(t config.Track) bool { return t.Condition == vrrp.ConditionNames[vrrp.Draining] })
-		if t := f.holding[g.Name]; t != nil && g.LetGo > 0 && (last || !lingers) {
-			t.ending.Store(true)
+	for _, g := range *f.groups.Load() {
+		t := f.holding[g.Name]
+		if t == nil || g.LetGo <= 0 {
+			continue
+		}
+		t.ending.Store(true)
+		if last || !slices.ContainsFunc(g.Track, func(t config.Track) bool { return t.Condition == vrrp.ConditionNames[vrrp.Draining] }) {
 			ending, bound = append(ending, t), max(bound, g.LetGo)
+		} else {
+			time.AfterFunc(g.LetGo, func() { t.ending.Store(f.stopped.Load()) })
 		}
 	}
 	f.mu.Unlock()
--- a/internal/program/floating_test.go
+++ b/internal/program/floating_test.go
@@ -385,6 +385,36 @@
 	f.logged(0, `"cause":"shutdown"`)
 }
 
+// An address that lingers on SIGTERM takes nothing new for its let-go, in which a better gateway would take it; then it serves on.
+func TestLetGoOfOneThatLingers(t *testing.T) {
+	f := newFleet(t, true, nil, 200)
+	f.settles(0)
+	f.reload(0, func(s string) string { return s + "track draining 100\nlet-go 1s\n" })
+	c := f.open(f.floating[0])
+	fl := f.gateways[0].floats
+	fl.giveUp(false)
+	c.Write(query(put("x1")))
+	if kinds, bodies := c.until('E'); !strings.Contains(bodies[0], "C53300\x00") && !strings.Contains(bodies[0], "C57P03\x00") {
+		t.Errorf("%s %q", kinds, bodies)
+	}
+	eventually(t, func() bool { _, _, held := f.holds(0); return held && f.state(0) == "active" }, func() string { return "the address is gone" })
+	served := func() bool {
+		c := f.open(f.floating[0])
+		defer c.Close()
+		c.Write(query(put("x2")))
+		kinds, _ := c.until('Z')
+		return kinds == "TDCZ"
+	}
+	eventually(t, func() bool {
+		fl.mu.Lock()
+		defer fl.mu.Unlock()
+		return !fl.holding["counters"].ending.Load()
+	}, func() string { return "it takes nothing any more" })
+	if !served() {
+		t.Error("it does not serve on")
+	}
+}
+
 // A tenure whose lease has run out takes nothing new: what comes is refused unsent, and its client sent away.
 func TestLeaseRunsOut(t *testing.T) {
 	f := newFleet(t, true, nil, 200)
