The rig promotes a replica; a failover, half an answer and a split with both sides booking, in doubt

The change: 'promote r1 for 2s' in fault scripts: a replica is the primary from now on with all that was committed, the one that was is cut off for the span, then a replica; Ran events carry the server's role, by which the checker of current reads goes. Half of an answer goes through a relay of 20 bytes a second. Not drawn: promote, for a commit that a failover loses is the database's (the explorer of internal/doubt has that one).

--- a/internal/bookings/bookings.go
+++ b/internal/bookings/bookings.go
@@ -58,10 +58,10 @@
 
 // The desk's bounds and spans.
 const (
-	window     = 250 * time.Millisecond
-	poll       = 100 * time.Millisecond
-	settle     = 500 * time.Millisecond
-	keep       = 5 * time.Second
+	window = 250 * time.Millisecond
+	poll   = 100 * time.Millisecond
+	settle = 500 * time.Millisecond
+	keep   = 5 * time.Second
 )
 
 // mostLines bounds the log, in lines a second.
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -98,12 +98,14 @@
 	Clients  string        `conf:"clients" validate:"oneof=mark do-not-mark"` // what they ask again
 	Order    string        `conf:"order" validate:"oneof=safe fast"`
 	Remember time.Duration `conf:"remember"`
-	AtOnce   int           `conf:"at-once" validate:"min=1,max=16384"` // bookings in hand
+	AtOnce   int           `conf:"at-once" validate:"min=1,max=16384"`      // bookings in hand
 	Look     []string      `conf:"look" validate:"max=2,dive,min=1,max=64"` // a class of reads, and a text that shows that it ran
 }
 
 // Defaults are what an in-doubt section has that it does not name.
-func (d *InDoubt) Defaults() { d.Clients, d.Order, d.Remember, d.AtOnce = "mark", "fast", 10*time.Minute, 4096 }
+func (d *InDoubt) Defaults() {
+	d.Clients, d.Order, d.Remember, d.AtOnce = "mark", "fast", 10*time.Minute, 4096
+}
 
 // The bounds of how long a booking is remembered. It must outlast the longest time that a client gives one.
 const (
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -334,7 +334,7 @@
 			case e.Class == ClassView && age > ViewBound.Microseconds()+pageSlack:
 				out = append(out, Violation{At: e.At, Text: fmt.Sprintf(
 					"%s ran at %s, whose data were %.0f ms old when gateway %d had sent it", id, e.Server, float64(age)/1000, e.Node)})
-			case e.Class == ClassSeat && e.Server != primaryName:
+			case e.Class == ClassSeat && e.What != rolePrimary:
 				out = append(out, Violation{At: e.At, Text: fmt.Sprintf("%s must be current and ran at %s", id, e.Server)})
 			}
 		}
@@ -342,9 +342,6 @@
 	return out
 }
 
-// primaryName is the primary's id on the list.
-const primaryName = "p"
-
 // seat is one operation on one key, for porcupine.
 type seat struct {
 	key   string
--- a/internal/rig/check_test.go
+++ b/internal/rig/check_test.go
@@ -26,17 +26,21 @@
 	return story{
 		at(ms, Event{Kind: Asked, Node: 1, ID: id, Client: "c", Class: ClassBooking, Key: key, Within: 1_000_000}),
 		at(ms+1, Event{Kind: Sent, Node: 1, ID: id, Server: "p"}),
-		at(ms+2, Event{Kind: Ran, Node: 1, ID: id, Class: ClassBooking, Key: key, Server: "p"}),
+		at(ms+2, Event{Kind: Ran, Node: 1, ID: id, Class: ClassBooking, Key: key, Server: "p", What: rolePrimary}),
 		at(ms+9, Event{Kind: Heard, Node: 1, ID: id, Client: "c", Class: ClassBooking, Key: key, What: end, Value: value}),
 	}
 }
 
 // viewed is a read of some class at a server whose data are so old.
 func viewed(ms int64, id, class, server, value string, ageMS int64) story {
+	role := roleReplica
+	if server == "p" {
+		role = rolePrimary
+	}
 	return story{
 		at(ms, Event{Kind: Asked, Node: 1, ID: id, Client: "v", Class: class, Key: "k", Within: 1_000_000}),
 		at(ms+1, Event{Kind: Sent, Node: 1, ID: id, Server: server}),
-		at(ms+2, Event{Kind: Ran, Node: 1, ID: id, Class: class, Key: "k", Server: server, Age: ageMS * 1000}),
+		at(ms+2, Event{Kind: Ran, Node: 1, ID: id, Class: class, Key: "k", Server: server, What: role, Age: ageMS * 1000}),
 		at(ms+9, Event{Kind: Heard, Node: 1, ID: id, Client: "v", Class: class, Key: "k", What: EndServed, Value: id + value}),
 	}
 }
@@ -57,7 +61,7 @@
 
 // looked is a gateway's own read.
 func looked(ms int64, key string) Event {
-	return at(ms, Event{Kind: Ran, Node: 2, ID: "look-1", Class: ClassSeat, Key: key, Server: "p"})
+	return at(ms, Event{Kind: Ran, Node: 2, ID: "look-1", Class: ClassSeat, Key: key, Server: "p", What: rolePrimary})
 }
 
 func fault(from, to int64, line string) story {
--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -57,12 +57,11 @@
 	c := &cluster{history: h, node: node, work: work, commits: map[string]int64{}}
 	for i := range replicas + 1 {
 		s := &server{name: "p", primary: i == 0, state: "ready"}
-		role := "primary"
 		if i > 0 {
-			s.name, role = fmt.Sprint("r", i), "replica"
+			s.name = fmt.Sprint("r", i)
 		}
 		var err error
-		if s.Server, err = standin.NewServer(role); err != nil {
+		if s.Server, err = standin.NewServer(s.role()); err != nil {
 			c.close()
 			return nil, err
 		}
@@ -76,6 +75,34 @@
 	return c, nil
 }
 
+// The roles of servers, as they tell them and as Ran events have them.
+const (
+	rolePrimary = "primary"
+	roleReplica = "replica"
+)
+
+func (s *server) role() string {
+	if s.primary {
+		return rolePrimary
+	}
+	return roleReplica
+}
+
+// promote makes a replica the primary, with all that was committed, and the primary that was a replica. It tells which that was.
+func (c *cluster) promote(next *server) (last *server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		if s.primary {
+			last = s
+		}
+	}
+	last.primary, next.primary, next.lag = false, true, 0
+	last.Role.Store(last.role())
+	next.Role.Store(next.role())
+	return last
+}
+
 func (c *cluster) find(name string) *server {
 	for _, s := range c.servers {
 		if s.name == name {
@@ -107,13 +134,14 @@
 		key = m[1]
 	}
 	write := strings.Contains(q.SQL, "INSERT ")
-	if write && !s.primary {
-		s.Position.Store(c.position(s))
+	c.mu.Lock()
+	at, role := c.positionLocked(s), s.role()
+	if write && role != rolePrimary {
+		c.mu.Unlock()
+		s.Position.Store(at)
 		q.Fail("25006")
 		return
 	}
-	c.mu.Lock()
-	at := c.positionLocked(s)
 	commit, there := c.commits[key]
 	there = there && commit <= at
 	if write {
@@ -123,11 +151,11 @@
 	c.mu.Unlock()
 	// The very moment counts, not the position's grain: a primary is never behind.
 	age := int64(0)
-	if !s.primary {
+	if role != rolePrimary {
 		age = time.Since(time.UnixMilli(at)).Microseconds()
 	}
 	c.history.Add(Event{
-		Kind: Ran, Node: c.node(q.From()), ID: q.ID(), Class: q.Field("c"), Key: key, Server: s.name, Age: age,
+		Kind: Ran, Node: c.node(q.From()), ID: q.ID(), Class: q.Field("c"), Key: key, Server: s.name, What: role, Age: age,
 	})
 	time.Sleep(c.work)
 	value := q.ID() + Absent
@@ -142,7 +170,9 @@
 func (c *cluster) setLag(s *server, lag time.Duration) {
 	c.mu.Lock()
 	c.positionLocked(s)
-	s.lag = lag
+	if !s.primary {
+		s.lag = lag
+	}
 	c.mu.Unlock()
 }
 
@@ -159,11 +189,7 @@
 func (c *cluster) target(s *server, endpoint string) standin.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := standin.Target{UID: s.name, Endpoint: endpoint, Zone: "here", Group: Group, State: s.state, Weight: 1, Role: "replica"}
-	if s.primary {
-		t.Role = "primary"
-	}
-	return t
+	return standin.Target{UID: s.name, Endpoint: endpoint, Zone: "here", Group: Group, State: s.state, Weight: 1, Role: s.role()}
 }
 
 func (c *cluster) close() {
--- a/internal/rig/doubt_test.go
+++ b/internal/rig/doubt_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"marblespan/internal/standin"
 )
 
 // atEachStep has a gateway killed, or stand still, before a booking is promised; promised, and not sent; sent, while its server is
@@ -32,6 +36,10 @@
 		{"standing still at each step", InDoubt{Look: true}, 150 * time.Millisecond, fmt.Sprintf(atEachStep, "stop", "2s"), nil},
 		{"a holder is killed at each step too", InDoubt{}, 150 * time.Millisecond,
 			fmt.Sprintf(atEachStep, "kill", "300ms") + "\nat 400ms kill 5 for 400ms\nat 2700ms kill 5 for 400ms\nat 4700ms kill 5 for 400ms\nat 6600ms kill 5 for 400ms", nil},
+		{"the primary fails over under bookings in doubt", InDoubt{Look: true}, 50 * time.Millisecond,
+			"at 500ms stop 1 for 2500ms\nat 600ms promote r1 for 2s\nat 3500ms kill 2 for 300ms\nat 3550ms promote r2 for 1s", nil},
+		{"a split, with both sides booking at the floating address", InDoubt{}, 0, "at 500ms split 1,2 | 3,4,5 for 3s\nat 4500ms split 1 | 2,3,4,5 for 2s", nil},
+		{"killed after half of its own answer", InDoubt{Safe: true}, 0, "", halfAnswered},
 		{"two of three holders are lost with their disks", InDoubt{Look: true}, 0, "", loseTwo},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -58,3 +66,48 @@
 		})
 	}
 }
+
+// halfAnswered has a gateway killed when its client has the first bytes of an answer, and no more: asked again elsewhere, the
+// booking has the answer that it had.
+func halfAnswered(f *Fleet) error {
+	first, second := f.Nodes[0], f.Nodes[1]
+	r, err := standin.NewRelay("127.0.0.1:0", first.Listen, nil)
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	l := &Load{f: f}
+	var at atomic.Value
+	at.Store(r.Addr())
+	b := &standin.Booker{
+		Name: "half", Class: ClassBooking, Group: Group, Patience: patience, Tries: 400, Wait: clientWait, Again: 3, Ledger: &l.ledger, Tell: l.tell,
+		Addr: func() string { return at.Load().(string) },
+		Via: func(string) string {
+			if at.Load() == r.Addr() {
+				return first.Listen
+			}
+			return second.Listen
+		},
+	}
+	defer b.Close()
+	if o := b.Book("whole"); o != standin.Served {
+		return fmt.Errorf("the first booking is %v", standin.OutcomeNames[o])
+	}
+	r.Set(standin.Fate{}, standin.Fate{Rate: 20}) // a byte in 50 ms
+	end := make(chan standin.Outcome, 1)
+	go func() { end <- b.Book("half") }()
+	if err := f.History.Await("the booking has run", settleBy, func(all []Event) bool {
+		return slices.ContainsFunc(all, func(e Event) bool { return e.Kind == Ran && e.Key == "half" })
+	}); err != nil {
+		return err
+	}
+	time.Sleep(300 * time.Millisecond) // some bytes of the answer
+	at.Store(second.Listen)
+	if err := during(f, "at 0s kill 1", func() error { first.Wait(); return nil }); err != nil {
+		return err
+	}
+	if o := <-end; o != standin.Served {
+		return fmt.Errorf("asked again it is %v", standin.OutcomeNames[o])
+	}
+	return nil
+}
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -128,7 +128,17 @@
 		}
 		return nil, nil
 	}
-	f.change(func() { f.active = append(f.active, x) })
+	if x.Verb == "promote" {
+		next := f.cluster.find(x.Name)
+		f.change(func() { f.fallen = f.cluster.promote(next); f.active = append(f.active, x) })
+		for _, n := range f.Nodes {
+			n.servers[f.fallen.name].Reset()
+		}
+		f.announce(next, next.state)
+		f.announce(f.fallen, f.fallen.state)
+	} else {
+		f.change(func() { f.active = append(f.active, x) })
+	}
 	return func() error {
 		f.change(func() {
 			i := slices.IndexFunc(f.active, func(y Fault) bool { return y.String() == x.String() })
@@ -201,7 +211,8 @@
 		}
 		severed := func(name string) standin.Fate {
 			return standin.Fate{Drop: slices.ContainsFunc(f.active, func(x Fault) bool {
-				return x.Verb == "sever" && x.Name == name && (x.From == nil || slices.Contains(x.From, a.Number))
+				return x.Verb == "sever" && x.Name == name && (x.From == nil || slices.Contains(x.From, a.Number)) ||
+					x.Verb == "promote" && f.fallen.name == name
 			})}
 		}
 		for name, r := range a.servers {
@@ -266,9 +277,13 @@
 
 // list has discovery tell every gateway of a server's state, if that has changed.
 func (f *Fleet) list(s *server, state string) {
-	if !f.cluster.setState(s, state) {
-		return
+	if f.cluster.setState(s, state) {
+		f.announce(s, state)
 	}
+}
+
+// announce has discovery tell every gateway how a server is now.
+func (f *Fleet) announce(s *server, state string) {
 	for _, n := range f.Nodes {
 		n.discovery.Push(f.cluster.target(s, n.servers[s.name].Addr()))
 		f.History.Add(Event{Kind: Told, Node: n.Number, Server: s.name, What: state})
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -100,6 +100,7 @@
 
 	mu     sync.Mutex
 	active []Fault // at work now
+	fallen *server // the primary that another one was last made the primary for
 }
 
 // Node is one gateway, in all its lives.
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -27,7 +27,7 @@
 	Asked   Kind = "asked"   // a client wrote a request whole
 	Heard   Kind = "heard"   // its end, as the client saw it: What is one of the ends below
 	Sent    Kind = "sent"    // a gateway began to send a request to a server
-	Ran     Kind = "ran"     // a server ran a request
+	Ran     Kind = "ran"     // a server ran a request: What is its role
 	Phase   Kind = "phase"   // the run's own steps: What is "load", "healed", "settled" or "done"
 )
 
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -43,7 +43,9 @@
 	value func(f *Fault, word string) bool // its last word; nil: it takes none
 	print func(f Fault) string
 	once  bool // it has no span
-	what  string
+	// undrawn faults are brought about by a script only.
+	undrawn bool
+	what    string
 }
 
 func percent(f *Fault, word string) bool {
@@ -103,7 +105,7 @@
 	"term":      {shape: onNodes, what: "SIGTERM; started again after its span, once it has ended"},
 	"stop":      {shape: onNodes, what: "SIGSTOP, and SIGCONT after its span"},
 	"starve":    {shape: onNodes, value: percent, print: printPercent, what: "stopped for a share of the time, in slices of 20 ms"},
-	"disk":      {shape: onNodes, value: disk, print: printName, once: true, what: "the data directory: empty, save (keep a copy), old (put the copy back)"},
+	"disk":      {shape: onNodes, value: disk, print: printName, once: true, undrawn: true, what: "the data directory: empty, save (keep a copy), old (put the copy back)"},
 	"files":     {shape: onNodes, value: fileFault, print: printName, what: "full: no file grows; read-only: no file can be written at all"},
 	"cut":       {shape: onWays, what: "nothing arrives; streams stand still"},
 	"stall":     {shape: onWays, what: "streams stand still, datagrams pass"},
@@ -116,6 +118,7 @@
 	"split":     {shape: onParts, what: "the two parts hear nothing of each other"},
 	"sever":     {shape: onServer, what: "a gateway is cut from a server, or from discovery"},
 	"lag":       {shape: onlyNamed, value: span, print: printSpan, what: "a replica falls behind by so much"},
+	"promote":   {shape: onlyNamed, undrawn: true, what: "a replica is the primary from now on; the one that was is cut off for the span, then a replica"},
 	"drain":     {shape: onlyNamed, what: "the list says that a server drains"},
 }
 
@@ -317,7 +320,7 @@
 	for at := 500 * time.Millisecond; at < last; at += time.Duration(500+rng.IntN(1000)) * time.Millisecond {
 		if len(bag) == 0 {
 			for name, v := range verbs {
-				if !v.once || name == "reset" {
+				if !v.undrawn {
 					bag = append(bag, name)
 				}
 			}
--- a/internal/rig/script_test.go
+++ b/internal/rig/script_test.go
@@ -31,9 +31,9 @@
 			}
 		}
 	}
-	for name := range verbs {
-		if !kinds[name] && name != "disk" {
-			t.Errorf("no %s was ever drawn", name)
+	for name, v := range verbs {
+		if kinds[name] == v.undrawn {
+			t.Errorf("%s was drawn: %v", name, kinds[name])
 		}
 	}
 }
