Refusals are counted where clients hear them

The ledger's count of refusals was never raised, so that tables of take-overs and runs of chaos showed 0 of them (internal/standin/booker.go).

--- a/internal/standin/booker.go
+++ b/internal/standin/booker.go
@@ -286,6 +286,7 @@
 	}
 	switch {
 	case code == "53300", code == "57P03":
+		b.Ledger.add(&b.Ledger.refusals)
 		return true, Refused
 	case code != "":
 		return false, Failed
