Maintenance: the pure order, its explorer and fourteen mutants

First the pure part, as the order of building has it: internal/maintenance. An Order changes by entries alone (an operator's commands, the leader's steps), each checked where it is applied: places, zones, groups of servers, shared shards, whole shards, and the turn that it was made for. A Planner decides from the order and from reports, and says in plain words what each machine waits for.

Seen by the explorer while it was written: whether a gateway has left is no ground to let a server go, for its next life may send by what its disk says. Hence the roll: a gateway sends nothing before it finds itself enrolled in the ledger, and knows with that what is left alone. Dropped: going by membership's word for whom to ask; a counter of the roll in steps, which no run needed.

Nothing uses it yet.

--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -29,6 +29,7 @@
 	"internal/explore":            {},
 	"internal/duties":             {},
 	"internal/doubt":              {},
+	"internal/maintenance":        {},
 	"internal/bookings":           {"internal/doubt"},
 	"internal/transport":          {},
 	"internal/config":             {"internal/config/lines", "internal/settings", "internal/protocol/discovery"},
@@ -84,13 +85,14 @@
 
 // forbidden are packages that must not be used where the prefix says.
 var forbidden = map[string][]string{
-	"":                    {"net/http", "github.com/jackc/pgx/v5", "database/sql"},
-	"brain":               {"time", "net", "os", "io", "sync", "math/rand"},
-	"internal/protocol":   {"sync", "os", "time", "io", "bufio"},
-	"internal/routing":    {"net", "os", "bufio"},
-	"internal/vrrp":       {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
-	"internal/membership": {"time", "net", "os", "io", "sync", "math/rand"},
-	"internal/copies":     {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
+	"":                     {"net/http", "github.com/jackc/pgx/v5", "database/sql"},
+	"brain":                {"time", "net", "os", "io", "sync", "math/rand"},
+	"internal/protocol":    {"sync", "os", "time", "io", "bufio"},
+	"internal/routing":     {"net", "os", "bufio"},
+	"internal/vrrp":        {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
+	"internal/membership":  {"time", "net", "os", "io", "sync", "math/rand"},
+	"internal/maintenance": {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
+	"internal/copies":      {"time", "net", "os", "io", "sync", "math/rand", "math/rand/v2"},
 }
 
 func TestImportsPointDown(t *testing.T) {
--- /dev/null
+++ b/internal/maintenance/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package maintenance
+
+const fewer = 1
--- /dev/null
+++ b/internal/maintenance/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package maintenance
+
+// fewer is by how much the search is smaller under the race detector: nothing here runs at the same time.
+const fewer = 10
