--- a/brain/api.go
+++ b/brain/api.go
@@ -204,6 +204,7 @@
 	ListFull                   // all; what is missing is gone
 	ListCached                 // all, as this gateway last had it
 	ListFailed                 // asking failed or the subscription broke; no members
+	ListAside                  // only what operators take out of service, or put back: discovery has said nothing
 )
 
 // MemberState is a server's state on the list.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -870,7 +870,7 @@
 		r.askFailed()
 		return
 	}
-	if e.Form != ListCached {
+	if e.Form != ListCached && e.Form != ListAside {
 		r.subscribed, r.asking, r.askSpan = true, false, 0
 	}
 	named := map[ServerID]bool{}
@@ -878,7 +878,7 @@
 		named[m.Server] = true
 		r.member(m)
 	}
-	if e.Form != ListDelta {
+	if e.Form != ListDelta && e.Form != ListAside {
 		for _, g := range r.order {
 			for _, s := range g.members {
 				if !named[s.id] {
--- a/brain/state.go
+++ b/brain/state.go
@@ -144,6 +144,26 @@
 	return h
 }
 
+// ServerView is what a router knows of one server, for those who ask whether it can be spared.
+type ServerView struct {
+	Member
+	Primary, Down, Cold bool
+	Behind              Micros // by its last word
+	Out                 int    // attempts that are out there
+}
+
+// View tells of a server; it decides nothing.
+func (r *Router) View(id ServerID) (v ServerView, known bool) {
+	s := r.servers[id]
+	if s == nil {
+		return v, false
+	}
+	return ServerView{
+		Member:  Member{Server: id, Group: s.group.id, Zone: s.zone, State: s.state, Started: s.started, Primary: s.listed},
+		Primary: s.group.primary == s, Down: s.down, Cold: r.warmth(s) < one, Behind: max(s.heardAt-s.pos, 0), Out: len(s.open),
+	}, true
+}
+
 // group is a primary and its replicas.
 type group struct {
 	id        int
--- a/internal/bookings/bookings.go
+++ b/internal/bookings/bookings.go
@@ -113,6 +113,8 @@
 	Ended(node string, life uint64)
 	Views() []doubt.View
 	Noticed(doubt.Notice) int64
+	// Fail gives whoever waits here for anything but routing its final answer: the gateway is about to end.
+	Fail()
 	Settle(bound time.Duration) bool
 	Close()
 }
@@ -401,6 +403,9 @@
 	}
 }
 
+// Fail gives whoever waits for the store its final answer.
+func (b *Bookings) Fail() { b.post(func() { b.handle(doubt.Closing{}) }) }
+
 // Settle waits until nothing is in hand, within a bound. It tells whether it came to that.
 func (b *Bookings) Settle(bound time.Duration) bool {
 	for late := time.Now().Add(bound); len(b.Views()) > 0; time.Sleep(5 * time.Millisecond) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -87,7 +87,7 @@
 		&cobra.Command{Use: "gateway", Short: "Run the gateway, as without a command", Args: noArguments, RunE: c.gateway},
 		&cobra.Command{Use: "check", Short: "Read both configurations and print what is in force", Args: noArguments, RunE: c.check},
 		&cobra.Command{Use: "version", Short: "Print the version", Args: noArguments, RunE: c.version},
-		c.vrrp(), c.members(), c.copies(), c.intents(),
+		c.vrrp(), c.members(), c.copies(), c.intents(), c.maintain(),
 	)
 	return root
 }
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -26,6 +26,7 @@
 	VRRP    *VRRP     `section:"vrrp" validate:"-"`
 	Groups  []Group   `section:"group" validate:"-"`
 	InDoubt []InDoubt `section:"in-doubt" validate:"-"`
+	Upkeep  *Upkeep   `section:"maintenance" validate:"-"`
 
 	file string
 }
@@ -128,6 +129,34 @@
 	mostProbe    = 10 * time.Second
 )
 
+// Upkeep is by what limits machines are taken out for work.
+type Upkeep struct {
+	lines.Where
+	Gateways int           `conf:"gateways" validate:"min=1,max=1024"`  // away at once
+	InZone   int           `conf:"in-zone" validate:"min=1,max=1024"`   // of one zone
+	Servers  int           `conf:"servers" validate:"min=1,max=1024"`   // away at once, one of a group at the most
+	Keep     int           `conf:"keep-ready" validate:"min=0,max=100"` // ready gateways that a zone keeps
+	Load     int           `conf:"load" validate:"min=1,max=100"`       // percent that those who stay may have to carry
+	For      time.Duration `conf:"for"`                                 // what work takes if the operator has not said
+	Settle   time.Duration `conf:"settle"`                              // how long one that is back has to be well
+	Return   time.Duration `conf:"return-within"`
+	Excuse   time.Duration `conf:"excuse-after"` // of one that is overdue; 0: never
+	Behind   time.Duration `conf:"behind"`       // from when on a replica counts as behind
+	Unheard  time.Duration `conf:"unheard"`      // how long a start waits for the ledger
+}
+
+// Defaults are what a maintenance section has that it does not name.
+func (u *Upkeep) Defaults() {
+	u.Gateways, u.InZone, u.Servers, u.Keep, u.Load = 1, 1, 1, 1, 70
+	u.For, u.Settle, u.Return, u.Behind, u.Unheard = 20*time.Minute, 10*time.Second, 5*time.Minute, 2*time.Second, 5*time.Second
+}
+
+// The bounds of how long work may take.
+const (
+	leastWork = time.Second
+	mostWork  = 7 * 24 * time.Hour
+)
+
 // VRRP is how gateways speak with each other about floating addresses.
 type VRRP struct {
 	lines.Where
@@ -311,6 +340,25 @@
 			at(d.Where, "remember", 0, "%v is not from %v to %v", d.Remember, leastRemember, mostRemember)
 		}
 	}
+	if u := o.Upkeep; u != nil {
+		if o.Copies == nil {
+			at(u.Where, "maintenance", 0, "there is no copies section: the order is kept in copies")
+		}
+		if u.For < leastWork || u.For > mostWork {
+			at(u.Where, "for", 0, "%v is not from %v to %v", u.For, leastWork, mostWork)
+		}
+		for _, d := range []struct {
+			name string
+			span time.Duration
+		}{{"settle", u.Settle}, {"return-within", u.Return}, {"behind", u.Behind}, {"unheard", u.Unheard}} {
+			if d.span < 0 || d.span > time.Hour {
+				at(u.Where, d.name, 0, "%v is not from 0s to 1h", d.span)
+			}
+		}
+		if u.Excuse < 0 || u.Excuse > mostWork {
+			at(u.Where, "excuse-after", 0, "%v is not from 0s to %v", u.Excuse, mostWork)
+		}
+	}
 	vrids, names, listens := map[uint8]string{}, map[string]bool{}, map[netip.AddrPort]string{}
 	for _, g := range o.Groups {
 		if o.VRRP == nil {
@@ -359,6 +407,7 @@
 	}
 	differ("copies", reflect.DeepEqual(unplaced(o.Copies), unplaced(next.Copies)))
 	differ("in-doubt", reflect.DeepEqual(unlined(o.InDoubt), unlined(next.InDoubt)))
+	differ("maintenance", (o.Upkeep == nil) == (next.Upkeep == nil))
 	differ("vrrp", (o.VRRP == nil) == (next.VRRP == nil))
 	if o.VRRP != nil && next.VRRP != nil {
 		differ("vrrp node", o.VRRP.Node == next.VRRP.Node)
@@ -406,6 +455,9 @@
 	for _, d := range o.InDoubt {
 		on = append(on, "in-doubt "+d.Class)
 	}
+	if o.Upkeep != nil {
+		on = append(on, "maintenance")
+	}
 	if o.VRRP != nil {
 		on = append(on, "vrrp")
 	}
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -12,6 +12,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 
 	api "marblespan/api/copies"
+	"marblespan/internal/maintenance"
 )
 
 // Micros is a point or a span of time in whole microseconds.
@@ -67,6 +68,8 @@
 	NewStore uint64
 	// Life tells this start of the disk from the ones before: microseconds of Unix time. A clock that was set back is noticed.
 	Life uint64
+	// Maintain is by what limits machines are taken out for work, where this gateway leads the ledger; nil: none is.
+	Maintain *maintenance.Limits
 	// Founding is the number of the store that a Found event makes. Not 0.
 	Founding uint64
 }
@@ -117,7 +120,7 @@
 // Ask is a call of this gateway's own: a Command without client and sequence, or a Get. Its Answer carries the ID.
 type Ask struct {
 	ID      uint64
-	Shard   uint32 // counted from 1; see ShardOf
+	Shard   uint32 // counted from 1, see ShardOf; the ledger takes what Command makes, and a Get of MaintainKey
 	Command *api.Command
 	Get     *api.Get
 	By      Micros // when nobody waits for the answer any more
--- a/internal/copies/group.go
+++ b/internal/copies/group.go
@@ -211,6 +211,7 @@
 	if led {
 		g.ledAt, g.base, g.swept = g.h.now, g.sm.time(), g.h.now
 		if g.id == LedgerGroup {
+			g.h.resetUpkeep()
 			g.h.facts = facts{since: g.h.now, heard: map[uint64]Micros{}, lives: map[uint64]uint64{}, reports: map[uint32]*api.Report{}, told: map[uint32]Micros{}, changed: g.h.now}
 		}
 		g.h.note(Noticed{What: Led, Group: g.id, Epoch: g.epoch, Number: g.number})
@@ -446,8 +447,11 @@
 func (g *group) answerReads() {
 	for len(g.behind) > 0 && g.behind[0].index <= g.applied {
 		for _, r := range g.behind[0].reads {
-			if s, is := g.sm.(*shard); is {
+			switch s := g.sm.(type) {
+			case *shard:
 				g.h.reply(r.origin, s.get(r.key))
+			case *ledger:
+				g.h.reply(r.origin, &api.Reply{Value: g.h.listing(s.Ledger), Found: true})
 			}
 		}
 		g.behind = g.behind[1:]
@@ -464,7 +468,7 @@
 	switch shard, _ := g.sm.(*shard); {
 	case !g.led || g.asking != nil || g.h.leaving:
 		status = notLeader
-	case shard == nil || c.Command == nil && c.Get == nil:
+	case c.Command == nil && c.Get == nil, shard == nil && c.Get == nil && c.Command.GetChange().GetSaid() == nil, shard != nil && c.Command.GetChange() != nil:
 		status = Bad
 	case c.Get != nil:
 		g.reads = append(g.reads, reading{o, c.Get.Key})
@@ -613,10 +617,17 @@
 
 // report is what the ledger's leader is told.
 func (g *group) report() *api.Report {
-	return &api.Report{
+	r := &api.Report{
 		Group: g.id, Epoch: g.epoch, Term: g.node.BasicStatus().GetTerm(), Voters: g.conf.Voters, Learners: g.conf.Learners,
 		Joint: len(g.conf.VotersOutgoing) > 0,
 	}
+	last, _ := g.log.LastIndex()
+	g.node.WithProgress(func(id uint64, t raft.ProgressType, pr tracker.Progress) {
+		if id != g.number && t == raft.ProgressTypePeer && pr.Match+keepEntries < last {
+			r.Lags = true
+		}
+	})
+	return r
 }
 
 // entry is a place in a log.
--- a/internal/copies/host.go
+++ b/internal/copies/host.go
@@ -43,6 +43,7 @@
 	peers      map[uint64]uint64 // the latest life of each disk that was heard
 	known      map[Ref]entry     // how far others' replicas were heard to be
 	facts      facts             // where this host leads the ledger
+	upkeep     upkeep
 
 	parts    []part // of the next write
 	drops    []GroupWrite
@@ -137,6 +138,7 @@
 		}
 	}
 	h.begun = !h.holds
+	h.ordered()
 	return h, nil
 }
 
@@ -174,6 +176,12 @@
 		h.anew(e.Shard)
 	case Others:
 		h.others = e.Names
+	case Members:
+		h.upkeep.members = e.All
+	case Own:
+		h.upkeep.own = &e
+	case Limits:
+		h.cfg.Maintain = &e.Limits
 	case Leave:
 		if !h.leaving {
 			h.leaving, h.leftBy = true, h.now+leaveTicks*h.cfg.Tick
@@ -231,6 +239,9 @@
 // seal fills in a packet's head and writes it.
 func (h *Host) seal(p *api.Packet) []byte {
 	p.Version, p.Founding, p.Store, p.Life, p.View = packetVersion, h.founding, h.store, h.life, h.view.Index
+	if g := h.groups[LedgerGroup]; g != nil && g.asking == nil {
+		p.Ledger = g.leaderName()
+	}
 	b, _ := proto.Marshal(p) // its names were checked when they came in
 	return b
 }
@@ -384,6 +395,13 @@
 	if g := h.groups[LedgerGroup]; g != nil && g.led && g.asking == nil {
 		h.planLedger(g)
 	}
+	if h.apart() { // at each tick, for the library forgets now and then which others are active
+		for _, g := range h.inOrder() {
+			if g.led && len(g.conf.Voters) > 1 && g.node.BasicStatus().LeadTransferee == 0 {
+				g.handOver(0)
+			}
+		}
+	}
 	h.retry()
 	if h.leaving {
 		h.left()
@@ -412,7 +430,11 @@
 	}
 	var stores []*api.Store
 	for _, r := range x.Voters {
-		if s := storeIn(h.view, r.Store); s != nil && !lostIn(h.view, r) {
+		s := storeIn(h.view, r.Store)
+		if s == nil || lostIn(h.view, r) {
+			continue
+		}
+		if _, apart := awayFor(h.view, s.Name); !apart {
 			stores = append(stores, s)
 		}
 	}
@@ -435,6 +457,7 @@
 	}
 	if to == h.cfg.Name {
 		h.heardOf(h.store, h.life, h.ownAnnounce(), h.reports())
+		h.factFrom(h.cfg.Name, h.fact())
 		return
 	}
 	if h.ticks%(4*announceEvery) == 0 || to == "" { // who was the leader may be none any more
@@ -444,7 +467,7 @@
 		return
 	}
 	p := h.packet(to)
-	p.Announce, p.Reports = h.ownAnnounce(), h.reports()
+	p.Announce, p.Reports, p.Fact = h.ownAnnounce(), h.reports(), h.fact()
 }
 
 func (h *Host) ownAnnounce() *api.Announce {
@@ -555,9 +578,12 @@
 		h.facts.reports[r.Group], h.facts.told[r.Group] = r, h.now
 	}
 	h.facts.now = h.now
-	h.change(g, planner{
+	changes := planner{
 		Ledger: g.sm.(*ledger).Ledger, facts: h.facts, tick: h.cfg.Tick, healAfter: h.cfg.HealAfter, healAtOnce: h.cfg.HealAtOnce,
-	}.plan())
+	}.plan()
+	if h.change(g, changes); len(changes) == 0 {
+		h.planOrder(g)
+	}
 }
 
 // found makes a store with this gateway as its first holder.
@@ -611,6 +637,7 @@
 	}
 	h.view, h.founding, h.viewOld = proto.Clone(l).(*api.Ledger), l.Founding, true
 	h.facts.changed = h.now
+	h.ordered()
 	for r := range h.known { // of replicas that are no more
 		if x := groupIn(l, r.Group); x == nil || x.Epoch > r.Epoch || x.Epoch == r.Epoch && r.Number < l.Next &&
 			!slices.ContainsFunc(replicas(x), func(y *api.Replica) bool { return y.Number == r.Number }) {
@@ -774,6 +801,15 @@
 	if p.Announce != nil && p.Announce.Name != e.From {
 		p.Announce = nil // nobody speaks for another one
 	}
+	if p.Ledger != "" && h.groups[LedgerGroup] == nil {
+		h.leads[LedgerGroup] = p.Ledger
+	}
+	if p.Fact != nil {
+		h.factFrom(e.From, p.Fact)
+	}
+	if g := h.groups[LedgerGroup]; g != nil && !g.led && (p.Fact != nil || p.Announce != nil) {
+		h.packet(e.From) // so that it knows who leads
+	}
 	if p.Announce != nil || len(p.Reports) > 0 {
 		h.heardOf(p.Store, p.Life, p.Announce, p.Reports)
 	}
@@ -837,8 +873,9 @@
 
 // ask begins a call.
 func (h *Host) ask(a Ask) {
-	bad := a.Command == nil && a.Get == nil || int(a.Shard) < 1
-	if a.Command != nil {
+	order := a.Shard == LedgerGroup && (a.Command.GetChange().GetSaid() != nil || a.Get != nil && string(a.Get.Key) == MaintainKey)
+	bad := !order && (a.Command == nil && a.Get == nil || int(a.Shard) < 1)
+	if a.Command != nil && !order {
 		p, m := a.Command.Put, a.Command.Mark
 		bad = bad || p == nil && m == nil || p != nil && (len(p.Key) == 0 || len(p.Key) > MostKey || len(p.Value) > MostValue ||
 			p.Span <= 0 && !p.Remove || Micros(p.Span) > MostSpan) || m != nil && (len(m.Key) == 0 || len(m.Key) > MostKey || m.Span <= 0 || Micros(m.Span) > MostSpan)
--- a/internal/copies/ledger.go
+++ b/internal/copies/ledger.go
@@ -38,10 +38,15 @@
 	l.notices = nil
 	before := proto.Clone(l.Ledger)
 	for _, c := range e.Commands {
-		if c.Change != nil {
+		r := &api.Reply{Time: l.Time}
+		switch {
+		case c.Change.GetSaid() != nil || c.Change.GetStep() != nil:
+			status, text := l.maintain(index, c)
+			r.Status, r.Value = uint32(status), []byte(text)
+		case c.Change != nil:
 			l.change(c.Change)
 		}
-		out = append(out, &api.Reply{Time: l.Time})
+		out = append(out, r)
 	}
 	before.(*api.Ledger).Time = l.Time
 	if !proto.Equal(before, l.Ledger) {
--- /dev/null
+++ b/internal/copies/maintain.go
@@ -0,0 +1,342 @@
+package copies
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	api "marblespan/api/copies"
+	"marblespan/internal/maintenance"
+)
+
+// The order of maintenance is part of the ledger (internal/maintenance): its entries are the ledger's, and its leader plans it
+// beside who holds what.
+
+// Members tells who there is, for the ledger's leader to plan maintenance by.
+type Members struct{ All []maintenance.Member }
+
+// Limits are by what limits machines are taken out from now on.
+type Limits struct{ maintenance.Limits }
+
+// Own is what this gateway reports for the order of maintenance, in a life of its own.
+type Own struct {
+	Life uint64
+	maintenance.Report
+}
+
+func (Members) event() {}
+func (Limits) event()  {}
+func (Own) event()     {}
+
+// Ordered tells that the order of maintenance has changed, as far as is known here. It must not be changed.
+type Ordered struct {
+	Index uint64 // the ledger's
+	Order *maintenance.Order
+}
+
+func (Ordered) action() {}
+
+// MaintainKey is the key of a Get in the ledger that is answered with a listing.
+const MaintainKey = "maintenance"
+
+// Command is an operator's command as a change of the ledger.
+func Command(c maintenance.Command) *api.Command {
+	return &api.Command{Change: &api.Change{Said: &api.Said{
+		Verb: uint32(c.Verb), Kind: uint32(c.Kind), Name: c.Name, Group: int64(c.Group), Span: int64(c.For), Why: c.Why, By: c.By,
+	}}}
+}
+
+func said(c *api.Said) maintenance.Command {
+	return maintenance.Command{
+		Verb: maintenance.Verb(c.Verb), Kind: maintenance.Kind(c.Kind), Name: c.Name, Group: int(c.Group), For: maintenance.Micros(c.Span),
+		Why: c.Why, By: c.By,
+	}
+}
+
+// sound tells whether a command may stand in the ledger.
+func sound(c *api.Said) bool {
+	return c.Verb > 0 && c.Verb < uint32(maintenance.Verbs) && c.Kind < uint32(maintenance.Kinds) && len(c.Name) <= maintenance.MostName &&
+		len(c.Why) <= maintenance.MostWhy && len(c.By) <= MostName && c.Span >= 0
+}
+
+func stepOut(s maintenance.Step) *api.Change {
+	x := &api.Step{
+		Id: s.ID, Turn: s.Turn, To: uint32(s.To), Life: s.Life, Zone: s.Zone, Overdue: s.Overdue, Word: s.Word, Unexcused: s.Unexcused,
+		Gateways: uint32(s.Gateways), InZone: uint32(s.InZone), Servers: uint32(s.Servers),
+	}
+	if s.Enroll.Name != "" {
+		x.Enroll = &api.Enrolled{Name: s.Enroll.Name, Life: s.Enroll.Life}
+	}
+	if s.Strike.Name != "" {
+		x.Strike = &api.Enrolled{Name: s.Strike.Name, Life: s.Strike.Life}
+	}
+	return &api.Change{Step: x}
+}
+
+func stepIn(x *api.Step) maintenance.Step {
+	return maintenance.Step{
+		ID: x.Id, Turn: x.Turn, To: maintenance.State(x.To), Life: x.Life, Zone: x.Zone, Overdue: x.Overdue, Word: x.Word, Unexcused: x.Unexcused,
+		Enroll:   maintenance.Enrolled{Name: x.GetEnroll().GetName(), Life: x.GetEnroll().GetLife()},
+		Strike:   maintenance.Enrolled{Name: x.GetStrike().GetName(), Life: x.GetStrike().GetLife()},
+		Gateways: int(x.Gateways), InZone: int(x.InZone), Servers: int(x.Servers),
+	}
+}
+
+// OrderOf is an order as the ledger keeps it; nil is an empty one.
+func OrderOf(x *api.Order) *maintenance.Order {
+	o := &maintenance.Order{Held: x.GetHeld(), Numbers: x.GetNumbers(), Excused: slices.Clone(x.GetExcused())}
+	for _, m := range x.GetMachines() {
+		o.Machines = append(o.Machines, maintenance.Machine{
+			ID: m.Id, Kind: maintenance.Kind(m.Kind), Name: m.Name, Group: int(m.Group), Zone: m.Zone, State: maintenance.State(m.State), Turn: m.Turn,
+			At: m.At, Since: maintenance.Micros(m.Since), Left: maintenance.Micros(m.Left), For: maintenance.Micros(m.Span), Life: m.Life, Why: m.Why,
+			By: m.By, Overdue: m.Overdue, Word: m.Word,
+		})
+	}
+	for _, a := range x.GetAskers() {
+		o.Askers = append(o.Askers, maintenance.Asker{Client: a.Client, Sequence: a.Sequence, OK: a.Ok, Said: a.Said})
+	}
+	for _, e := range x.GetRoll() {
+		o.Roll = append(o.Roll, maintenance.Enrolled{Name: e.Name, Life: e.Life})
+	}
+	return o
+}
+
+func orderInto(o *maintenance.Order) *api.Order {
+	x := &api.Order{Held: o.Held, Numbers: o.Numbers, Excused: o.Excused}
+	for _, m := range o.Machines {
+		x.Machines = append(x.Machines, &api.Machine{
+			Id: m.ID, Kind: uint32(m.Kind), Name: m.Name, Group: int64(m.Group), Zone: m.Zone, State: uint32(m.State), Turn: m.Turn, At: m.At,
+			Since: int64(m.Since), Left: int64(m.Left), Span: int64(m.For), Life: m.Life, Why: m.Why, By: m.By, Overdue: m.Overdue, Word: m.Word,
+		})
+	}
+	for _, a := range o.Askers {
+		x.Askers = append(x.Askers, &api.Asker{Client: a.Client, Sequence: a.Sequence, Ok: a.OK, Said: a.Said})
+	}
+	for _, e := range o.Roll {
+		x.Roll = append(x.Roll, &api.Enrolled{Name: e.Name, Life: e.Life})
+	}
+	return x
+}
+
+func factOut(o *Own, zone string, leads bool) *api.Fact {
+	x := &api.Fact{
+		Life: o.Life, Zone: zone, Seen: o.Seen, Ready: o.Ready, Idle: o.Idle, Leads: leads, Load: uint32(max(o.Load, 0)), Floats: o.Floats, Apart: o.Apart,
+	}
+	for _, s := range o.Servers {
+		x.Servers = append(x.Servers, &api.ServerFact{Group: int64(s.Group), Name: s.Name, Primary: s.Primary, Down: s.Down, Cold: s.Cold, Behind: s.Behind})
+	}
+	return x
+}
+
+func factIn(name string, x *api.Fact) maintenance.GatewayFact {
+	g := maintenance.GatewayFact{Name: name, Zone: x.Zone, Life: x.Life, Report: maintenance.Report{
+		Seen: x.Seen, Ready: x.Ready, Idle: x.Idle, Leads: x.Leads, Load: int(x.Load), Floats: x.Floats, Apart: x.Apart,
+	}}
+	for _, s := range x.Servers {
+		g.Servers = append(g.Servers, maintenance.ServerReport{Group: int(s.Group), Name: s.Name, Primary: s.Primary, Down: s.Down, Cold: s.Cold, Behind: s.Behind})
+	}
+	return g
+}
+
+// upkeep is what the ledger's leader knows for the order of maintenance, and what every gateway knows of itself.
+type upkeep struct {
+	own     *Own
+	members []maintenance.Member
+	facts   map[string]maintenance.GatewayFact
+	at      map[string]Micros // when each was heard
+	planner maintenance.Planner
+	waits   maintenance.Waits
+	told    uint64 // the ledger's index whose order was last told
+	order   *maintenance.Order
+}
+
+// ordered tells of the order where it has changed.
+func (h *Host) ordered() {
+	u := &h.upkeep
+	if h.view.Index == u.told || h.cfg.Maintain == nil {
+		return
+	}
+	first := u.order == nil
+	u.told = h.view.Index
+	next := OrderOf(h.view.Order)
+	if !first && proto.Equal(orderInto(u.order), orderInto(next)) {
+		return
+	}
+	u.order = next
+	h.out = append(h.out, Ordered{Index: h.view.Index, Order: next})
+}
+
+// fact is what this gateway tells of itself.
+func (h *Host) fact() *api.Fact {
+	if h.upkeep.own == nil || h.cfg.Maintain == nil {
+		return nil
+	}
+	x := factOut(h.upkeep.own, h.cfg.Zone, slices.ContainsFunc(h.inOrder(), func(g *group) bool { return g.led }))
+	x.Ready = x.Ready && h.sure() && h.failed == ""
+	return x
+}
+
+// factFrom takes in what a gateway tells of itself. A late word of a life that is over does not count.
+func (h *Host) factFrom(name string, x *api.Fact) {
+	u := &h.upkeep
+	if last, known := u.facts[name]; x == nil || known && x.Life < last.Life {
+		return
+	}
+	if u.facts == nil {
+		u.facts, u.at = map[string]maintenance.GatewayFact{}, map[string]Micros{}
+	}
+	u.facts[name], u.at[name] = factIn(name, x), h.now
+}
+
+// resetUpkeep has a new leader begin without what it may have known before.
+func (h *Host) resetUpkeep() {
+	u := &h.upkeep
+	u.facts, u.at, u.planner, u.waits = nil, nil, maintenance.Planner{}, nil
+}
+
+// sight is what the leader goes by, beside the order. A gateway that holds something, or that is on the roll, and that nobody
+// knows of, is as good as dead.
+func (h *Host) sight(l *api.Ledger) *maintenance.Facts {
+	u := &h.upkeep
+	h.factFrom(h.cfg.Name, h.fact())
+	f := &maintenance.Facts{Now: maintenance.Micros(h.groups[LedgerGroup].logTime()), Known: h.now-h.facts.since > freshFor*h.cfg.Tick && len(u.members) > 0}
+	all := map[string]maintenance.Member{}
+	for _, s := range l.Stores {
+		if !s.Gone {
+			all[s.Name] = maintenance.Member{Name: s.Name, Zone: s.Zone, Presence: maintenance.Dead}
+		}
+	}
+	for _, e := range l.GetOrder().GetRoll() {
+		all[e.Name] = maintenance.Member{Name: e.Name, Presence: maintenance.Dead, Life: e.Life}
+	}
+	for _, m := range u.members {
+		all[m.Name] = m
+	}
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		m, last := all[name], u.facts[name]
+		g := maintenance.GatewayFact{Name: name, Zone: cmp.Or(last.Zone, m.Zone), Life: last.Life, Presence: m.Presence}
+		switch fresh := last.Name != "" && h.now-u.at[name] <= freshFor*h.cfg.Tick; {
+		case m.Presence == maintenance.Left:
+			g.Life = max(m.Life, last.Life)
+		case m.Presence == maintenance.Alive && fresh:
+			g.Report = last.Report
+		case m.Presence == maintenance.Alive:
+			g.Presence = maintenance.Silent
+		}
+		f.Gateways = append(f.Gateways, g)
+	}
+	for id, x := range l.Groups {
+		s := maintenance.ShardFact{Holders: names(l, x), Whole: wholeIn(l, x)}
+		if r := h.facts.reports[uint32(id)]; s.Whole {
+			s.Whole = r != nil && h.Reported(uint32(id)) && r.Epoch == x.Epoch && !r.Joint && !r.Lags && len(r.Voters) == len(x.Voters)
+		}
+		f.Shards = append(f.Shards, s)
+	}
+	return f
+}
+
+// planOrder has the order go on, where the ledger is led here and all that was decided is in it.
+func (h *Host) planOrder(g *group) {
+	if h.cfg.Maintain == nil {
+		return
+	}
+	l := g.sm.(*ledger).Ledger
+	h.facts.told[LedgerGroup] = h.now
+	steps, waits := h.upkeep.planner.Plan(OrderOf(l.Order), h.sight(l), *h.cfg.Maintain)
+	h.upkeep.waits = waits
+	var changes []*api.Change
+	for _, s := range steps {
+		changes = append(changes, stepOut(s))
+	}
+	h.change(g, changes)
+}
+
+// listing answers a read of the order.
+func (h *Host) listing(l *api.Ledger) []byte {
+	x := &api.Listing{Order: l.Order, Leader: h.cfg.Name, Time: l.Time, Waits: h.upkeep.waits}
+	b, _ := proto.Marshal(x)
+	return b
+}
+
+// ListingOf reads such an answer.
+func ListingOf(b []byte) (maintenance.Listing, error) {
+	var x api.Listing
+	if err := proto.Unmarshal(b, &x); err != nil {
+		return maintenance.Listing{}, err
+	}
+	return maintenance.Listing{Order: OrderOf(x.Order), Waits: x.Waits, Leader: x.Leader, Now: maintenance.Micros(x.Time)}, nil
+}
+
+// Order is the order of maintenance as far as it is known here.
+func (h *Host) Order() *maintenance.Order { return OrderOf(h.view.Order) }
+
+// names lists the gateways that hold a group.
+func names(l *api.Ledger, x *api.Group) (out []string) {
+	for _, r := range replicas(x) {
+		if s := storeIn(l, r.Store); s != nil && !slices.Contains(out, s.Name) {
+			out = append(out, s.Name)
+		}
+	}
+	return out
+}
+
+// wholeIn tells whether a group has all its copies, and none is on its way, by the ledger.
+func wholeIn(l *api.Ledger, x *api.Group) bool {
+	return x.Adding == nil && len(x.Voters) >= int(l.Copies) && !slices.ContainsFunc(x.Voters, func(r *api.Replica) bool { return lostIn(l, r) })
+}
+
+// shards is what the ledger itself knows of who holds what, for the order's steps.
+type shards struct{ *api.Ledger }
+
+func (l shards) Whole(gateway string) bool {
+	return !slices.ContainsFunc(l.Groups, func(x *api.Group) bool { return slices.Contains(names(l.Ledger, x), gateway) && !wholeIn(l.Ledger, x) })
+}
+
+func (l shards) Shared(a, b string) bool {
+	return slices.ContainsFunc(l.Groups, func(x *api.Group) bool {
+		all := names(l.Ledger, x)
+		return slices.Contains(all, a) && slices.Contains(all, b)
+	})
+}
+
+// maintain carries out what concerns the order of maintenance, and tells what there is to say of it.
+func (l *ledger) maintain(index uint64, c *api.Command) (status Status, text string) {
+	o := OrderOf(l.Order)
+	ok := true
+	if x := c.Change.Said; x != nil {
+		if !sound(x) {
+			return Bad, "that cannot be said"
+		}
+		ok, text = o.Command(maintenance.Micros(l.Time), index, maintenance.Asker{Client: c.Client, Sequence: c.Sequence}, said(x))
+	} else {
+		o.Step(maintenance.Micros(l.Time), index, stepIn(c.Change.Step), shards{l.Ledger})
+	}
+	l.Order = orderInto(o)
+	if !ok {
+		return Conflict, text
+	}
+	return OK, text
+}
+
+// awayFor tells for which span a gateway's machine is to be away, where it is about to be, or is; ok is false where it is not.
+func awayFor(l *api.Ledger, name string) (span Micros, ok bool) {
+	for _, m := range l.GetOrder().GetMachines() {
+		if s := maintenance.State(m.State); maintenance.Kind(m.Kind) == maintenance.Gateway && m.Name == name &&
+			(s == maintenance.Next || s == maintenance.Leaving || s == maintenance.Out) {
+			return Micros(m.Span), true
+		}
+	}
+	return 0, false
+}
+
+// apart tells whether this gateway's own machine is about to be out, or is: it leads nothing then.
+func (h *Host) apart() bool {
+	for _, m := range h.view.GetOrder().GetMachines() {
+		if s := maintenance.State(m.State); maintenance.Kind(m.Kind) == maintenance.Gateway && m.Name == h.cfg.Name && (s == maintenance.Leaving || s == maintenance.Out) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/copies/plan.go
+++ b/internal/copies/plan.go
@@ -101,6 +101,9 @@
 // fresh lists the stores that can take replicas now.
 func (p *planner) fresh() (out []*api.Store) {
 	for _, s := range p.Stores {
+		if _, apart := awayFor(p.Ledger, s.Name); apart {
+			continue // it is about to be out for work, or is
+		}
 		if at, heard := p.heard[s.Number]; !s.Gone && heard && p.now-at <= freshFor*p.tick {
 			out = append(out, s)
 		}
@@ -108,8 +111,13 @@
 	return out
 }
 
-// away tells whether a replica has to be replaced.
+// away tells whether a replica has to be replaced: also before its machine is out for longer than a silent one is waited for.
 func (p *planner) away(r *api.Replica) bool {
+	if s := storeIn(p.Ledger, r.Store); s != nil {
+		if span, apart := awayFor(p.Ledger, s.Name); apart && span > p.healAfter {
+			return true
+		}
+	}
 	return lostIn(p.Ledger, r) || p.silent(r.Store, p.healAfter)
 }
 
--- a/internal/copies/world_test.go
+++ b/internal/copies/world_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	api "marblespan/api/copies"
+	"marblespan/internal/maintenance"
 )
 
 const (
@@ -38,6 +39,7 @@
 	calls  map[uint64]func(Answer)
 	next   uint64
 	notes  []string
+	limits *maintenance.Limits // by which machines are taken out; nil: none is
 }
 
 // node is one gateway.
@@ -61,6 +63,8 @@
 	done     bool
 	inbox    []func()
 	startsAt uint64
+	order    *maintenance.Order // as it was last told
+	seen     uint64
 	format   uint32 // of records, the latest that it understands; 0: the only one there is
 }
 
@@ -167,8 +171,13 @@
 }
 
 func newWorld(seed uint64, holders, clients, shards int, mut *mutant) *world {
+	return newWorldWith(seed, holders, clients, shards, mut, nil)
+}
+
+func newWorldWith(seed uint64, holders, clients, shards int, mut *mutant, limits *maintenance.Limits) *world {
 	w := &world{
-		now: second, rng: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]string]bool{}, mutant: mut, shards: shards, votes: map[string]uint64{},
+		limits: limits,
+		now:    second, rng: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]string]bool{}, mutant: mut, shards: shards, votes: map[string]uint64{},
 		calls: map[uint64]func(Answer){},
 	}
 	cryptorand.Reader = io.Reader(seeded{rand.New(rand.NewPCG(seed, 4))})
@@ -190,7 +199,7 @@
 // start begins a node's next life from what is on its disk.
 func (w *world) start(n *node) {
 	n.life++
-	n.up, n.pause, n.pending, n.inbox, n.done = true, 0, nil, nil, false
+	n.up, n.pause, n.pending, n.inbox, n.done, n.order, n.seen = true, 0, nil, nil, false, &maintenance.Order{}, 0
 	n.startsAt += 1 + w.rng.Uint64N(1000)
 	var s *Stored
 	trusted := true
@@ -202,7 +211,7 @@
 	}
 	h, err := New(Config{
 		Name: n.name, Zone: n.zone, Weight: 1, Holds: n.holds, Tick: testTick, HealAfter: healAfter, HealAtOnce: 2, LeastLog: 4096, MostBytes: 1 << 20,
-		MostCalls: 100, Client: w.rng.Uint64() | 1, NewStore: w.rng.Uint64() | 1, Founding: w.rng.Uint64() | 1, Life: n.startsAt, Format: n.format,
+		MostCalls: 100, Client: w.rng.Uint64() | 1, NewStore: w.rng.Uint64() | 1, Founding: w.rng.Uint64() | 1, Life: n.startsAt, Format: n.format, Maintain: w.limits,
 	}, w.now+n.skew, s, trusted)
 	if err != nil {
 		w.broken = fmt.Sprintf("%s cannot start: %v", n.name, err)
@@ -284,6 +293,8 @@
 			}
 		case Noticed:
 			w.notes = append(w.notes, fmt.Sprintf("%d.%03d %s %v %d/%d %d %s %s", w.now/second, w.now/ms%1000, n.name, a.What, a.Group, a.Epoch, a.Number, a.Name, a.Cause))
+		case Ordered:
+			n.order, n.seen = a.Order, a.Index
 		case Done:
 			n.done = true
 		}
@@ -444,6 +455,9 @@
 		}
 		out += "]"
 	}
+	if g := w.leaderOf(LedgerGroup); g != nil && w.limits != nil {
+		out += fmt.Sprintf("\norder: %+v\n%v", *OrderOf(l.GetOrder()), g.h.upkeep.waits)
+	}
 	for _, n := range w.nodes {
 		out += "\n " + n.name
 		if !n.up {
--- a/internal/doubt/desk.go
+++ b/internal/doubt/desk.go
@@ -90,6 +90,8 @@
 		return e.ask.By, true
 	case confirming:
 		return e.asksBy, true
+	case claiming, reading, taking, looking:
+		return e.ask.By, !e.answered // whatever the store does, its client has an answer in time
 	}
 	return 0, false
 }
@@ -120,6 +122,12 @@
 		}
 	case Gone:
 		d.gone(ev.ID)
+	case Closing:
+		for i := range d.entries {
+			if e := &d.entries[i]; e.phase != routed && e.phase != confirming && e.phase != over {
+				d.outOfTime(e)
+			}
+		}
 	case Tick:
 	}
 	d.expire()
@@ -607,6 +615,8 @@
 		case following:
 			d.note(e, LeftInDoubt)
 			d.finish(e, Failed, nil)
+		case claiming, reading, taking, looking:
+			d.outOfTime(e)
 		case confirming:
 			e.call = 0
 			d.permit(e, false)
@@ -630,6 +640,18 @@
 	}
 }
 
+// outOfTime gives a client its final answer by what is known now. What is asked of the store goes on.
+func (d *Desk) outOfTime(e *entry) {
+	switch e.phase {
+	case claiming: // nothing was sent, and nothing will be
+		d.reply(e, d.unsent(e), nil)
+	case settling, rereading:
+		d.answerAs(e)
+	default:
+		d.reply(e, Failed, nil)
+	}
+}
+
 // answerAs gives a client the answer that its booking has, whether it is kept or not.
 func (d *Desk) answerAs(e *entry) {
 	switch e.record.State {
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -134,6 +134,9 @@
 	Life  uint64 // and all before
 }
 
+// Closing tells that the gateway is about to end: whoever waits here for anything but routing has its final answer at once.
+type Closing struct{}
+
 // Looked is what a read has shown.
 type Looked struct {
 	ID    uint64
@@ -153,6 +156,7 @@
 func (Told) event()    {}
 func (Ended) event()   {}
 func (Looked) event()  {}
+func (Closing) event() {}
 func (Gone) event()    {}
 func (Tick) event()    {}
 
--- a/internal/doubt/explore_test.go
+++ b/internal/doubt/explore_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,7 +69,7 @@
 }
 
 // budget is how often each kind of fault may happen yet.
-type budget struct{ asks, crash, cut, loss, word, failover, pause int }
+type budget struct{ asks, crash, cut, loss, word, failover, pause, closing int }
 
 // world is two gateways, the store as its contract has it, a server and a client that asks again.
 type world struct {
@@ -316,6 +317,18 @@
 				}
 			})
 		}
+		if w.left.closing > 0 {
+			add(fmt.Sprint("g", g, " is about to end"), func(w *world) {
+				w.left.closing--
+				m.handle(w, g, Closing{})
+				for _, a := range w.asks {
+					routes := slices.ContainsFunc(w.attempts, func(x attempt) bool { return x.gw == g && x.id == a.id && x.life == a.life })
+					if a.gw == g && a.life == w.life[g] && !a.told && !a.let && !routes && w.broken == "" {
+						w.broken = fmt.Sprintf("request %d is left without an answer", a.id)
+					}
+				}
+			})
+		}
 		if w.left.word > 0 {
 			add(fmt.Sprint("word that g", g, " ended"), func(w *world) {
 				w.left.word--
@@ -496,11 +509,11 @@
 	name string
 	model
 }{
-	{"a crash", model{policy: once, left: budget{asks: 1, crash: 1}}},
+	{"a crash", model{policy: once, left: budget{asks: 1, crash: 1, closing: 1}}},
 	{"a crash, answers kept first", model{policy: safely, left: budget{asks: 1, crash: 1}}},
 	{"a crash, and a read that shows", model{policy: lookedAt, left: budget{asks: 1, crash: 1, word: 1, failover: 1}}},
 	{"calls in vain", model{policy: once, left: budget{asks: 1, cut: 2}}},
-	{"calls in vain, clients that do not mark", model{policy: always, left: budget{asks: 1, cut: 2}}},
+	{"calls in vain, clients that do not mark", model{policy: always, left: budget{asks: 1, cut: 2, closing: 1}}},
 	{"a pause, and a wrong word", model{policy: once, left: budget{asks: 1, pause: 1, word: 1}}},
 	{"a pause, a wrong word and calls in vain", model{policy: lookedAt, left: budget{asks: 1, pause: 1, word: 1, cut: 1}}},
 	{"the store is lost", model{policy: once, left: budget{asks: 1, loss: 1, crash: 1}}},
@@ -590,6 +603,12 @@
 
 // Each of these desks is wrong in one point. The runs must show it.
 var mutants = []mutant{
+	{name: "ends without a word to whoever waits for the store", before: func(_ *Desk, ev Event) Event {
+		if _, is := ev.(Closing); is {
+			return nil
+		}
+		return ev
+	}},
 	{name: "a claim that may not be in force is one", before: onStored(func(e *entry, s *Stored) {
 		if e.phase == claiming && s.Result == Unknown {
 			s.Result, s.Version = OK, 1
@@ -622,8 +641,9 @@
 	{name: "what is not shown has not run", before: func(d *Desk, ev Event) Event {
 		if l, is := ev.(Looked); is && !l.Shown {
 			if e := d.find(l.ID); e != nil && e.phase == looking {
-				d.claim(e, e.version, e.record.Attempt)
-				return nil
+				r := e.record
+				r.State, e.phase, e.call = Unsent, reading, 1<<40
+				return Stored{Call: e.call, Version: e.version, Record: &r}
 			}
 		}
 		return ev
@@ -674,6 +694,19 @@
 	}},
 }
 
+// eager has time pass seldom where something else can happen, and what the client does likewise.
+type eager struct{ model }
+
+func (m eager) Moves(w *world) (all []explore.Move[*world]) {
+	for _, mv := range m.model.Moves(w) {
+		all = append(all, mv)
+		if !strings.HasPrefix(mv.Name, "tick") && !strings.HasPrefix(mv.Name, "the client") && !strings.HasPrefix(mv.Name, "ask") {
+			all = append(all, mv, mv, mv)
+		}
+	}
+	return all
+}
+
 func TestMutantsAreCaught(t *testing.T) {
 	if fewer > 1 {
 		t.Skip("the same runs as without the race detector, many times slower")
@@ -684,8 +717,8 @@
 			for _, a := range arrangements {
 				m := a.model
 				m.mut = &mut
-				for seed := range uint64(walks) {
-					if made, broken := explore.Walk[*world](m, seed, steps); broken != nil {
+				for seed := range uint64(4 * walks) {
+					if made, broken := explore.Walk[*world](eager{m}, seed, steps); broken != nil {
 						t.Logf("%q, seed %d, after %d moves: %v", a.name, seed, made, broken.Err)
 						return
 					}
--- a/internal/floating/floating.go
+++ b/internal/floating/floating.go
@@ -349,6 +349,15 @@
 	})
 }
 
+// Resume has every group that was given up take part again.
+func (s *Speaker) Resume() {
+	s.ask(func() {
+		for _, g := range s.groups {
+			s.tell(g, vrrp.Startup{})
+		}
+	})
+}
+
 // Close releases what is still held and ends the goroutine.
 func (s *Speaker) Close() {
 	s.GiveUp(true)
--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"marblespan/internal/copies"
+	"marblespan/internal/maintenance"
 	"marblespan/internal/store"
 	"marblespan/internal/streams"
 )
@@ -36,6 +37,11 @@
 	LeastLog   int64
 	Format     uint32          // of records, the latest that this gateway understands; 0: the one of this version
 	Others     func() []string // the gateways that are there; asked once a second
+	// Maintain is by what limits machines are taken out for work; nil: none is, and the next two are of no use. Members tells
+	// who there is, once a second, and Ordered is told of the order, on the goroutine that owns the host: it must not wait.
+	Maintain *maintenance.Limits
+	Members  func() []maintenance.Member
+	Ordered  func(index uint64, o *maintenance.Order)
 }
 
 // The bounds of what waits: events for the goroutine, calls for an answer, large packets for their turn, and how many events
@@ -94,6 +100,8 @@
 	// failedAt is when a shard's promise was last not had, microseconds of Unix time; 0: the last one was.
 	failedAt [copies.MostShards + 1]atomic.Int64
 
+	saying sync.Mutex // operators' commands go one by one, so that their numbers come in order
+
 	mu      sync.Mutex
 	partial map[string][]*partial // by sender
 }
@@ -122,7 +130,7 @@
 	cfg := copies.Config{
 		Name: s.Node, Zone: s.Zone, Weight: s.Weight, Holds: s.Holds, Tick: micros(s.Tick), HealAfter: micros(s.HealAfter),
 		HealAtOnce: s.HealAtOnce, Format: s.Format, LeastLog: s.LeastLog, MostBytes: s.MostBytes, MostCalls: mostCalls, Client: draw(), NewStore: draw(),
-		Founding: draw(), Life: uint64(time.Now().UnixMicro()),
+		Founding: draw(), Life: uint64(time.Now().UnixMicro()), Maintain: s.Maintain,
 	}
 	var err error
 	if h.host, err = copies.New(cfg, clock.Now(), stored, trusted); err != nil {
@@ -254,6 +262,9 @@
 		if time.Since(asked) > time.Second {
 			asked = time.Now()
 			h.host.Handle(h.clock.Now(), copies.Others{Names: h.s.Others()})
+			if h.s.Maintain != nil {
+				h.host.Handle(h.clock.Now(), copies.Members{All: h.s.Members()})
+			}
 		}
 		timer.Reset(max(time.Until(h.clock.Time(h.host.Next())), 0))
 		select {
@@ -308,6 +319,8 @@
 			}
 		case copies.Noticed:
 			h.noticed(a)
+		case copies.Ordered:
+			h.s.Ordered(a.Index, a.Order)
 		case copies.Done:
 			close(h.left)
 		}
--- a/internal/holders/uses.go
+++ b/internal/holders/uses.go
@@ -1,9 +1,11 @@
 package holders
 
 import (
+	"errors"
 	"time"
 
 	"marblespan/internal/copies"
+	"marblespan/internal/maintenance"
 
 	api "marblespan/api/copies"
 )
@@ -90,3 +92,49 @@
 	}
 	line.Msg("copies counters")
 }
+
+// Tell reports what this gateway is and sees, for the order of maintenance.
+func (h *Holders) Tell(own copies.Own) { h.put(own) }
+
+// Limits puts other limits in force.
+func (h *Holders) Limits(l maintenance.Limits) { h.put(copies.Limits{Limits: l}) }
+
+// errNoWord is what an operator hears where the ledger has not answered.
+var errNoWord = errors.New("the ledger has not answered in time; what was said may come into force all the same, and may be said again")
+
+// Maintain carries an operator's command to the ledger, one at a time, and tells what came of it.
+func (h *Holders) Maintain(c maintenance.Command, by time.Time) (said string, err error) {
+	h.saying.Lock()
+	defer h.saying.Unlock()
+	a := h.answer(copies.Ask{Shard: copies.LedgerGroup, Command: copies.Command(c)}, by)
+	switch a.Status {
+	case copies.OK:
+		return string(a.Value), nil
+	case copies.Conflict, copies.Bad:
+		return "", errors.New(string(a.Value))
+	}
+	return "", errNoWord
+}
+
+// Listing is the order of maintenance as the ledger's leader has it, or, with an error, as it is known here.
+func (h *Holders) Listing(by time.Time) (maintenance.Listing, error) {
+	a := h.answer(copies.Ask{Shard: copies.LedgerGroup, Get: &api.Get{Key: []byte(copies.MaintainKey)}}, by)
+	if a.Status == copies.OK {
+		return copies.ListingOf(a.Value)
+	}
+	l := maintenance.Listing{Order: &maintenance.Order{}}
+	h.tell(func(copies.Overview) error { l.Order = h.host.Order(); return nil })
+	return l, errNoWord
+}
+
+// answer makes a call and waits for its answer.
+func (h *Holders) answer(a copies.Ask, by time.Time) (out copies.Answer) {
+	answered := make(chan copies.Answer, 1)
+	h.Ask(a, by, func(a copies.Answer) { answered <- a })
+	select {
+	case out = <-answered:
+	case <-h.quit:
+		out.Status = copies.NotSent
+	}
+	return out
+}
--- a/internal/maintenance/explore_test.go
+++ b/internal/maintenance/explore_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -20,7 +21,7 @@
 
 const group = 7
 
-var testLimits = Limits{Gateways: 1, InZone: 1, Servers: 1, Keep: 1, Load: 900, Settle: 10, Return: 200, For: 200, HealAfter: 1000}
+var testLimits = Limits{Gateways: 1, InZone: 1, Servers: 1, Keep: 1, Load: 900, Settle: 10, Return: 200, HealAfter: 1000}
 
 // chain has neighbours share a shard each.
 var chain = []ShardFact{{Holders: []string{"a", "b"}, Whole: true}, {Holders: []string{"b", "c"}, Whole: true}}
@@ -202,7 +203,8 @@
 		if m.mut != nil && m.mut.asker != nil {
 			m.mut.asker(&asker)
 		}
-		effect, _ = next.Command(w.now, w.index, asker, *p.command)
+		next.Command(w.now, w.index, asker, *p.command)
+		effect = !reflect.DeepEqual(w.order.Machines, next.Machines) || w.order.Held != next.Held
 	}
 	if effect && p.applied > 0 && w.broken == "" && (p.step == nil || p.step.ID > 0) { // the roll is no worse for it
 		w.broken = "an entry had its effect twice"
@@ -266,7 +268,7 @@
 
 func (w *world) say(c Command) proposal {
 	w.numbers++
-	return proposal{command: &c, asker: Asker{1, w.numbers}}
+	return proposal{command: &c, asker: Asker{Client: 1, Sequence: w.numbers}}
 }
 
 // entries lets something come into the log: at once, later, or at once and once more later.
@@ -291,7 +293,7 @@
 }
 
 func command(v Verb, name string) Command {
-	c := Command{Verb: v, Name: name, Group: group}
+	c := Command{Verb: v, Name: name, Group: group, For: 200}
 	if slices.Contains(servers[:], name) {
 		c.Kind = Server
 	}
--- a/internal/maintenance/order.go
+++ b/internal/maintenance/order.go
@@ -90,7 +90,11 @@
 }
 
 // Asker is whose commands were carried out up to which number: one that comes again, or late, has no effect.
-type Asker struct{ Client, Sequence uint64 }
+type Asker struct {
+	Client, Sequence uint64
+	OK               bool // what came of that one, for whoever asks again
+	Said             string
+}
 
 // Enrolled is a life of a gateway that sends to servers. A gateway sends nothing before it finds itself on the roll, and knows with
 // that which servers are left alone; so those on it are all that have to be asked before one may be touched.
@@ -170,8 +174,11 @@
 	return nil
 }
 
-// place is a machine's place among those that are in hand, from 1.
-func (o *Order) place(id uint64) (n int) {
+// Place is a machine's place among those that are in hand, from 1; 0: it is not.
+func (o *Order) Place(id uint64) (n int) {
+	if m := o.numbered(id); m == nil || !m.open() {
+		return 0
+	}
 	for i := range o.Machines {
 		if m := &o.Machines[i]; m.open() && m.ID <= id {
 			n++
@@ -238,11 +245,17 @@
 			if o.Askers = append(o.Askers, from); len(o.Askers) > mostAskers {
 				o.Askers = o.Askers[1:]
 			}
-		case o.Askers[i].Sequence >= from.Sequence:
-			return false, "this was carried out before, or came too late"
+		case o.Askers[i].Sequence == from.Sequence:
+			return o.Askers[i].OK, o.Askers[i].Said
+		case o.Askers[i].Sequence > from.Sequence:
+			return false, "this comes too late"
 		default:
 			o.Askers = append(slices.Delete(o.Askers, i, i+1), from)
 		}
+		defer func() {
+			last := &o.Askers[len(o.Askers)-1]
+			last.OK, last.Said = ok, said
+		}()
 	}
 	if c.Name == "" {
 		return o.all(now, index, c)
@@ -261,7 +274,7 @@
 	switch c.Verb {
 	case Add:
 		if m != nil {
-			return true, fmt.Sprintf("%s is in the order already, as number %d, and %s", m.Label(), o.place(m.ID), m.Stands(o.Held))
+			return true, fmt.Sprintf("%s is in the order already, as number %d, and %s", m.Label(), o.Place(m.ID), m.Stands(o.Held))
 		}
 		return o.add(now, index, c)
 	case Done:
@@ -324,7 +337,7 @@
 	})
 	o.tidy()
 	m := o.numbered(o.Numbers)
-	return true, fmt.Sprintf("%s is number %d in the order", m.Label(), o.place(m.ID))
+	return true, fmt.Sprintf("%s is number %d in the order", m.Label(), o.Place(m.ID))
 }
 
 // tidy drops the oldest of those that are done with.
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -15,7 +15,6 @@
 	Load     int // what those that stay may have to carry, in thousandths of what they can
 	Settle   Micros
 	Return   Micros // after which one that is returning is overdue
-	For      Micros // how long work takes if the operator has not said
 	Excuse   Micros // after which one that is overdue holds nobody up any more; 0: never
 	// HealAfter is after how long a silent holder's shards get another holder: whoever is out for longer moves them first.
 	HealAfter Micros
@@ -32,6 +31,13 @@
 	Left // it was ended in an orderly way
 )
 
+// Member is a gateway as the membership has it.
+type Member struct {
+	Name, Zone string
+	Presence   Presence // Alive, Dead or Left
+	Life       uint64
+}
+
 // Report is what a gateway tells of itself and of what it sees.
 type Report struct {
 	Seen    uint64 // the ledger's index by which it acts
@@ -157,6 +163,14 @@
 // Waits says what machines wait for, in plain words, by number.
 type Waits map[uint64]string
 
+// Listing is an order as its leader sees it.
+type Listing struct {
+	Order  *Order
+	Waits  Waits
+	Leader string // empty: it has not answered, and the order is what is known elsewhere
+	Now    Micros // by the ledger's time
+}
+
 // Plan decides what is next. Those that are on their way come first; one more goes only where none of them has a step to make.
 func (p *Planner) Plan(o *Order, f *Facts, l Limits) (steps []Step, waits Waits) {
 	if p.well == nil {
@@ -204,7 +218,7 @@
 			steps = append(steps, Step{ID: m.ID, Turn: m.Turn, To: to, Life: life})
 		case !m.Overdue && j.late(m):
 			steps = append(steps, Step{ID: m.ID, Turn: m.Turn, Overdue: true})
-		case m.Overdue && !m.Word && l.Excuse > 0 && f.Now-m.Left > j.span(m)+l.Excuse:
+		case m.Overdue && !m.Word && l.Excuse > 0 && f.Now-m.Left > m.For+l.Excuse:
 			steps = append(steps, Step{ID: m.ID, Turn: m.Turn, Word: true})
 		}
 	}
@@ -234,21 +248,13 @@
 	l Limits
 }
 
-// span is how long the work at a machine may take.
-func (j judge) span(m *Machine) Micros {
-	if m.For > 0 {
-		return m.For
-	}
-	return j.l.For
-}
-
 // late tells whether a machine is away for longer than it was to be.
 func (j judge) late(m *Machine) bool {
 	switch m.State {
 	case Out:
-		return j.f.Now-m.Left > j.span(m)
+		return j.f.Now-m.Left > m.For
 	case Returning:
-		return j.f.Now-m.Left > j.span(m)+j.l.Return || j.f.Now-m.Since > j.l.Return
+		return j.f.Now-m.Left > m.For+j.l.Return || j.f.Now-m.Since > j.l.Return
 	}
 	return false
 }
@@ -380,7 +386,7 @@
 
 // moves tells whether a gateway's shards are on their way to others, because it will be out for longer than they wait for it.
 func (j judge) moves(m *Machine) bool {
-	return m.State == Next && j.f.holds(m.Name) > 0 && j.span(m) > j.l.HealAfter
+	return m.State == Next && j.f.holds(m.Name) > 0 && m.For > j.l.HealAfter
 }
 
 // serverMayGo looks at the other servers of its group.
--- a/internal/program/copies.go
+++ b/internal/program/copies.go
@@ -15,6 +15,7 @@
 	"marblespan/brain"
 	"marblespan/internal/bookings"
 	"marblespan/internal/config"
+	"marblespan/internal/maintenance"
 	"marblespan/internal/membership"
 	"marblespan/internal/routing"
 	"marblespan/internal/streams"
@@ -34,6 +35,12 @@
 	Found(shards, copies int, first bool) error
 	Gone(node string) error
 	Anew(shard uint32) error
+	// Tell reports what this life of the gateway is and sees, for the order of maintenance. Maintain carries an operator's command to
+	// the ledger and tells what came of it; Listing is the order, which without its leader is what is known here.
+	Tell(life uint64, r maintenance.Report)
+	Maintain(c maintenance.Command, by time.Time) (said string, err error)
+	Listing(by time.Time) (maintenance.Listing, error)
+	Limits(maintenance.Limits)
 	Print()
 	Leave()
 	Close()
@@ -48,6 +55,10 @@
 	Streams    *streams.Streams
 	Others     func() []string
 	Log        zerolog.Logger
+	// Maintain is nil where no machine is taken out for work; Members and Ordered are of use otherwise only.
+	Maintain *maintenance.Limits
+	Members  func() []maintenance.Member
+	Ordered  func(index uint64, o *maintenance.Order)
 }
 
 // OpenStore opens one. It is set before the gateway starts, by the program that has it.
@@ -153,6 +164,7 @@
 	s, err := OpenStore(StoreSettings{
 		Copies: c, Node: g.ops.Members.Node, Zone: g.ops.Members.Zone, Weight: g.ops.Members.Weight, Clock: g.clock,
 		Streams: g.members.peers.Streams, Others: g.members.names, Log: g.log,
+		Maintain: limits(g.ops), Members: g.members.present, Ordered: g.upkeep.ordered,
 	})
 	if err != nil {
 		return err
@@ -214,6 +226,9 @@
 	if c.Name == m.g.ops.Members.Node {
 		return
 	}
+	if m.known != nil {
+		m.noted(c)
+	}
 	if b := m.g.bookings; b != nil && c.State.Ended() {
 		b.Ended(c.Name, c.Life)
 	} else if b != nil && c.Life > 0 {
--- a/internal/program/floating.go
+++ b/internal/program/floating.go
@@ -154,6 +154,9 @@
 }
 
 func (f *floats) holds() int {
+	if f == nil {
+		return 0
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return len(f.holding)
@@ -163,7 +166,7 @@
 func (f *floats) now() vrrp.Health {
 	seen := f.health.Load()
 	h := seen.Health
-	h.Ready = h.Ready && time.Since(seen.at) < healthOld
+	h.Ready = h.Ready && time.Since(seen.at) < healthOld && f.g.upkeep.admits()
 	h.Wrong[vrrp.Draining] = f.stopping.Load()
 	return h
 }
@@ -187,7 +190,8 @@
 		return err
 	}
 	t := &tenure{listener: l, clients: f.g.newClients(&f.counts, f.g.clients.Limits), freed: make(chan struct{})}
-	t.clients.Gate = func() bool { return gate() && !t.ending.Load() }
+	admits := t.clients.Gate
+	t.clients.Gate = func() bool { return gate() && !t.ending.Load() && (admits == nil || admits()) }
 	f.mu.Lock()
 	f.tenures[t], f.holding[group] = struct{}{}, t
 	f.mu.Unlock()
--- a/internal/program/members.go
+++ b/internal/program/members.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"marblespan/brain"
 	"marblespan/internal/config"
+	"marblespan/internal/maintenance"
 	"marblespan/internal/membership"
 	"marblespan/internal/peers"
 	codec "marblespan/internal/protocol/members"
@@ -28,10 +30,16 @@
 	settings atomic.Uint64 // digest of the settings in force
 	draining atomic.Bool
 	living   atomic.Pointer[[]string]
+
+	mu    sync.Mutex
+	known map[string]maintenance.Member // all others that were ever seen; nil: nobody asks
 }
 
 func startMembers(g *Gateway) (*members, error) {
 	m := &members{g: g}
+	if g.upkeep != nil {
+		m.known = map[string]maintenance.Member{}
+	}
 	m.settings.Store(digest(g.settings))
 	m.living.Store(&[]string{})
 	clock := peers.Clock{
@@ -91,10 +99,10 @@
 	}
 }
 
-// drain tells the others that this gateway is about to end.
-func (m *members) drain() {
+// setDraining tells the others whether this gateway is about to end, or to be out.
+func (m *members) setDraining(on bool) {
 	if m != nil {
-		m.draining.Store(true)
+		m.draining.Store(on)
 	}
 }
 
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -97,7 +97,9 @@
 	store     Store         // nil without a copies section
 	marks     *marks        // nil where no session is kept
 	bookings  bookings.Desk // nil where none is claimed before it is sent
-	life      uint64        // microseconds of Unix time at the start
+	upkeep    *upkeep       // nil without a maintenance section
+	stopping  atomic.Bool
+	life      uint64 // microseconds of Unix time at the start
 	control   *control.Server
 	ready     atomic.Bool
 	accepting chan struct{}
@@ -168,6 +170,7 @@
 	g.discovery.Move(next.Discovery)
 	g.floats.reload(ops)
 	g.members.reload(ops, next.Settings)
+	g.upkeep.reload(ops)
 	g.log.Info().Str("discovery", next.Discovery).Msg("reloaded")
 }
 
@@ -198,6 +201,7 @@
 	g.marks = newMarks(ops, g.clock)
 	g.life = uint64(time.Now().UnixMicro())
 	g.bookings = newBookings(g)
+	g.upkeep = newUpkeep(g)
 	g.clients = g.newClients(&session.ClientCounts{}, session.DefaultTimeouts)
 	g.servers = &session.Servers{
 		Owner: g.owner, Facts: g.facts, Buffers: g.buffers, Fds: g.fds, Ends: g.ends, Clock: g.clock,
@@ -239,6 +243,9 @@
 		c.Marks = g.marks
 	}
 	c.Bookings = g.bookings
+	if g.upkeep != nil {
+		c.Gate = g.upkeep.takes
+	}
 	return c
 }
 
@@ -259,6 +266,7 @@
 			return fmt.Errorf("vrrp: %w", err)
 		}
 	}
+	g.upkeep.start()
 	if g.ops.Control != "" {
 		if g.control, err = control.Listen(g.ops.Control, g.answer); err != nil {
 			return fmt.Errorf("control: %w", err)
@@ -280,8 +288,11 @@
 	case "intents":
 		return g.intents()
 	}
-	if words := strings.Fields(question); len(words) > 0 && words[0] == "copies" {
+	switch words := strings.Fields(question); {
+	case len(words) > 0 && words[0] == "copies":
 		return g.askStore(words[1:])
+	case len(words) > 0 && words[0] == "maintain":
+		return g.askMaintenance(words[1:])
 	}
 	return nil, fmt.Errorf("unknown question %.40q", question)
 }
@@ -303,6 +314,9 @@
 
 // isReady tells whether a request could be routed. Once true it stays so.
 func (g *Gateway) isReady() bool {
+	if !g.upkeep.admits() {
+		return false
+	}
 	if !g.ready.Load() {
 		g.owner.Ask(func(c *routing.Core) { g.ready.Store(c.Ready()) })
 	}
@@ -314,7 +328,8 @@
 func (g *Gateway) Stop() {
 	g.log.Info().Msg("stopping")
 	start := time.Now()
-	g.members.drain()
+	g.stopping.Store(true)
+	g.members.setDraining(true)
 	if g.store != nil {
 		go g.store.Leave() // others lead what was led here before anybody misses it
 	}
@@ -343,6 +358,9 @@
 	wait(leave, g.clients.Open) // what was still in the listener's backlog
 	wait(leave, g.floats.open)
 	if g.clients.Open()+g.floats.open() > 0 {
+		if g.bookings != nil {
+			g.bookings.Fail() // routing does not know of those that are not claimed yet
+		}
 		g.owner.Ask((*routing.Core).FailAll)
 		wait(leave+stopMargin/2, func() int { return g.clients.Open() + g.floats.open() })
 	}
@@ -358,6 +376,7 @@
 // end ends everything that serves no client.
 func (g *Gateway) end() {
 	g.control.Close()
+	g.upkeep.close()
 	g.floats.close()
 	if g.bookings != nil {
 		g.bookings.Close()
--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -10,9 +10,21 @@
 	"marblespan/internal/standin"
 )
 
-// Group is the number of the one group of servers that a fleet has.
+// Group is the number of a fleet's first group of servers; further ones follow.
 const Group = 7
 
+// groupNames are the names of each group's primary and of its replicas, which have a number behind that.
+var groupNames = [...][2]string{{"p", "r"}, {"q", "s"}}
+
+// MostGroups is how many groups of servers a fleet may have.
+const MostGroups = len(groupNames)
+
+// groupOf is the group that a client's key belongs to: clients differ in it, and keep to it.
+func (f *Fleet) groupOf(key string) int {
+	client, _, _ := strings.Cut(key, "-")
+	return Group + int(client[len(client)-1])%len(f.clusters)
+}
+
 // The classes that clients use.
 const (
 	ClassBooking = "booking" // a write that must not run twice
@@ -33,6 +45,7 @@
 // cluster is a primary and its replicas, which share a log of commits. A position is a Unix time in milliseconds: the data
 // of a server at position x hold what was committed up to then.
 type cluster struct {
+	group   int
 	history *History
 	node    func(ip string) int // the gateway behind a connection
 	work    time.Duration
@@ -45,6 +58,7 @@
 // server is one database server.
 type server struct {
 	*standin.Server
+	of      *cluster
 	name    string
 	primary bool
 	lag     time.Duration
@@ -52,13 +66,14 @@
 	state   string
 }
 
-// newCluster starts a primary "p" and replicas "r1", "r2" and so on, each at an address of its own.
-func newCluster(h *History, replicas int, work time.Duration, node func(string) int) (*cluster, error) {
-	c := &cluster{history: h, node: node, work: work, commits: map[string]int64{}}
+// newCluster starts a group's primary and its replicas, "p", "r1", "r2" and so on, each at an address of its own.
+func newCluster(h *History, group, replicas int, work time.Duration, node func(string) int) (*cluster, error) {
+	c := &cluster{group: group, history: h, node: node, work: work, commits: map[string]int64{}}
 	for i := range replicas + 1 {
-		s := &server{name: "p", primary: i == 0, state: "ready"}
+		names := groupNames[group-Group]
+		s := &server{of: c, name: names[0], primary: i == 0, state: "ready"}
 		if i > 0 {
-			s.name = fmt.Sprint("r", i)
+			s.name = fmt.Sprint(names[1], i)
 		}
 		var err error
 		if s.Server, err = standin.NewServer(s.role()); err != nil {
@@ -103,8 +118,16 @@
 	return last
 }
 
-func (c *cluster) find(name string) *server {
-	for _, s := range c.servers {
+// servers are those of all groups.
+func (f *Fleet) servers() (all []*server) {
+	for _, c := range f.clusters {
+		all = append(all, c.servers...)
+	}
+	return all
+}
+
+func (f *Fleet) server(name string) *server {
+	for _, s := range f.servers() {
 		if s.name == name {
 			return s
 		}
@@ -186,10 +209,10 @@
 }
 
 // target is a server's entry on the list that a gateway gets, which reaches it at an address of its own.
-func (c *cluster) target(s *server, endpoint string) standin.Target {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return standin.Target{UID: s.name, Endpoint: endpoint, Zone: "here", Group: Group, State: s.state, Weight: 1, Role: s.role()}
+func (s *server) target(endpoint string) standin.Target {
+	s.of.mu.Lock()
+	defer s.of.mu.Unlock()
+	return standin.Target{UID: s.name, Endpoint: endpoint, Zone: "here", Group: s.of.group, State: s.state, Weight: 1, Role: s.role()}
 }
 
 func (c *cluster) close() {
--- a/internal/rig/copies.go
+++ b/internal/rig/copies.go
@@ -220,6 +220,7 @@
 		if i%16 == 0 {
 			b.Close() // at another gateway
 		}
+		b.Group = l.f.groupOf(key)
 		b.Read(key)
 	}
 }
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -95,7 +95,7 @@
 	if x.Name == "" || verbs[x.Verb].shape == onNodes || x.Verb == "sever" && x.Name == Discovery {
 		return nil
 	}
-	if s := f.cluster.find(x.Name); s == nil || x.Verb != "sever" && s.primary {
+	if s := f.server(x.Name); s == nil || x.Verb != "sever" && s.primary {
 		return fmt.Errorf("%q: there is no such server, or not for this", x)
 	}
 	return nil
@@ -129,8 +129,8 @@
 		return nil, nil
 	}
 	if x.Verb == "promote" {
-		next := f.cluster.find(x.Name)
-		f.change(func() { f.fallen = f.cluster.promote(next); f.active = append(f.active, x) })
+		next := f.server(x.Name)
+		f.change(func() { f.fallen = next.of.promote(next); f.active = append(f.active, x) })
 		for _, n := range f.Nodes {
 			n.servers[f.fallen.name].Reset()
 		}
@@ -231,7 +231,7 @@
 		}
 		a.boundFiles(bound)
 	}
-	for _, s := range f.cluster.servers {
+	for _, s := range f.servers() {
 		lag, state := time.Duration(0), "ready"
 		for _, x := range f.active {
 			switch {
@@ -242,7 +242,7 @@
 				state = "draining"
 			}
 		}
-		f.cluster.setLag(s, lag)
+		s.of.setLag(s, lag)
 		f.list(s, state)
 	}
 }
@@ -277,7 +277,7 @@
 
 // list has discovery tell every gateway of a server's state, if that has changed.
 func (f *Fleet) list(s *server, state string) {
-	if f.cluster.setState(s, state) {
+	if s.of.setState(s, state) {
 		f.announce(s, state)
 	}
 }
@@ -285,7 +285,7 @@
 // announce has discovery tell every gateway how a server is now.
 func (f *Fleet) announce(s *server, state string) {
 	for _, n := range f.Nodes {
-		n.discovery.Push(f.cluster.target(s, n.servers[s.name].Addr()))
+		n.discovery.Push(s.target(n.servers[s.name].Addr()))
 		f.History.Add(Event{Kind: Told, Node: n.Number, Server: s.name, What: state})
 	}
 }
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -64,7 +64,8 @@
 type Options struct {
 	Binary   string // of the gateway
 	Nodes    int
-	Replicas int
+	Groups   int // of servers; 0: one
+	Replicas int // of each group
 	Seed     uint64
 	Dir      string    // for logs and data directories; empty: a temporary one, removed by Close
 	History  io.Writer // where the history goes too; may be nil
@@ -75,6 +76,7 @@
 	Priorities []int         // of each gateway; nil: falling from 200
 	Copies     *Copies       // what they hold for each other; nil: nothing
 	InDoubt    *InDoubt      // what is promised of bookings before they are sent; nil: nothing
+	Maintain   *Maintain     // by what limits machines are taken out for work; nil: none is
 	CutOnMove  bool          // the switch resets flows when the floating address moves
 }
 
@@ -95,7 +97,7 @@
 	Members *standin.Path // of what they say about who is there, streams among it; nil without
 	Nodes   []*Node       // number 1 first
 
-	cluster   *cluster
+	clusters  []*cluster
 	temporary bool
 
 	mu     sync.Mutex
@@ -135,8 +137,8 @@
 
 // New starts a fleet and waits until each gateway serves.
 func New(o Options) (f *Fleet, err error) {
-	if o.Nodes < 1 || o.Nodes > MostNodes || o.Replicas < 1 {
-		return nil, fmt.Errorf("a fleet has 1 to %d gateways and a replica at least", MostNodes)
+	if o.Nodes < 1 || o.Nodes > MostNodes || o.Replicas < 1 || o.Groups > MostGroups {
+		return nil, fmt.Errorf("a fleet has 1 to %d gateways, %d groups of servers at the most and a replica at least", MostNodes, MostGroups)
 	}
 	f = &Fleet{Options: o, History: NewHistory(o.History)}
 	defer func() {
@@ -155,8 +157,12 @@
 		return f, err
 	}
 	f.Switch.CutOnMove = o.CutOnMove
-	if f.cluster, err = newCluster(f.History, o.Replicas, o.Work, f.at); err != nil {
-		return f, err
+	for i := range max(o.Groups, 1) {
+		c, err := newCluster(f.History, Group+i, o.Replicas, o.Work, f.at)
+		if err != nil {
+			return f, err
+		}
+		f.clusters = append(f.clusters, c)
 	}
 	base := network()
 	var ends, members []*net.UDPAddr
@@ -187,13 +193,21 @@
 			return f, err
 		}
 	}
-	if err := f.AwaitReady(settleBy); err != nil || f.Copies == nil {
-		return f, err
+	if f.Maintain == nil { // with it they take nothing before the ledger knows them
+		if err := f.AwaitReady(settleBy); err != nil || f.Copies == nil {
+			return f, err
+		}
+	}
+	for late := time.Now().Add(settleBy); ; time.Sleep(20 * time.Millisecond) {
+		// The gateway serves a moment before it can be asked.
+		if err = f.Nodes[0].Found(true); err == nil || time.Now().After(late) {
+			break
+		}
 	}
-	if err := f.Nodes[0].Found(true); err != nil {
+	if err != nil {
 		return f, err
 	}
-	return f, f.AwaitWhole(settleBy)
+	return f, errors.Join(f.AwaitReady(settleBy), f.AwaitWhole(settleBy))
 }
 
 // settleBy is how long a fleet may take to come to rest. Tests wait for what they look for, never for a fixed span; this is
@@ -206,14 +220,14 @@
 	n.Listen, n.Floating = fmt.Sprintf("%v:%d", ip, portClients), fmt.Sprintf("%v:%d", ip, portFloating)
 	f.Nodes = append(f.Nodes, n)
 	var targets []standin.Target
-	for _, s := range f.cluster.servers {
+	for _, s := range f.servers() {
 		r, err := standin.NewRelay("127.0.0.1:0", s.Addr(), ip)
 		if err != nil {
 			return nil, err
 		}
 		r.Seen = func(chunk []byte) { n.sent(s.name, chunk) }
 		n.servers[s.name] = r
-		targets = append(targets, f.cluster.target(s, r.Addr()))
+		targets = append(targets, s.target(r.Addr()))
 	}
 	var err error
 	if n.discovery, err = standin.NewDiscovery(targets...); err != nil {
@@ -240,7 +254,7 @@
 }
 
 // Primary is the primary of the servers.
-func (f *Fleet) Primary() *standin.Server { return f.cluster.servers[0].Server }
+func (f *Fleet) Primary() *standin.Server { return f.clusters[0].servers[0].Server }
 
 // Via is the gateway behind a listener's address; 0: none.
 func (f *Fleet) Via(addr string) int {
@@ -265,8 +279,8 @@
 		return err
 	}
 	var known []standin.Target
-	for _, s := range f.cluster.servers {
-		known = append(known, f.cluster.target(s, n.servers[s.name].Addr()))
+	for _, s := range f.servers() {
+		known = append(known, s.target(n.servers[s.name].Addr()))
 	}
 	raw, err := json.Marshal(map[string]any{
 		"name": fmt.Sprint("n", n.Number), "listen": n.Listen, "discovery": n.reach.Addr(),
@@ -324,6 +338,9 @@
 	if f.InDoubt != nil {
 		b.WriteString(f.InDoubt.section())
 	}
+	if f.Maintain != nil {
+		b.WriteString(f.Maintain.section())
+	}
 	if n.Number > 1 && len(f.Nodes) > mostPeers+1 {
 		return b.String() // VRRP names its peers, sixteen at most: in larger fleets the first one has the address alone
 	}
@@ -384,12 +401,14 @@
 
 // line takes what a gateway believes out of its log.
 func (n *Node) line(text string) {
-	if !strings.Contains(text, `"message":"vrrp"`) && !strings.Contains(text, `"message":"member`) && !strings.Contains(text, `"message":"copies"`) {
+	if !strings.Contains(text, `"message":"vrrp"`) && !strings.Contains(text, `"message":"member`) && !strings.Contains(text, `"message":"copies"`) &&
+		!strings.Contains(text, `"message":"maintenance"`) {
 		return
 	}
 	var line struct {
 		Time                                             time.Time
 		Message, From, To, Cause, Member, By, What, Node string
+		Machine                                          string
 		Group                                            any // a floating address's name, or a shard's number
 	}
 	if json.Unmarshal([]byte(text), &line) != nil {
@@ -403,6 +422,8 @@
 		e.What, e.Value = "member "+line.Member, line.By
 	case "membership":
 		e.What, e.Text, e.Value = "itself", line.What, line.By
+	case "maintenance":
+		e.What, e.Value = "order "+line.Machine, line.From
 	case "copies":
 		e.What, e.Text, e.Value = "copies "+line.What, line.Node, line.Cause
 		if line.Group != nil {
@@ -655,8 +676,8 @@
 	if f.Switch != nil {
 		f.Switch.Close()
 	}
-	if f.cluster != nil {
-		f.cluster.close()
+	for _, c := range f.clusters {
+		c.close()
 	}
 	if f.temporary {
 		os.RemoveAll(f.Dir)
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -72,9 +72,14 @@
 	book := func(b *standin.Booker, n int) {
 		key := fmt.Sprintf("%s-%d", b.Name, n)
 		recent(key) // others look for it while it is being booked, too
+		b.Group = f.groupOf(key)
 		b.Book(key)
 	}
-	look := func(b *standin.Booker, _ int) { b.Read(recent("")) }
+	look := func(b *standin.Booker, _ int) {
+		key := recent("")
+		b.Group = f.groupOf(key)
+		b.Read(key)
+	}
 	l.clients("b", ClassBooking, o.Bookers, o.Think, book, false)
 	l.clients("f", ClassBooking, o.Floating, o.Think, book, true)
 	l.clients("v", ClassView, o.Viewers, o.Think, look, false)
--- /dev/null
+++ b/internal/rig/maintain.go
@@ -0,0 +1,213 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"strings"
+	"time"
+)
+
+// Maintain says by what limits machines are taken out for work. What is zero is as the gateways have it.
+type Maintain struct {
+	Gateways, InZone, Servers    int
+	Settle, Return, For, Unheard time.Duration
+}
+
+// DefaultMaintain are spans that suit a short run.
+func DefaultMaintain() *Maintain {
+	return &Maintain{Settle: 500 * time.Millisecond, Return: 20 * time.Second, For: 30 * time.Second, Unheard: 10 * time.Second}
+}
+
+// section is the maintenance section of a gateway's operators' file. A load bound of all there is: the machine that the fleet runs
+// on is shared.
+func (m *Maintain) section() string {
+	var b strings.Builder
+	b.WriteString("maintenance\n load 100\n")
+	for _, x := range []struct {
+		name  string
+		value any
+		set   bool
+	}{
+		{"gateways", m.Gateways, m.Gateways > 0}, {"in-zone", m.InZone, m.InZone > 0}, {"servers", m.Servers, m.Servers > 0},
+		{"settle", m.Settle, m.Settle > 0}, {"return-within", m.Return, m.Return > 0}, {"for", m.For, m.For > 0}, {"unheard", m.Unheard, m.Unheard > 0},
+	} {
+		if x.set {
+			fmt.Fprintf(&b, " %s %v\n", x.name, x.value)
+		}
+	}
+	return b.String()
+}
+
+// Order is what a gateway answers about maintenance.
+type Order struct {
+	Leader   string
+	Held     bool
+	Machines []Unit
+}
+
+// Unit is one machine in the order.
+type Unit struct {
+	Place                            int
+	Machine, Kind, State, Waits, Why string
+}
+
+// String says where the machines in hand stand, and what they wait for.
+func (o Order) String() string {
+	var words []string
+	for _, u := range o.Machines {
+		if u.Place > 0 {
+			words = append(words, strings.TrimSuffix(fmt.Sprintf("%s %s (%s)", u.Machine, u.State, u.Waits), " ()"))
+		}
+	}
+	return strings.Join(words, ", ")
+}
+
+// Find is the latest machine of a name.
+func (o Order) Find(name string) (u Unit) {
+	for _, x := range o.Machines {
+		if x.Machine == name {
+			u = x
+		}
+	}
+	return u
+}
+
+// Order asks a gateway for the order of maintenance.
+func (n *Node) Order() (o Order, err error) {
+	out, err := exec.Command(n.f.Binary, "maintain", "list", "--json", "--socket", n.Socket()).Output()
+	if err == nil {
+		err = json.Unmarshal(out, &o)
+	}
+	return o, err
+}
+
+// Say says something about maintenance at a gateway, as an operator does.
+func (n *Node) Say(args ...string) (string, error) {
+	out, err := exec.Command(n.f.Binary, append([]string{"maintain", "--socket", n.Socket()}, args...)...).CombinedOutput()
+	text := strings.TrimSpace(string(out))
+	if err != nil {
+		return text, fmt.Errorf("maintain %s at gateway %d: %w: %s", strings.Join(args, " "), n.Number, err, text)
+	}
+	return text, nil
+}
+
+// SayAnywhere says something at the gateways in turn until one carries it out.
+func (f *Fleet) SayAnywhere(args ...string) (text string, err error) {
+	for late := time.Now().Add(settleBy); time.Now().Before(late); time.Sleep(100 * time.Millisecond) {
+		for _, n := range f.Nodes {
+			if text, err = n.Say(args...); err == nil {
+				return text, nil
+			}
+		}
+	}
+	return text, err
+}
+
+// OrderAnywhere is the order as the ledger's leader has it, asked at the gateways in turn.
+func (f *Fleet) OrderAnywhere() (o Order, err error) {
+	for late := time.Now().Add(settleBy); time.Now().Before(late); time.Sleep(100 * time.Millisecond) {
+		for _, n := range f.Nodes {
+			if o, err = n.Order(); err == nil && o.Leader != "" {
+				return o, nil
+			}
+		}
+	}
+	return o, fmt.Errorf("no gateway tells the order: %w", err)
+}
+
+// At is what an operator does at machines that may be touched.
+type At struct {
+	// Gateway works at one that is out: by itself it is ended, and started again after a while.
+	Gateway func(n *Node) error
+	Server  func(name string) error
+	Done    func(o Order) bool // looked at with each order; it may end the work early
+}
+
+// Work does what an operator does all night: machines that may be touched are worked at, until all that are in the order are
+// done with. A primary whose turn it is gets another one promoted in its place.
+func (f *Fleet) Work(bound time.Duration, at At) error {
+	touched := map[string]bool{}
+	var last Order
+	for late := time.Now().Add(bound); time.Now().Before(late); time.Sleep(50 * time.Millisecond) {
+		o, err := f.OrderAnywhere()
+		if err != nil {
+			return err
+		}
+		if text := o.String(); text != last.String() {
+			f.History.Add(Event{Kind: Phase, What: "order", Text: text})
+		}
+		last = o
+		if at.Done != nil && at.Done(o) {
+			return nil
+		}
+		left := 0
+		for _, u := range o.Machines {
+			if u.Place == 0 {
+				continue
+			}
+			left++
+			switch {
+			case u.State == "next" && strings.Contains(u.Waits, "another primary"):
+				err = f.promoteInPlaceOf(u.Machine)
+			case u.State == "out" && !touched[u.Machine]:
+				touched[u.Machine] = true
+				err = f.touch(u, at)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		if left == 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("not within %v: all machines are back: %+v", bound, last)
+}
+
+// touch works at one machine.
+func (f *Fleet) touch(u Unit, at At) error {
+	f.History.Add(Event{Kind: Phase, What: "touched " + u.Machine})
+	if u.Kind == "server" {
+		if at.Server != nil {
+			if err := at.Server(u.Machine); err != nil {
+				return err
+			}
+		}
+		_, err := f.SayAnywhere("done", "server:"+u.Machine)
+		return err
+	}
+	for _, n := range f.Nodes {
+		if n.Name() != u.Machine {
+			continue
+		}
+		if at.Gateway != nil {
+			return at.Gateway(n)
+		}
+		undo, err := f.inflict(Fault{Verb: "kill", From: []int{n.Number}})
+		if err != nil {
+			return err
+		}
+		n.Wait()
+		return undo()
+	}
+	return fmt.Errorf("there is no machine %s", u.Machine)
+}
+
+// promoteInPlaceOf makes another server of the same group its primary, without a gap: the one that was is a replica at once.
+func (f *Fleet) promoteInPlaceOf(name string) error {
+	s := f.server(name)
+	if s == nil || !s.primary {
+		return nil
+	}
+	for _, next := range s.of.servers {
+		if next == s {
+			continue
+		}
+		s.of.promote(next)
+		f.announce(next, next.state)
+		f.announce(s, s.state)
+		break
+	}
+	return nil
+}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -214,7 +214,7 @@
 
 // What cannot be brought about is told before anything is.
 func TestFits(t *testing.T) {
-	f := &Fleet{Nodes: make([]*Node, 3), cluster: &cluster{servers: []*server{{name: "p", primary: true}, {name: "r1"}}}}
+	f := &Fleet{Nodes: make([]*Node, 3), clusters: []*cluster{{servers: []*server{{name: "p", primary: true}, {name: "r1"}}}}}
 	for line, fits := range map[string]bool{
 		"at 1s kill 3": true, "at 1s kill 4": false, "at 1s cut 1 -> 4": false, "at 1s lag r1 1s": true, "at 1s lag r2 1s": false,
 		"at 1s drain p": false, "at 1s sever 1 -> p": true, "at 1s sever 1 -> discovery": true, "at 1s sever 1 -> x": false,
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -11,7 +11,7 @@
 	ResultNames = [...]string{
 		"served", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss",
 	}
-	FormNames = [...]string{"delta", "full", "cached", "failed"}
+	FormNames = [...]string{"delta", "full", "cached", "failed", "aside"}
 	KindNames = [...]string{"served", "refused", "failed", "rejected"}
 )
 
--- a/internal/routing/members.go
+++ b/internal/routing/members.go
@@ -14,6 +14,8 @@
 	next brain.ServerID
 	live map[string]bool // on the list and not gone
 	seen map[int]bool    // groups that a list has named
+	// aside are servers that operators take out of service, with what the list says of them; nil: none are.
+	aside map[string]brain.MemberState
 }
 
 func newMembers() members {
@@ -70,10 +72,98 @@
 		c.servers.Place(id, e.Endpoint)
 	}
 	c.members.seen[e.Group] = true
+	state := memberStates[e.State]
+	if _, is := c.members.aside[e.UID]; is {
+		c.members.aside[e.UID] = state
+		state = apart(state)
+	}
 	weight, _ := settings.ParseScaled(e.Weight.String(), 3)
 	booted, _ := settings.ParseScaled(e.BootMS.String(), 3)
 	return brain.Member{
-		Server: id, Group: e.Group, Zone: e.Zone, State: memberStates[e.State], Started: brain.Micros(booted),
+		Server: id, Group: e.Group, Zone: e.Zone, State: state, Started: brain.Micros(booted),
 		Primary: e.Primary, Weight: weight,
 	}, true
 }
+
+// apart is the state of a server that is taken out of service, whatever the list says of it.
+func apart(listed brain.MemberState) brain.MemberState {
+	if listed == brain.MemberReady {
+		return brain.MemberDraining
+	}
+	return listed
+}
+
+// SetAside takes servers out of service, as if the list had said that they drain, and puts back those that are not named any
+// more: cold, whenever they were started.
+func (c *Core) SetAside(uids []string) {
+	m := &c.members
+	next := map[string]bool{}
+	out := brain.MemberNews{Form: brain.ListAside}
+	for _, uid := range uids {
+		next[uid] = true
+		if _, is := m.aside[uid]; is {
+			continue
+		}
+		if m.aside == nil {
+			m.aside = map[string]brain.MemberState{}
+		}
+		m.aside[uid] = brain.MemberGone
+		if v, known := c.view(uid); known {
+			m.aside[uid] = v.State
+			v.State = apart(v.State)
+			out.Members = append(out.Members, v.Member)
+			c.servers.CloseIdle(v.Server)
+		}
+	}
+	for uid, listed := range m.aside {
+		if next[uid] {
+			continue
+		}
+		delete(m.aside, uid)
+		if v, known := c.view(uid); known && listed != brain.MemberGone {
+			v.State, v.Started = listed, c.now
+			out.Members = append(out.Members, v.Member)
+		}
+	}
+	if len(out.Members) > 0 {
+		c.Counts.Lists[brain.ListAside]++
+		c.step(out)
+		c.settle()
+	}
+}
+
+func (c *Core) view(uid string) (v brain.ServerView, known bool) {
+	id, known := c.members.ids[uid]
+	if !known {
+		return v, false
+	}
+	return c.router.View(id)
+}
+
+// ServerState is what the gateway knows of a server, under its name on the list.
+type ServerState struct {
+	UID string
+	brain.ServerView
+}
+
+// Servers lists the servers of some groups that the list names.
+func (c *Core) Servers(groups map[int]bool) (all []ServerState) {
+	for uid := range c.members.live {
+		if v, known := c.view(uid); known && groups[v.Group] {
+			all = append(all, ServerState{uid, v})
+		}
+	}
+	return all
+}
+
+// GroupOf is the group of a server that the list names.
+func (c *Core) GroupOf(uid string) (group int, known bool) {
+	v, known := c.view(uid)
+	return v.Group, known && c.members.live[uid]
+}
+
+// OutAt is how many attempts are out at a server.
+func (c *Core) OutAt(uid string) int {
+	v, _ := c.view(uid)
+	return v.Out
+}
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -135,8 +135,11 @@
 	remote := conn.Remote()
 	reason, err := c.run(process)
 	s.Fds.Unpark(c)
-	if reason == transport.EndMoved {
-		c.sendAway()
+	switch reason {
+	case transport.EndMoved:
+		c.sendAway("the address has moved to another gateway")
+	case transport.EndMaintenance:
+		c.sendAway("the gateway is about to be out for maintenance")
 	}
 	conn.Close()
 	s.mu.Lock()
@@ -148,8 +151,8 @@
 // sendAway tells a client between requests, before its connection is closed, that it may come again at once. A request that
 // crosses this reads it as its refusal: without it the client could not tell whether that request was read, and would have
 // to leave a booking in doubt.
-func (c *client) sendAway() {
-	if c.write(postgres.AppendError(nil, true, postgres.CodeNotReady, "the address has moved to another gateway", 0)) == nil {
+func (c *client) sendAway(why string) {
+	if c.write(postgres.AppendError(nil, true, postgres.CodeNotReady, why, 0)) == nil {
 		c.conn.Linger(time.Now().Add(c.all.Limits.Linger), lingerBytes)
 	}
 }
@@ -164,6 +167,13 @@
 	}
 }
 
+// Resume takes a drain back: who comes from now on may stay.
+func (s *Clients) Resume() {
+	s.mu.Lock()
+	s.draining = false
+	s.mu.Unlock()
+}
+
 // from marks that a part of the stop has begun, for clients still to come, and lists those that are open.
 func (s *Clients) from(mark *bool) []*client {
 	s.mu.Lock()
--- a/internal/transport/ends.go
+++ b/internal/transport/ends.go
@@ -37,13 +37,14 @@
 	EndDone                        // all that was asked for has been read
 	EndDescriptors                 // no descriptor was free for it
 	EndMoved                       // the floating address it came over went to another gateway
+	EndMaintenance                 // the gateway is about to be out for maintenance
 	reasons
 )
 
 var reasonCodes = [reasons]string{
 	"peer_closed", "peer_reset", "peer_gone", "terminate", "idle", "room", "drain", "abandoned", "timeout",
 	"refused", "unreachable", "turned_away", "protocol", "cancel_request", "replaced", "server_failed", "status",
-	"done", "descriptors", "moved",
+	"done", "descriptors", "moved", "maintenance",
 }
 
 // String is the reason's code.
--- a/internal/withcopies/withcopies.go
+++ b/internal/withcopies/withcopies.go
@@ -12,6 +12,7 @@
 	"marblespan/internal/bookings"
 	"marblespan/internal/copies"
 	"marblespan/internal/holders"
+	"marblespan/internal/maintenance"
 	"marblespan/internal/program"
 	"marblespan/internal/store"
 )
@@ -38,7 +39,7 @@
 	h, err := holders.Start(holders.Settings{
 		Node: s.Node, Zone: s.Zone, Weight: s.Weight, Holds: c.Holds(s.Node), Path: c.Path(), Witness: c.Witness, Tick: c.Heartbeat,
 		HealAfter: c.HealAfter, HealAtOnce: c.HealAtOnce, HealRate: int(c.HealRate), MostBytes: int64(c.Memory), LeastLog: leastLog,
-		Format: uint32(format), Others: s.Others,
+		Format: uint32(format), Others: s.Others, Maintain: s.Maintain, Members: s.Members, Ordered: s.Ordered,
 	}, clock, s.Streams, s.Log)
 	if err != nil {
 		return nil, err
@@ -49,6 +50,11 @@
 // opened is a store as the gateway knows it.
 type opened struct{ *holders.Holders }
 
+// Tell reports for the order of maintenance.
+func (o opened) Tell(life uint64, r maintenance.Report) {
+	o.Holders.Tell(copies.Own{Life: life, Report: r})
+}
+
 func replica(r copies.ReplicaView) program.CopiesReplica {
 	return program.CopiesReplica{Number: r.Number, Node: r.Name, Lost: r.Lost}
 }
