--- a/cmd/marblelab/main.go
+++ b/cmd/marblelab/main.go
@@ -16,6 +16,7 @@
 	"marblespan/internal/lab/demo"
 	"marblespan/internal/lab/doubt"
 	"marblespan/internal/lab/failover"
+	"marblespan/internal/lab/maintain"
 	"marblespan/internal/lab/members"
 	"marblespan/internal/rig"
 )
@@ -25,7 +26,7 @@
 		Use: "marblelab", Short: "Measurements and experiments with marblespan", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(demoCommand(), chaosCommand(), failoverCommand(), membersCommand(), copiesCommand(), doubtCommand())
+	root.AddCommand(demoCommand(), chaosCommand(), failoverCommand(), membersCommand(), copiesCommand(), doubtCommand(), maintainCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "marblelab:", err)
 		os.Exit(1)
@@ -241,6 +242,43 @@
 	return cmd
 }
 
+func maintainCommand() *cobra.Command {
+	o, out, quiet := maintain.Defaults(), "", false
+	cmd := &cobra.Command{
+		Use: "maintain", Short: "Measure a night's work: every machine is taken out, in the order that the gateways settle", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.Nodes < 4 || o.Nodes > rig.MostNodes || o.Faults < 0 {
+				return fmt.Errorf("needs 4 to %d gateways", rig.MostNodes)
+			}
+			if !quiet {
+				o.Progress = cmd.ErrOrStderr()
+			}
+			all, err := maintain.Run(o)
+			if err != nil {
+				return err
+			}
+			if err := maintain.Write(cmd.OutOrStdout(), out, o, all); err != nil {
+				return err
+			}
+			for _, n := range all {
+				if len(n.Broken) > 0 {
+					return fmt.Errorf("%s %s: %v", n.Name, n.Fault, n.Broken[0])
+				}
+			}
+			return nil
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&o.Binary, "binary", beside(), "the gateway's program")
+	flags.IntVar(&o.Nodes, "nodes", o.Nodes, "gateways")
+	flags.IntVar(&o.Faults, "faults", o.Faults, "nights with a fault at a random moment")
+	flags.DurationVar(&o.Bound, "bound", o.Bound, "of one night")
+	flags.Uint64Var(&o.Seed, "seed", o.Seed, "of the faults and their moments")
+	flags.StringVar(&out, "out", "", "a folder for table and chart")
+	flags.BoolVar(&quiet, "quiet", false, "no progress on standard error")
+	return cmd
+}
+
 func copiesCommand() *cobra.Command {
 	o, out, quiet := copies.Defaults(), "", false
 	cmd := &cobra.Command{
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -85,6 +85,18 @@
 	}, err
 }
 
+// Inflict brings the fault of a line about, told in the history, and leaves it to its caller to put it right.
+func (f *Fleet) Inflict(line string) (undo func() error, err error) {
+	x, err := ParseFault(line)
+	if err == nil {
+		err = f.fits(x)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return f.inflict(x)
+}
+
 // fits tells whether a fault can be brought about in this fleet.
 func (f *Fleet) fits(x Fault) error {
 	for _, n := range slices.Concat(x.From, x.To) {
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -158,6 +158,12 @@
 // Totals sums up what became of all that clients meant.
 func (l *Load) Totals() standin.Totals { return l.ledger.Totals() }
 
+// Doubt is how many bookings ended without their client knowing whether they ran.
+func (l *Load) Doubt() int {
+	t := l.ledger.Totals()
+	return t.Counts[standin.Failed] + t.Counts[standin.Unknown]
+}
+
 // Outcome is what a run came to.
 type Outcome struct {
 	Faults  []Fault
@@ -211,6 +217,9 @@
 	return out
 }
 
+// Settle waits until the fleet has come to rest and so many classes are served.
+func (f *Fleet) Settle(classes int) error { return f.settles(classes) }
+
 // settles waits until every gateway serves, the first one holds the address, and requests of so many classes have been served since.
 func (f *Fleet) settles(classes int) error {
 	if err := f.AwaitReady(settleBy); err != nil {
