The order of maintenance is of a later format of records; servers set aside, tested

Need: an earlier version's replica of the ledger would pass over the order's entries and hold another ledger than the rest.

The change: commands and steps of the order need format 2, which the ledger names once every holder understands it, as for any later format; until then they are refused. A gateway that is stopping counts as not ready in the order, and its load is not told from too short a time. Tests: TestServersSetAside (what operators take out, whatever the list says), the section's faults.

--- a/internal/config/operators_test.go
+++ b/internal/config/operators_test.go
@@ -170,6 +170,9 @@
 		{"clients that do neither", edit("clients do-not-mark", "clients maybe"), `x:46: clients: must be one of mark, do-not-mark`},
 		{"a class twice", sampleConf + "in-doubt order\n", `x:50: in-doubt: order is there twice`},
 		{"claims without copies", "in-doubt order\n", `x:1: in-doubt: there is no copies section: what is promised is kept in copies`},
+		{"an order without copies", "maintenance\n", `x:1: maintenance: there is no copies section: the order is kept in copies`},
+		{"work that takes no time", sampleConf + "maintenance\n for 1ms\n", `x:51: for: 1ms is not from 1s to 168h0m0s`},
+		{"a load of more than all", sampleConf + "maintenance\n load 101\n", `x:51: load: must be 100 or less`},
 		{"bytes", "control \x01\n", `x:1: column 9: invalid input text "\x01"`},
 	} {
 		_, err := ParseOperators("x", c.text)
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -31,10 +31,12 @@
 	MostSpan Micros = 24 * 3600 * 1_000_000
 )
 
-// FirstFormat is the format of records that every version understands, and ThisFormat the one that this version knows.
+// FirstFormat is the format of records that every version understands, OrderFormat the first one with the order of maintenance in the
+// ledger, and ThisFormat the one that this version knows.
 const (
 	FirstFormat uint32 = 1
-	ThisFormat  uint32 = 1
+	OrderFormat uint32 = 2
+	ThisFormat         = OrderFormat
 )
 
 // recordCost is what a record costs in memory beside its key and value, in bytes, as measured.
--- a/internal/copies/maintain.go
+++ b/internal/copies/maintain.go
@@ -43,7 +43,7 @@
 
 // Command is an operator's command as a change of the ledger.
 func Command(c maintenance.Command) *api.Command {
-	return &api.Command{Change: &api.Change{Said: &api.Said{
+	return &api.Command{Format: OrderFormat, Change: &api.Change{Said: &api.Said{
 		Verb: uint32(c.Verb), Kind: uint32(c.Kind), Name: c.Name, Group: int64(c.Group), Span: int64(c.For), Why: c.Why, By: c.By,
 	}}}
 }
@@ -61,7 +61,7 @@
 		len(c.Why) <= maintenance.MostWhy && len(c.By) <= MostName && c.Span >= 0
 }
 
-func stepOut(s maintenance.Step) *api.Change {
+func stepOut(s maintenance.Step) *api.Command {
 	x := &api.Step{
 		Id: s.ID, Turn: s.Turn, To: uint32(s.To), Life: s.Life, Zone: s.Zone, Overdue: s.Overdue, Word: s.Word, Unexcused: s.Unexcused,
 		Gateways: uint32(s.Gateways), InZone: uint32(s.InZone), Servers: uint32(s.Servers),
@@ -72,7 +72,7 @@
 	if s.Strike.Name != "" {
 		x.Strike = &api.Enrolled{Name: s.Strike.Name, Life: s.Strike.Life}
 	}
-	return &api.Change{Step: x}
+	return &api.Command{Format: OrderFormat, Change: &api.Change{Step: x}}
 }
 
 func stepIn(x *api.Step) maintenance.Step {
@@ -239,18 +239,20 @@
 
 // planOrder has the order go on, where the ledger is led here and all that was decided is in it.
 func (h *Host) planOrder(g *group) {
-	if h.cfg.Maintain == nil {
+	l := g.sm.(*ledger).Ledger
+	if h.cfg.Maintain == nil || l.Format < OrderFormat || h.leaving {
 		return
 	}
-	l := g.sm.(*ledger).Ledger
 	h.facts.told[LedgerGroup] = h.now
 	steps, waits := h.upkeep.planner.Plan(OrderOf(l.Order), h.sight(l), *h.cfg.Maintain)
 	h.upkeep.waits = waits
-	var changes []*api.Change
+	var commands []*api.Command
 	for _, s := range steps {
-		changes = append(changes, stepOut(s))
+		commands = append(commands, stepOut(s))
+	}
+	if len(commands) > 0 {
+		g.enter(commands)
 	}
-	h.change(g, changes)
 }
 
 // listing answers a read of the order.
--- a/internal/holders/uses.go
+++ b/internal/holders/uses.go
@@ -112,6 +112,8 @@
 		return string(a.Value), nil
 	case copies.Conflict, copies.Bad:
 		return "", errors.New(string(a.Value))
+	case copies.TooNew:
+		return "", errors.New("some gateway that holds copies is of a version without an order of maintenance")
 	}
 	return "", errNoWord
 }
--- a/internal/program/maintain.go
+++ b/internal/program/maintain.go
@@ -49,11 +49,12 @@
 	shut     atomic.Bool             // nor is it taken from clients that have a connection
 
 	// By the goroutine only.
-	now   ordered
-	life  uint64
-	since time.Time // when it began to leave
-	spent time.Duration
-	spun  time.Time
+	now    ordered
+	life   uint64
+	since  time.Time // when it began to leave
+	spent  time.Duration
+	spun   time.Time
+	loaded int // in thousandths
 }
 
 // ordered is an order, and the ledger's index that it is of.
@@ -237,7 +238,7 @@
 		return
 	}
 	slices.SortFunc(r.Servers, func(a, b maintenance.ServerReport) int { return strings.Compare(a.Name, b.Name) })
-	r.Ready = u.admits() && u.g.isReady()
+	r.Ready = u.admits() && u.g.isReady() && !u.g.stopping.Load()
 	r.Idle = u.leaving.Load() && u.idle(open)
 	for _, s := range u.g.floats.status() {
 		if s.Ready {
@@ -255,11 +256,14 @@
 	}
 	spent := time.Duration(use.Utime.Nano() + use.Stime.Nano())
 	now := time.Now()
-	defer func() { u.spent, u.spun = spent, now }()
-	if u.spun.IsZero() || now.Sub(u.spun) < reportEvery/10 {
-		return 0
+	if now.Sub(u.spun) < reportEvery/2 { // too short a time to tell
+		return u.loaded
+	}
+	if !u.spun.IsZero() {
+		u.loaded = int(float64(spent-u.spent) * 1000 / (float64(now.Sub(u.spun)) * math.Max(u.g.cfg.Cores, 0.01)))
 	}
-	return int(float64(spent-u.spent) * 1000 / (float64(now.Sub(u.spun)) * math.Max(u.g.cfg.Cores, 0.01)))
+	u.spent, u.spun = spent, now
+	return u.loaded
 }
 
 // logChanges tells the log which machines stand elsewhere than before.
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -443,3 +443,54 @@
 		t.Errorf("%d strays, %d sent", n.ClassChanged, len(r.servers.jobs)-sends)
 	}
 }
+
+// A server that operators set aside gets nothing new, whatever the list says meanwhile, and is cold once it is put back. What discovery
+// has told of itself stays as it was.
+func TestServersSetAside(t *testing.T) {
+	r := newRig(t)
+	aside := func(uids ...string) { r.core.Handle(r.now, Inspect{Do: func(c *Core) { c.SetAside(uids) }}) }
+	sentTo := func(rounds int) map[string]bool {
+		out := map[string]bool{}
+		for range rounds {
+			from := len(r.servers.jobs)
+			r.request(0, 900_000)
+			r.pass(400_000)
+			for _, j := range r.servers.jobs[from:] {
+				out[r.core.members.uids[j.Server]] = true
+				r.core.Handle(r.now, Ended{Job: j, Result: brain.ResultOK, Latency: 1000, Role: brain.RoleReplica, Position: r.now})
+			}
+		}
+		return out
+	}
+	if to := sentTo(40); !to["a"] || !to["b"] {
+		t.Fatalf("before: %v", to)
+	}
+	aside("a", "unknown")
+	if to := sentTo(40); to["a"] || !to["b"] || r.core.OutAt("a") != 0 {
+		t.Errorf("set aside: %v", to)
+	}
+	r.core.Handle(r.now, ListNews{List: discovery.List{Rev: 42, Entries: []discovery.Entry{entry("a", discovery.Ready, false), entry("unknown", discovery.Ready, false)}}})
+	if to := sentTo(40); to["a"] || to["unknown"] {
+		t.Errorf("set aside, and on the list again: %v", to)
+	}
+	aside()
+	view := func(uid string) brain.ServerView { v, _ := r.core.view(uid); return v }
+	if v := view("a"); !v.Cold || v.State != brain.MemberReady {
+		t.Errorf("put back: %+v", v)
+	}
+	if to := sentTo(40); !to["a"] {
+		t.Errorf("put back: %v", to)
+	}
+	aside("b")
+	r.core.Handle(r.now, ListNews{List: discovery.List{Rev: 43, Entries: []discovery.Entry{entry("b", discovery.Draining, false)}}})
+	aside()
+	if v := view("b"); v.State != brain.MemberDraining {
+		t.Errorf("put back, and the list has it drain: %+v", v)
+	}
+	if group, known := r.core.GroupOf("a"); !known || group != 7 {
+		t.Errorf("group %d, %v", group, known)
+	}
+	if all := r.core.Servers(map[int]bool{7: true}); len(all) != 4 {
+		t.Errorf("%d servers", len(all))
+	}
+}
