--- a/internal/copies/maintain.go
+++ b/internal/copies/maintain.go
@@ -257,7 +257,7 @@
 
 // listing answers a read of the order.
 func (h *Host) listing(l *api.Ledger) []byte {
-	x := &api.Listing{Order: l.Order, Leader: h.cfg.Name, Time: l.Time, Waits: h.upkeep.waits}
+	x := &api.Listing{Order: l.Order, Leader: h.cfg.Name, Time: int64(h.groups[LedgerGroup].logTime()), Waits: h.upkeep.waits}
 	b, _ := proto.Marshal(x)
 	return b
 }
--- a/internal/rig/copies.go
+++ b/internal/rig/copies.go
@@ -117,6 +117,14 @@
 	return nil
 }
 
+// Gone says at a gateway that another one's disk will not come back.
+func (n *Node) Gone(other *Node) error {
+	if out, err := exec.Command(n.f.Binary, "copies", "gone", other.Name(), "--socket", n.Socket()).CombinedOutput(); err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	return nil
+}
+
 // LeaderOf is the gateway that leads a group, by those that hold it; nil: none does now.
 func (f *Fleet) LeaderOf(group int) *Node {
 	for _, n := range f.Nodes {
--- a/internal/rig/copies_test.go
+++ b/internal/rig/copies_test.go
@@ -194,6 +194,37 @@
 		}},
 		{"one-way cuts", false, false, play("at 0s cut 1 -> all for 2s\nat 3s cut all -> 2 for 2s\nat 5s cut 3 -> 4 for 1s")},
 		{"one is cut off for longer than heal-after", false, false, play("at 0s split 2 | 1,3,4,5 for 5s")},
+		{"a placement changes in a split, where the ledger's majority is and nowhere else", false, false, func(f *Fleet) error {
+			lost := f.Nodes[4]
+			return during(f, "at 0s split 1,2 | 3,4,5", func() error {
+				return down(f, lost, "kill", func() error {
+					if err := lost.disk("empty"); err != nil {
+						return err
+					}
+					var taken []int
+					if err := poll("one side takes the word that a disk is gone", func() bool {
+						for _, n := range f.Nodes[:4] {
+							if n.Gone(lost) == nil {
+								taken = append(taken, n.Number)
+							}
+						}
+						return len(taken) > 0
+					}); err != nil {
+						return err
+					}
+					time.Sleep(2 * time.Second) // both sides go on
+					for _, n := range f.Nodes[:4] {
+						if n.Gone(lost) == nil {
+							taken = append(taken, n.Number)
+						}
+					}
+					if slices.ContainsFunc(taken, func(n int) bool { return (n <= 2) != (taken[0] <= 2) }) {
+						return fmt.Errorf("both sides have changed the placement: %v", taken)
+					}
+					return nil
+				})
+			})
+		}},
 		{"losses, delay and streams that stand still", false, false, play("at 0s loss all -> all 30% for 4s\nat 0s delay all -> all 0s..1s for 4s\nat 5s stall 1 -> 2,3 for 2s")},
 		{"a damaged disk", false, false, func(f *Fleet) error {
 			n := f.Nodes[3]
