A pushed list is watched over sockets, and every time limit on its way stays under 6 s

No watch was ever opened. Ruled out: the watch's own code (no call is in the log). Change: the configuration has the list asked for in both modes; where it is pushed the first ask after a watch's end needs no pause, and a start is not ready before it has heard a list (3 s at most). An unknown mode is a fault.

Read beside it, each with a test that fails without its mend: - limits added up: silence 5 s, pause, connect 1 s, answer 3 s came to 9.4 s; a call that hangs, the longest pause and the next call to 11.8 s; 6 s are allowed. Now 0.4, 2 and 2.8 s and pauses of 0.9 s at most: 5.6 and 5.7 s, added up in a test. - a watch whose first line never came whole had 5 s more with every byte; now only whole lines count. - an indented change on a watch was a broken protocol; now lines are joined into objects. - a list without length that was reset behind its last byte counted as whole; now only an orderly close ends it. - news on the watch at the previous address hid from the module that the new one had failed. TestDiscovery wanted pauses to grow fivefold over 20 s, which 6 s do not allow; TestPausesBetweenAsks wants them to double, and bounds the longest.

--- a/brain/api.go
+++ b/brain/api.go
@@ -70,6 +70,7 @@
 	TokensCarried     bool   // session reads carry their mark; otherwise the router remembers writes
 	AnswersStamped    bool   // every answer carries a position
 	ListAsked         bool   // the member list must be asked for
+	ListPushed        bool   // and its changes count as known here at once, whether or not they were heard
 	CanProbe          bool
 	CanCancel         bool
 	CanTell           bool
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,16 +36,17 @@
 	retryBurst   = 10      // such attempts saved up
 	probeShare   = 250     // probes for freshness, and of dead servers, for each arrival
 	sweepsPerAim = 16
-	expectTimes  = 2    // an answer may well take this many times the usual ...
-	expectMost   = 750  // ... but no more than this share of its aim
-	hopelessPart = 4    // with less left than this part of it nothing is sent
-	levelPart    = 8    // replicas within this part of the smallest bound are level
-	crowdFactor  = 2    // a replica is crowded beyond this many times the emptiest one's attempts, plus one
-	aimSpread    = 3    // what is learned keeps the pace of aims up to this many times the smallest
-	longBounds   = 2    // a read is long if its aim is more than this many times the smallest bound
-	askPart      = 3    // a read waits for reports of replicas for this part of its aim
-	readRoom     = 500  // share of the primary's limit that reads of replicas may fill
-	coldChance   = 1500 // a chance of the cold budget is drawn up to this: above one, as its share is a guess
+	expectTimes  = 2       // an answer may well take this many times the usual ...
+	expectMost   = 750     // ... but no more than this share of its aim
+	hopelessPart = 4       // with less left than this part of it nothing is sent
+	levelPart    = 8       // replicas within this part of the smallest bound are level
+	crowdFactor  = 2       // a replica is crowded beyond this many times the emptiest one's attempts, plus one
+	aimSpread    = 3       // what is learned keeps the pace of aims up to this many times the smallest
+	longBounds   = 2       // a read is long if its aim is more than this many times the smallest bound
+	askPart      = 3       // a read waits for reports of replicas for this part of its aim
+	readRoom     = 500     // share of the primary's limit that reads of replicas may fill
+	coldChance   = 1500    // a chance of the cold budget is drawn up to this: above one, as its share is a guess
+	askPause     = 600_000 // at most, between asks: what the list tells is held to be known after 6 s
 )
 
 // New makes a router and returns what it does first.
@@ -122,7 +123,6 @@
 		r.probed(e)
 	case MemberNews:
 		r.members(e)
-	case Headers, PeerMessage: // no class streams; nothing is sent between gateways
 	}
 	return r.take()
 }
@@ -460,10 +460,7 @@
 // mayResend says whether another attempt is allowed now: what may have run is repeated only if its class is
 // safe; nothing has two attempts out.
 func (r *Router) mayResend(q *request) bool {
-	if q.done || len(q.attempts) >= q.set.MaxAttempts || q.outstanding() > 0 {
-		return false
-	}
-	return mayRefuse(q)
+	return !q.done && len(q.attempts) < q.set.MaxAttempts && q.outstanding() == 0 && mayRefuse(q)
 }
 
 // mayRefuse says whether it is true to tell the client that asking again is harmless.
@@ -949,10 +946,15 @@
 	r.do(Watch{On: true})
 }
 
-// askFailed plans the next ask, later each time and jittered, so that many gateways do not ask in step.
+// askFailed plans the next ask, later each time and jittered, so that many gateways do not ask in step. The
+// first one comes with the next sweep where changes count as known at once.
 func (r *Router) askFailed() {
 	r.subscribed, r.asking = false, false
-	r.askSpan = min(max(r.askSpan*2, r.set.ConnectTimeout), max(r.set.AskWithin/4, r.set.ConnectTimeout))
+	if r.askSpan == 0 && r.set.ListPushed {
+		r.askSpan, r.askAt = 1, r.now
+		return
+	}
+	r.askSpan = max(min(r.askSpan*2, r.set.AskWithin/4, askPause), r.set.ConnectTimeout)
 	r.askAt = r.now + r.askSpan/2 + Micros(r.rng.below(int(r.askSpan)))
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -817,10 +817,10 @@
 	g.step(brain.MemberNews{Form: brain.ListFailed})
 	early, _ := asks(2000 * ms)
 	late, last := asks(20_000 * ms)
-	if early < 2 || late < 5 || late > early*10/2 {
+	if early < 2 || late < 20 || late > 50 {
 		t.Errorf("%d asks in the first 2 s of failure, %d in the next 20 s", early, late)
 	}
-	if g.now-last > set.AskWithin/2 {
+	if g.now-last > 1000*ms {
 		t.Error("it stopped asking")
 	}
 	for i := 0; i < 400; i++ {
@@ -849,6 +849,57 @@
 	}
 }
 
+// Asks that fail are made ever more seldom, and yet often enough: whatever failed before, a change counts as known 6 s after
+// discovery had it and could be reached. internal/program adds the module's pauses to the time limits of the calls.
+func TestPausesBetweenAsks(t *testing.T) {
+	set := settings()
+	set.ListAsked = true
+	const askings = 8
+	var sum [askings]brain.Micros
+	longest := brain.Micros(0)
+	const seeds = 64
+	for seed := uint64(1); seed <= seeds; seed++ {
+		r, _ := brain.New(origin, seed, set)
+		now := origin
+		for n := range sum {
+			failed := now
+			r.Step(now, brain.MemberNews{Form: brain.ListFailed})
+			for {
+				now += 5 * ms
+				if count[brain.Watch](r.Step(now, brain.Timer{Token: "sweep"})) > 0 {
+					break
+				}
+			}
+			sum[n] += now - failed
+			longest = max(longest, now-failed)
+		}
+	}
+	if first, last := sum[0]/seeds, sum[askings-1]/seeds; last < first*2 {
+		t.Errorf("the first pause is %d ms in the mean, the last %d", first/ms, last/ms)
+	}
+	if longest > 950*ms {
+		t.Errorf("a pause of %d ms", longest/ms)
+	}
+}
+
+// A pushed list is known here at once by the rules: a watch that ends is opened again with the next sweep, and only what
+// fails again waits.
+func TestPushedListIsAskedForAtOnce(t *testing.T) {
+	set := settings()
+	set.ListAsked, set.ListPushed = true, true
+	g := newRig(t, set)
+	g.group(2)
+	g.step(brain.MemberNews{Form: brain.ListDelta})
+	g.step(brain.MemberNews{Form: brain.ListFailed})
+	if count[brain.Watch](g.sweep(1*ms)) != 1 {
+		t.Error("it is not asked for again at once")
+	}
+	g.step(brain.MemberNews{Form: brain.ListFailed})
+	if count[brain.Watch](g.sweep(1*ms)) != 0 {
+		t.Error("a second failure in a row is followed by an ask without a pause")
+	}
+}
+
 // An ask that is never answered counts as failed.
 func TestUnansweredAskIsRepeated(t *testing.T) {
 	set := settings()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -142,6 +142,10 @@
 	if doubts := c.Facts.Doubts; len(doubts) > 0 { // the simulator's wire takes them; an operator's file is to be mended
 		return nil, faulty("settings."+doubts[0].Key, "%s", doubts[0].Text)
 	}
+	// In the simulator a pushed list comes by itself. Over sockets it comes on a watch, which has to be opened.
+	if s := &c.Facts.Settings; !s.ListAsked {
+		s.ListAsked, s.ListPushed = true, true
+	}
 	if len(c.Facts.Names) == 0 {
 		return nil, faulty("settings.classes", "names no class")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -125,3 +125,21 @@
 		}
 	})
 }
+
+// However discovery tells, the gateway has to open a watch; a word for it that is not known is a fault.
+func TestListIsAskedForInEveryMode(t *testing.T) {
+	for mode, pushed := range map[string]bool{"subscribe": false, "automatic": true} {
+		c, err := Parse(change(t, "settings.membership_mode", mode), none)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s := c.Facts.Settings; !s.ListAsked || s.ListPushed != pushed {
+			t.Errorf("%s: asked %v, pushed %v", mode, s.ListAsked, s.ListPushed)
+		}
+	}
+	var fault *KeyError
+	_, err := Parse(change(t, "settings.membership_mode", "by post"), none)
+	if !errors.As(err, &fault) || fault.Key != "settings.membership_mode" {
+		t.Errorf("an unknown mode: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/program/told_test.go
@@ -0,0 +1,117 @@
+package program
+
+import (
+	"testing"
+	"time"
+
+	"marblespan/brain"
+	"marblespan/internal/config"
+	"marblespan/internal/session"
+	"marblespan/internal/settings"
+	"marblespan/internal/standin"
+)
+
+// The terms by which a change of the list counts as known to a gateway, whether or not it was heard.
+const (
+	knownAfterReach  = 6 * time.Second // from when discovery had it and could be reached; from when a watch fell silent
+	knownAfterReload = 4 * time.Second // from a SIGHUP that moves discovery
+)
+
+// askPauses are the longest pauses that the module makes before the first ask after a watch that stood, and before any
+// other, by these settings.
+func askPauses(facts *settings.Facts) (first, any time.Duration) {
+	const seeds, askings = 200, 10
+	start := brain.Micros(1_767_225_600_000_000)
+	for seed := uint64(1); seed <= seeds; seed++ {
+		r, _ := brain.New(start, seed, facts.Settings)
+		now, sweepAt := start, start
+		r.Step(now, brain.MemberNews{Form: brain.ListFull})
+		for n := range askings {
+			failed := now
+			r.Step(now, brain.MemberNews{Form: brain.ListFailed})
+			for asked := false; !asked; {
+				now += brain.Micros(time.Millisecond / time.Microsecond)
+				if now < sweepAt {
+					continue
+				}
+				for _, a := range r.Step(now, brain.Timer{Token: "sweep"}) {
+					switch a := a.(type) {
+					case brain.SetTimer:
+						sweepAt = a.At
+					case brain.Watch:
+						asked = true
+					}
+				}
+			}
+			pause := time.Duration(now-failed) * time.Microsecond
+			if n == 0 {
+				first = max(first, pause)
+			}
+			any = max(any, pause)
+		}
+	}
+	return first, any
+}
+
+// Every time limit on the way of a change adds up to less than the time after which it counts as known, in both ways in
+// which discovery tells, and for short and long aims.
+func TestTimeLimitsOfTheListAddUp(t *testing.T) {
+	limits := session.DefaultCallTimeouts
+	call := limits.Connect + limits.Answer
+	for _, mode := range []string{"subscribe", "automatic"} {
+		for _, aim := range []brain.Micros{100_000, 800_000} {
+			w := config.Config{Facts: must2(settings.Parse([]byte(testSettings)))}
+			w.Facts.Settings.ListAsked, w.Facts.Settings.ListPushed = true, mode == "automatic"
+			for i := range w.Facts.Settings.Classes {
+				w.Facts.Settings.Classes[i].Aim = aim
+			}
+			first, any := askPauses(w.Facts)
+			for name, path := range map[string]struct{ sum, most time.Duration }{
+				// The watch fell silent right behind a line; the next call is answered in the last moment.
+				"silent watch": {limits.Silence + first + call, knownAfterReach},
+				// A call was begun just before discovery could be reached, and hangs; the next one is answered in the last
+				// moment. Likewise a watch that is silent from its start, or the whole list before a watch.
+				"call that hangs": {call + any + call, knownAfterReach},
+				// A call failed just before; the module pauses.
+				"call that failed": {any + call, knownAfterReach},
+				// The new address gets a whole list first; and once more, if it refuses the first call.
+				"moved":           {call, knownAfterReload},
+				"moved, refusing": {first + call, knownAfterReload},
+			} {
+				if path.sum >= path.most {
+					t.Errorf("%s, aim %d ms, %s: %v of %v", mode, aim/1000, name, path.sum, path.most)
+				}
+			}
+		}
+	}
+}
+
+// Where the list is pushed the gateway opens a watch all the same: nothing else brings it changes. Until it has heard one, a
+// start does not say that it is ready, but for a bounded time.
+func TestPushedListIsWatched(t *testing.T) {
+	push := func(c *config.Config) { c.Facts.Settings.ListAsked, c.Facts.Settings.ListPushed = true, true }
+	w := newWorld(t, push)
+	w.lists(formFull, 1)
+	draining := w.targets()[1]
+	draining.State = "draining"
+	w.disc.Push(draining)
+	w.lists(formDelta, 1)
+	w.asks(w.dial(), look("d"), "value of d", "")
+	if n := len(w.replica.Queries()); n != 0 {
+		t.Error("a read went to a draining server")
+	}
+
+	silent := must2(standin.NewDiscovery())
+	defer silent.Close()
+	silent.Answer("silent")
+	w = newWorld(t, func(c *config.Config) { push(c); c.Discovery = silent.Addr() })
+	c := w.dial()
+	w.asks(c, "", "", "57P03")
+	w.asks(c, look("e"), "value of e", "") // what comes all the same is served by the list that there is
+	since := time.Now()
+	eventually(t, func() bool { _, code, err := ask(c, ""); return err == nil && code == "" },
+		func() string { return "never ready while discovery is silent" })
+	if took := time.Since(since); took > patience/2 {
+		t.Errorf("ready after %v", took)
+	}
+}
--- a/internal/protocol/discovery/discovery_test.go
+++ b/internal/protocol/discovery/discovery_test.go
@@ -95,7 +95,7 @@
 		"long chunk":     head + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n",
 		"endless head":   head + strings.Repeat("a: b\r\n", maxHead),
 		"endless line":   strings.Repeat("x", maxHead+1),
-		"endless body":   head + "\r\n" + strings.Repeat("x", maxLine+1),
+		"endless body":   head + "\r\n" + strings.Repeat("x", MaxList+1),
 	} {
 		if _, _, err := feed(in, 4096, false); err == nil {
 			t.Errorf("%s was taken", name)
--- a/internal/protocol/discovery/http.go
+++ b/internal/protocol/discovery/http.go
@@ -12,7 +12,9 @@
 // The bounds of what is read from discovery.
 const (
 	maxHead = 16 << 10
-	maxLine = 4 << 20
+
+	// MaxList bounds a list, and each line of one, in bytes.
+	MaxList = 4 << 20
 )
 
 // Request writes a GET of the list. A watch asks for the changes after a version.
@@ -218,8 +220,8 @@
 			return err
 		}
 	}
-	if len(r.body) > maxLine {
-		return fmt.Errorf("a line of the list is longer than %d bytes", maxLine)
+	if len(r.body) > MaxList {
+		return fmt.Errorf("a line of the list is longer than %d bytes", MaxList)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/protocol/discovery/objects.go
@@ -0,0 +1,70 @@
+package discovery
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// errUnbalanced tells of brackets that do not fit, or of a string that runs over the end of its line.
+var errUnbalanced = errors.New("a change is no JSON object")
+
+// Objects joins the lines of a watch into whole JSON values. A value may stand on one line or, indented, on several.
+// The zero value is ready for use.
+type Objects struct {
+	text     []byte // of the value under way
+	depth    int    // brackets that are open
+	inString bool
+	escaped  bool
+}
+
+// Partial tells whether a value has begun and not ended.
+func (o *Objects) Partial() bool { return o.depth > 0 }
+
+// Add takes the next line, without its end. It returns the value that the line completes; nil where there is none: the
+// line was empty, or more of the value is to come. The value is valid until the next call.
+func (o *Objects) Add(line []byte) ([]byte, error) {
+	line = bytes.TrimSpace(line)
+	if len(line) == 0 {
+		return nil, nil
+	}
+	if o.depth == 0 {
+		o.text = o.text[:0]
+	}
+	if len(o.text)+len(line) > MaxList {
+		return nil, fmt.Errorf("a change is longer than %d bytes", MaxList)
+	}
+	o.text = append(append(o.text, line...), '\n')
+	for _, b := range line {
+		if err := o.scan(b); err != nil {
+			return nil, err
+		}
+	}
+	if o.inString {
+		return nil, errUnbalanced
+	}
+	if o.depth > 0 {
+		return nil, nil
+	}
+	return o.text, nil
+}
+
+// scan follows strings and brackets by one byte.
+func (o *Objects) scan(b byte) error {
+	switch {
+	case o.escaped:
+		o.escaped = false
+	case o.inString && b == '\\':
+		o.escaped = true
+	case b == '"':
+		o.inString = !o.inString
+	case o.inString:
+	case b == '{' || b == '[':
+		o.depth++
+	case b == '}' || b == ']':
+		if o.depth--; o.depth < 0 {
+			return errUnbalanced
+		}
+	}
+	return nil
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -29,8 +30,15 @@
 	Counts   Counts
 
 	listFailing bool
+	listHeard   bool         // in this life, from discovery
+	startedAt   brain.Micros // when this life began
 }
 
+// listPatience is how long a start waits for a list that is pushed: what its agent has is held to be known here from the first
+// moment on, and the list that came with the configuration may be old. An agent that is silent must not keep the gateway
+// out of service: restarts are to be over within 10 s.
+const listPatience = brain.Micros(3 * time.Second / time.Microsecond)
+
 // request is one request the module knows of.
 type request struct {
 	id       string
@@ -52,7 +60,7 @@
 	log zerolog.Logger,
 ) *Core {
 	c := &Core{
-		facts: facts, servers: servers, discovery: disc, log: log, now: now,
+		facts: facts, servers: servers, discovery: disc, log: log, now: now, startedAt: now,
 		requests: map[string]*request{}, byClient: map[Client]*request{}, byName: map[string]*request{},
 		members: newMembers(),
 	}
@@ -66,8 +74,12 @@
 	return c
 }
 
-// Ready tells whether a request could be routed: some server is known.
-func (c *Core) Ready() bool { return c.members.known() }
+// Ready tells whether a request could be routed: some server is known, and what is known is as new as the rules hold it
+// to be.
+func (c *Core) Ready() bool {
+	old := c.facts.Settings.ListPushed && !c.listHeard && c.now-c.startedAt < listPatience
+	return c.members.known() && !old
+}
 
 // Health is what the owner knows of its gateway's worth.
 type Health struct {
--- a/internal/routing/members.go
+++ b/internal/routing/members.go
@@ -39,6 +39,7 @@
 func (c *Core) list(news ListNews, form brain.ListForm) {
 	c.Counts.Lists[form]++
 	c.listFailing = form == brain.ListFailed
+	c.listHeard = c.listHeard || form == brain.ListFull || form == brain.ListDelta
 	out := brain.MemberNews{Form: form}
 	if form != brain.ListFailed {
 		c.members.rev = news.List.Rev
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -17,13 +19,18 @@
 
 // CallTimeouts are the time limits of calls to discovery.
 type CallTimeouts struct {
-	Connect time.Duration
-	Answer  time.Duration // calls wait in turn there, and fail when they have waited too long
-	Silence time.Duration // of a watch: an empty line comes every 2 s
+	Connect time.Duration // until the connection is up
+	Answer  time.Duration // from then on, until the whole list or the first line of a watch has come
+	Silence time.Duration // between two lines of a watch; an empty one comes every 2 s
 }
 
-// DefaultCallTimeouts are the limits of a gateway in service. After the silence two empty lines are missing.
-var DefaultCallTimeouts = CallTimeouts{Connect: time.Second, Answer: 3 * time.Second, Silence: 5 * time.Second}
+// DefaultCallTimeouts are the limits of a gateway in service. Whatever failed before, a change counts as known 6 s after
+// discovery had it and could be reached. Within that time a watch that has fallen silent has to be noticed, and the next
+// call answered; likewise a call that hangs has to be given up, and the next one answered. internal/program adds both sums
+// up in a test, with the pauses of the module.
+var DefaultCallTimeouts = CallTimeouts{
+	Connect: 400 * time.Millisecond, Answer: 2 * time.Second, Silence: 2800 * time.Millisecond,
+}
 
 // Discovery asks for the member list, and watches it on a connection that stays open.
 type Discovery struct {
@@ -34,15 +41,17 @@
 	Ends    *transport.Ends
 	Limits  CallTimeouts
 
-	mu      sync.Mutex
-	watch   *call // the newest, or the whole list that comes before it
-	former  *call // a watch at the address before, until the new one has told its list
-	wanted  bool  // the module has asked for a watch
-	strange bool  // nothing was heard from this address yet: its versions may be others
-	calls   map[*call]struct{}
-	running sync.WaitGroup
+	mu       sync.Mutex
+	watch    *call // the newest, or the whole list that comes before it
+	previous *call // a watch at the address before, until the new one has told its list
+	wanted   bool  // the module has asked for a watch
+	unheard  bool  // nothing was heard from this address yet: its versions may be others
+	calls    map[*call]struct{}
+	running  sync.WaitGroup
 
-	telling sync.Mutex // lists go to the owner one by one: none of the former address behind one of the new
+	// telling is held while news is handed to the owner, so that it goes there in order: no list of the previous address
+	// behind one of the new, no list behind the failure that came after it. It is taken before mu.
+	telling sync.Mutex
 }
 
 // call is one call to discovery.
@@ -59,8 +68,8 @@
 	conn *transport.Conn
 }
 
-// Watch asks for the changes after a version; a watch under way is replaced. A strange address is asked for its whole
-// list first.
+// Watch asks for the changes after a version; a watch under way is replaced. An address that was not heard yet is asked
+// for its whole list first.
 func (d *Discovery) Watch(from int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -71,10 +80,10 @@
 // ask starts the watch in place of the one before. The caller holds the lock.
 func (d *Discovery) ask(from int64) {
 	d.watch.cancel()
-	d.watch = d.start(!d.strange, d.strange, from)
+	d.watch = d.start(!d.unheard, d.unheard, from)
 }
 
-// Move asks another address from now on, whatever time the module has planned to ask again. The watch at the former
+// Move asks another address from now on, whatever time the module has planned to ask again. The watch at the previous
 // address goes on until the new one has told its list; then, or when it ends, nothing more is told of it.
 func (d *Discovery) Move(addr string) {
 	d.mu.Lock()
@@ -82,10 +91,10 @@
 	if addr == d.Addr {
 		return
 	}
-	if d.former == nil {
-		d.former, d.watch = d.watch, nil
+	if d.previous == nil {
+		d.previous, d.watch = d.watch, nil
 	}
-	d.Addr, d.strange = addr, true
+	d.Addr, d.unheard = addr, true
 	if d.wanted {
 		d.ask(0)
 	}
@@ -97,8 +106,8 @@
 	defer d.mu.Unlock()
 	d.wanted = false
 	d.watch.cancel()
-	d.former.cancel()
-	d.watch, d.former = nil, nil
+	d.previous.cancel()
+	d.watch, d.previous = nil, nil
 }
 
 // Fetch asks for the whole list once.
@@ -111,7 +120,7 @@
 // Close ends every call and waits for them.
 func (d *Discovery) Close() {
 	d.mu.Lock()
-	d.wanted, d.watch, d.former = false, nil, nil
+	d.wanted, d.watch, d.previous = false, nil, nil
 	all := slices.Collect(maps.Keys(d.calls))
 	d.mu.Unlock()
 	for _, c := range all {
@@ -131,28 +140,13 @@
 	d.running.Add(1)
 	go func() {
 		defer d.running.Done()
-		since := time.Now()
-		rev, reason, err := c.run(from)
-		c.mu.Lock()
-		if c.conn != nil {
-			c.conn.Close()
-		}
-		c.mu.Unlock()
-		replaced := c.ctx.Err() != nil
-		c.stop()
-		if replaced {
-			reason = transport.EndReplaced
-		}
-		d.Ends.End(transport.Discovery, c.addr, reason, since, 0, err)
-		if d.ended(c, rev, reason) {
-			d.Owner.Post(routing.ListNews{Failed: true})
-		}
+		c.serve(from)
 	}()
 	return c
 }
 
 // ended forgets a call, lets the watch follow behind the list that leads to it, and tells whether the module must
-// hear of a failure: not of a call that another has taken the place of, nor of one to the former address while the new
+// hear of a failure: not of a call that another has taken the place of, nor of one to the previous address while the new
 // one is being asked.
 func (d *Discovery) ended(c *call, rev int64, reason transport.Reason) bool {
 	d.mu.Lock()
@@ -161,9 +155,9 @@
 	switch {
 	case reason == transport.EndReplaced:
 		return false
-	case c == d.former:
-		d.former = nil
-		return d.watch == nil // the new address has failed meanwhile, and this one told the module that it is heard
+	case c == d.previous:
+		d.previous = nil
+		return d.watch == nil // the new address has failed meanwhile
 	case c != d.watch:
 		return reason != transport.EndDone // a single fetch
 	}
@@ -175,6 +169,28 @@
 	return reason != transport.EndDone
 }
 
+// serve carries a call out and notes its end.
+func (c *call) serve(from int64) {
+	d := c.all
+	since := time.Now()
+	rev, reason, err := c.run(from)
+	c.mu.Lock()
+	if c.conn != nil {
+		c.conn.Close()
+	}
+	c.mu.Unlock()
+	if c.cancelled() {
+		reason = transport.EndReplaced
+	}
+	c.stop()
+	d.Ends.End(transport.Discovery, c.addr, reason, since, 0, err)
+	d.telling.Lock()
+	defer d.telling.Unlock()
+	if d.ended(c, rev, reason) {
+		d.Owner.Post(routing.ListNews{Failed: true})
+	}
+}
+
 // cancel ends the call; nothing more is told of it.
 func (c *call) cancel() {
 	if c == nil {
@@ -203,62 +219,90 @@
 	if _, err := conn.Write(deadline, net.Buffers{discovery.Request(c.addr, c.watch, from)}); err != nil {
 		return 0, transport.ReasonOf(err), err
 	}
-	answer := discovery.NewResponse()
-	var body []byte
-	line := func(p []byte) error {
-		if answer.Status != 200 {
-			return nil
-		}
-		if c.watch {
-			return c.change(p, from)
-		}
-		body = append(append(body, p...), '\n')
-		return nil
+	a := &answer{call: c, from: from, deadline: deadline, response: discovery.NewResponse()}
+	if reason, err := a.read(conn); err != nil {
+		return 0, reason, err
+	}
+	if c.watch {
+		return 0, transport.EndPeerClosed, nil
 	}
-	for !answer.Done() {
-		err := conn.Wait(1, deadline, c.cancelled)
+	list, err := discovery.ParseList(a.body)
+	if err != nil {
+		return 0, transport.EndProtocol, err
+	}
+	c.tell(list)
+	return list.Rev, transport.EndDone, nil
+}
+
+// answer is an answer of discovery as it comes in.
+type answer struct {
+	call     *call
+	from     int64 // the version that a watch was asked to go on from
+	deadline time.Time
+	response *discovery.Response
+	objects  discovery.Objects // of a watch: the change under way
+	body     []byte            // of a whole list
+}
+
+// errListTooLong tells of a whole list beyond discovery.MaxList.
+var errListTooLong = errors.New("the list is too long")
+
+// read reads up to the answer's end. Only an orderly close ends an answer without a length: one that is reset has
+// broken off.
+func (a *answer) read(conn *transport.Conn) (transport.Reason, error) {
+	for !a.response.Done() {
+		err := conn.Wait(1, a.deadline, a.call.cancelled)
+		if errors.Is(err, io.EOF) && a.response.Close(a.line) == nil {
+			return 0, nil
+		}
 		if err != nil {
-			if errors.Is(err, transport.ErrDeadline) || errors.Is(err, transport.ErrWoken) {
-				return 0, transport.ReasonOf(err), err
-			}
-			if whole := answer.Close(line); whole != nil || c.watch {
-				return 0, transport.ReasonOf(err), err
-			}
-			break
+			return transport.ReasonOf(err), err
 		}
 		n := conn.Buffered()
-		if err := answer.Feed(conn.Peek(n), line); err != nil {
-			return 0, transport.EndProtocol, err
+		if err := a.response.Feed(conn.Peek(n), a.line); err != nil {
+			return transport.EndProtocol, err
 		}
-		conn.Skip(n)
-		if answer.HeadDone() && answer.Status != 200 {
-			return 0, transport.EndStatus, fmt.Errorf("discovery answered with status %d", answer.Status)
+		if err := conn.Skip(n); err != nil {
+			return transport.ReasonOf(err), err
 		}
-		if c.watch && answer.HeadDone() {
-			deadline = time.Now().Add(c.all.Limits.Silence)
+		if a.response.HeadDone() && a.response.Status != http.StatusOK {
+			return transport.EndStatus, fmt.Errorf("discovery answered with status %d", a.response.Status)
 		}
 	}
-	if c.watch {
-		return 0, transport.EndPeerClosed, nil
+	return 0, nil
+}
+
+// line takes one line of the body. A watch has until Silence after each of its lines for the next one, however many
+// pieces that comes in: bytes alone are no sign of life.
+func (a *answer) line(text []byte) error {
+	switch {
+	case a.response.Status != http.StatusOK:
+		return nil
+	case !a.call.watch:
+		if len(a.body)+len(text) > discovery.MaxList {
+			return errListTooLong
+		}
+		a.body = append(append(a.body, text...), '\n')
+		return nil
 	}
-	list, err := discovery.ParseList(body)
-	if err != nil {
-		return 0, transport.EndProtocol, err
+	change, err := a.objects.Add(text)
+	if err != nil || a.objects.Partial() {
+		return err
 	}
-	c.tell(list)
-	return list.Rev, transport.EndDone, nil
+	a.deadline = time.Now().Add(a.call.all.Limits.Silence)
+	return a.call.change(change, a.from)
 }
 
-// change takes one line of a watch. An empty one only says that the watch stands; where it is the first, nothing
-// has changed since the version asked for.
-func (c *call) change(p []byte, from int64) error {
-	if len(p) == 0 {
+// change takes a change of a watch. None stands for an empty line, which only says that the watch stands; where it is the
+// first, nothing has changed since the version asked for.
+func (c *call) change(change []byte, from int64) error {
+	if change == nil {
 		if !c.told {
 			c.tell(discovery.List{Rev: from})
 		}
 		return nil
 	}
-	list, err := discovery.ParseList(p)
+	list, err := discovery.ParseList(change)
 	if err == nil {
 		c.tell(list)
 	}
@@ -266,7 +310,7 @@
 }
 
 // tell hands a list to the owner, unless another call has taken this one's place. The first list of a new address
-// ends the watch at the former one.
+// ends the watch at the previous one.
 func (c *call) tell(list discovery.List) {
 	d := c.all
 	c.told = true
@@ -276,11 +320,15 @@
 		return
 	}
 	d.mu.Lock()
-	if c != d.former {
-		d.strange = false
-		d.former.cancel()
-		d.former = nil
+	if c != d.previous {
+		d.unheard = false
+		d.previous.cancel()
+		d.previous = nil
 	}
+	unasked := c == d.previous && d.watch == nil
 	d.mu.Unlock()
 	d.Owner.Post(routing.ListNews{List: list})
+	if unasked { // the module takes the list for a sign that it is subscribed; but the new address has failed
+		d.Owner.Post(routing.ListNews{Failed: true})
+	}
 }
--- /dev/null
+++ b/internal/session/watch_test.go
@@ -0,0 +1,274 @@
+package session
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"marblespan/internal/routing"
+	"marblespan/internal/transport"
+)
+
+// scriptedDiscovery hands each call that comes to the test, which answers it byte by byte.
+type scriptedDiscovery struct {
+	t        *testing.T
+	listener net.Listener
+	news     chan routing.Event
+	client   *Discovery
+}
+
+// scriptedCall is one call, of which the request has been read.
+type scriptedCall struct {
+	net.Conn
+	path string
+}
+
+func newScriptedDiscovery(t *testing.T, limits CallTimeouts) *scriptedDiscovery {
+	t.Helper()
+	s := &scriptedDiscovery{t: t, listener: listenLoopback(t), news: make(chan routing.Event, 64)}
+	s.client = &Discovery{
+		Addr: s.listener.Addr().String(), Owner: poster(s.news), Buffers: transport.NewBuffers(1 << 24),
+		Fds: transport.NewDescriptors(1024), Ends: transport.NewEnds(zerolog.Nop()), Limits: limits,
+	}
+	t.Cleanup(s.client.Close)
+	return s
+}
+
+func listenLoopback(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// call takes the next call in.
+func (s *scriptedDiscovery) call() *scriptedCall { return acceptCall(s.t, s.listener) }
+
+func acceptCall(t *testing.T, l net.Listener) *scriptedCall {
+	t.Helper()
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	r := bufio.NewReader(nc)
+	first, err := r.ReadString('\n')
+	for line := first; err == nil && strings.TrimSpace(line) != ""; {
+		line, err = r.ReadString('\n')
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &scriptedCall{nc, strings.Fields(first)[1]}
+}
+
+// say writes bytes one by one, so that nothing depends on how they are cut.
+func (c *scriptedCall) say(text string) {
+	for i := range len(text) {
+		c.Write([]byte{text[i]})
+	}
+}
+
+// reset breaks the connection off.
+func (c *scriptedCall) reset() {
+	c.Conn.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// next is the next news for the owner.
+func (s *scriptedDiscovery) next() routing.ListNews {
+	s.t.Helper()
+	select {
+	case ev := <-s.news:
+		return ev.(routing.ListNews)
+	case <-time.After(patience):
+		s.t.Fatal("nothing was told")
+		return routing.ListNews{}
+	}
+}
+
+func (s *scriptedDiscovery) wantList(rev int64) {
+	s.t.Helper()
+	if n := s.next(); n.Failed || n.List.Rev != rev {
+		s.t.Fatalf("told %+v, want version %d", n, rev)
+	}
+}
+
+func (s *scriptedDiscovery) wantFailure() {
+	s.t.Helper()
+	if n := s.next(); !n.Failed {
+		s.t.Fatalf("told %+v, want a failure", n)
+	}
+}
+
+const (
+	headOpen   = "HTTP/1.1 200 OK\r\n\r\n" // without a length: up to the connection's end
+	oneServer  = `{"rev":41,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:5433","pod_group":3,"state":"ready"}]}`
+	oneDrained = "{\n  \"rev\": 42,\n  \"all\": false,\n  \"targets\": [\n    {\n      \"uid\": \"a\",\n" +
+		"      \"endpoint\": \"127.0.0.1:5433\",\n      \"pod_group\": 3,\n      \"state\": \"draining\"\n    }\n  ]\n}\n"
+)
+
+// generous limits are reached only by a test that fails.
+var generous = CallTimeouts{Connect: patience, Answer: patience, Silence: patience}
+
+// A change may stand on one line or, indented, on several; whichever way it is cut, and with empty lines between.
+func TestWatchReadsIndentedChanges(t *testing.T) {
+	s := newScriptedDiscovery(t, generous)
+	s.client.Watch(40)
+	c := s.call()
+	c.say(headOpen + "\r\n")
+	s.wantList(40) // the empty line says that nothing has changed since
+	c.say(oneServer + "\n  \n" + oneDrained + "\n")
+	s.wantList(41)
+	s.wantList(42)
+	c.say("{\"rev\": 43,\n\"targets\": ]\n")
+	s.wantFailure()
+}
+
+// A reset is no end of an answer, also where it has no length and what came can be read.
+func TestResetIsNoEndOfAList(t *testing.T) {
+	s := newScriptedDiscovery(t, generous)
+	s.client.Fetch()
+	c := s.call()
+	c.Write([]byte(headOpen + oneServer))
+	c.reset()
+	s.wantFailure()
+	s.client.Fetch()
+	c = s.call()
+	c.say(headOpen + oneServer)
+	c.Close()
+	s.wantList(41)
+}
+
+// What is cut in the middle is no list, whatever way the answer says its length.
+func TestListCutInTheMiddle(t *testing.T) {
+	for _, head := range []string{
+		headOpen, "HTTP/1.1 200 OK\r\nContent-Length: 106\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6a\r\n",
+	} {
+		s := newScriptedDiscovery(t, generous)
+		s.client.Fetch()
+		c := s.call()
+		c.say(head + oneServer[:50])
+		c.Close()
+		s.wantFailure()
+	}
+}
+
+// A watch has failed whose first line does not come in time, although its head and some bytes of it have: each piece by
+// itself would put its end off for ever. A later line has as long.
+func TestWatchThatDripsHasFailed(t *testing.T) {
+	short := CallTimeouts{Connect: patience, Answer: 150 * time.Millisecond, Silence: 150 * time.Millisecond}
+	for _, before := range []string{"", oneServer + "\n"} {
+		s := newScriptedDiscovery(t, short)
+		s.client.Watch(40)
+		c := s.call()
+		c.Write([]byte(headOpen + before))
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for { // a line that never ends
+				if _, err := c.Write([]byte(" ")); err != nil {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		if before != "" {
+			s.wantList(41)
+		}
+		s.wantFailure()
+		<-ended
+	}
+}
+
+// A whole list has one time for all of its pieces.
+func TestListThatDripsHasFailed(t *testing.T) {
+	s := newScriptedDiscovery(t, CallTimeouts{Connect: patience, Answer: 150 * time.Millisecond, Silence: patience})
+	s.client.Fetch()
+	c := s.call()
+	go func() {
+		for text := headOpen + oneServer; ; {
+			if _, err := c.Write([]byte(text[:1])); err != nil {
+				return
+			}
+			if text = text[1:]; text == "" {
+				text = "\n"
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	s.wantFailure()
+}
+
+// While a new address fails, the watch at the previous one goes on. What it tells is taken, but it is no sign that the new
+// address is watched: the module has to hear of the failure again, or nobody would ask there.
+func TestPreviousAddressIsNoSignOfTheNewOne(t *testing.T) {
+	s := newScriptedDiscovery(t, generous)
+	s.client.Watch(40)
+	previous := s.call()
+	previous.say(headOpen + oneServer + "\n")
+	s.wantList(41)
+	moved := listenLoopback(t)
+	s.client.Move(moved.Addr().String())
+	acceptCall(t, moved).reset()
+	s.wantFailure()
+	previous.say(oneDrained)
+	s.wantList(42)
+	s.wantFailure()
+	s.client.Watch(42)
+	c := acceptCall(t, moved)
+	if c.path != "/v1/servers" {
+		t.Errorf("the new address was asked for %s", c.path)
+	}
+	c.say(headOpen + oneServer)
+	c.Close()
+	s.wantList(41)
+	if _, err := previous.Read(make([]byte, 1)); err == nil {
+		t.Error("the watch at the previous address goes on")
+	}
+}
+
+// A new watch that tells its list before the one before has ended leaves one watch, and no failure.
+func TestNewWatchBeforeTheOldOneEnds(t *testing.T) {
+	s := newScriptedDiscovery(t, generous)
+	s.client.Watch(40)
+	first := s.call()
+	first.say(headOpen + oneServer + "\n")
+	s.wantList(41)
+	s.client.Watch(41)
+	second := s.call()
+	second.say(headOpen + oneDrained)
+	s.wantList(42)
+	first.say("{\"rev\":99}\n")
+	second.say("{\"rev\":43}\n")
+	s.wantList(43)
+}
+
+// An address that is moved while a call is out is asked at once, and what the call to the one before still brings is not
+// told.
+func TestMoveWhileACallIsOut(t *testing.T) {
+	s := newScriptedDiscovery(t, generous)
+	s.client.Watch(40)
+	out := s.call() // nothing has been answered yet
+	moved := listenLoopback(t)
+	s.client.Move(moved.Addr().String())
+	c := acceptCall(t, moved)
+	c.say(headOpen + oneServer)
+	c.Close()
+	s.wantList(41)
+	out.say(headOpen + "{\"rev\":99}\n")
+	watch := acceptCall(t, moved)
+	if watch.path != "/v1/servers?watch=1&from=41" {
+		t.Errorf("then asked for %s", watch.path)
+	}
+	watch.say(headOpen + oneDrained)
+	s.wantList(42)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,6 +122,9 @@
 	"strong": brain.NeedFresh, "mutate": brain.NeedWrite,
 }
 
+// modes tells whether the member list has to be asked for.
+var modes = map[string]bool{"subscribe": true, "automatic": false}
+
 var checks = map[string]brain.Checks{
 	"none": brain.ChecksNone, "bounce": brain.ChecksRefuse, "await": brain.ChecksWait,
 }
@@ -184,7 +187,8 @@
 	s.Checks = word(&p, "family_info.checks", checks, w.Family.Checks)
 	s.CheckWait = p.time("family_info.wait_ms", w.Family.Wait)
 	s.TokensCarried, s.AnswersStamped = w.Family.Marks == "brought", w.Family.Stamped
-	s.ListAsked, s.CanProbe, s.CanCancel = w.Mode == "subscribe", l.Probing, l.Cancelling
+	s.ListAsked = word(&p, "membership_mode", modes, w.Mode)
+	s.CanProbe, s.CanCancel = l.Probing, l.Cancelling
 	s.CanTell, s.SecondCopies, s.AdviseRetry = l.MayTell, l.SecondCopies, l.RetryAfter
 	s.MaxRetryAdvice, s.MaxAttempts = p.time("policy_limits.max_retry_after_ms", l.MaxRetryAfter), l.MostTries
 	s.ConnectTimeout = p.time("policy_limits.connect_timeout_ms", l.ConnectTimeout)
