--- a/internal/session/watch_test.go
+++ b/internal/session/watch_test.go
@@ -112,7 +112,8 @@
 const (
 	headOpen   = "HTTP/1.1 200 OK\r\n\r\n" // without a length: up to the connection's end
 	oneServer  = `{"rev":41,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:5433","pod_group":3,"state":"ready"}]}`
-	oneDrained = "{\n  \"rev\": 42,\n  \"all\": false,\n  \"targets\": [\n    {\n      \"uid\": \"a\",\n" +
+	oneDrained = `{"rev":42,"all":false,"targets":[{"uid":"a","endpoint":"127.0.0.1:5433","pod_group":3,"state":"draining"}]}` + "\n"
+	indented   = "{\n  \"rev\": 42,\n  \"all\": false,\n  \"targets\": [\n    {\n      \"uid\": \"a\",\n" +
 		"      \"endpoint\": \"127.0.0.1:5433\",\n      \"pod_group\": 3,\n      \"state\": \"draining\"\n    }\n  ]\n}\n"
 )
 
@@ -126,7 +127,7 @@
 	c := s.call()
 	c.say(headOpen + "\r\n")
 	s.wantList(40) // the empty line says that nothing has changed since
-	c.say(oneServer + "\n  \n" + oneDrained + "\n")
+	c.say(oneServer + "\n  \n" + indented + "\n")
 	s.wantList(41)
 	s.wantList(42)
 	c.say("{\"rev\": 43,\n\"targets\": ]\n")
