A session's read sees writes that are out, of unknown end, or answered while it waited

Cause, from a trial that logged each attempt of a session: what a read must see was taken when it arrived (accept, q.need) and not when it was sent; reads waited up to 1.4 s, and their session's write was answered meanwhile. And a write counted only once its answer was read: where connections fall silent the answer is written, held to be known 100 ms later, and never comes. Change: needOf looks at the session when the read is sent; a write that is out makes it now, one of unknown end counts as committed by its end. A session with a write out keeps its place. Where clients carry their marks nothing changes.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,7 +15,7 @@
 // Every final answer passes through finish. usable tells whether a server may be used, hasRoom for one more.
 package brain
 
-import "sort"
+import "slices"
 
 // The tuned numbers. Shares are in thousandths; spans are shares of the settings' own aims, bounds and ramps.
 const (
@@ -154,9 +154,6 @@
 		if e.SinceWrite > 0 {
 			q.need = r.now - e.SinceWrite
 		}
-		if !r.set.TokensCarried && q.session != nil {
-			q.need = max(q.need, q.session.mark)
-		}
 	}
 	r.at(max(min(r.end(q), r.now+e.Left/2-r.set.Tick), r.now+1), q.id)
 	r.enqueue(q)
@@ -205,11 +202,8 @@
 // dispatch serves a group's queue, the best worth for its time first and the oldest among equals. What may
 // well not be answered in time comes last, and gets its final answer now if nobody else has left it room.
 func (r *Router) dispatch(g *group) {
-	if len(g.waiting) == 0 {
-		return
-	}
-	queue := append([]*request(nil), g.waiting...)
-	sort.SliceStable(queue, func(i, j int) bool { return r.value(queue[i]) > r.value(queue[j]) })
+	queue := slices.Clone(g.waiting)
+	slices.SortStableFunc(queue, func(a, b *request) int { return int(r.value(b) - r.value(a)) })
 	for _, q := range queue {
 		if q.done {
 			continue
@@ -337,12 +331,18 @@
 	return r.now < q.askUntil
 }
 
-// needOf is the position that a read's answer must have reached if it is sent now.
+// needOf is the position that a read's answer must have reached if it is sent now. Where marks are remembered
+// it must see each write of its session that was answered by now; one that is out may have been.
 func (r *Router) needOf(q *request) Position {
-	if q.class.Need == NeedBounded {
+	switch {
+	case q.class.Need == NeedBounded:
 		return r.now - q.class.Bound
+	case q.class.Need != NeedSession || q.session == nil || r.set.TokensCarried:
+		return q.need
+	case q.session.writesOut > 0:
+		return r.now
 	}
-	return q.need
+	return max(q.need, q.session.mark)
 }
 
 // replicas lists the members that may take a read now: those that have room and are not crowded, the primary
@@ -368,13 +368,7 @@
 	if len(out) == 0 {
 		return trials
 	}
-	kept := out[:0]
-	for _, s := range out {
-		if len(s.open) <= least*crowdFactor+1 {
-			kept = append(kept, s)
-		}
-	}
-	return kept
+	return slices.DeleteFunc(out, func(s *server) bool { return len(s.open) > least*crowdFactor+1 })
 }
 
 // near keeps the replicas of this gateway's own zone that are not strained, if there are any, where crossing
@@ -421,13 +415,7 @@
 			top, near = max(top, s.pos), append(near, s)
 		}
 	}
-	kept := near[:0]
-	for _, s := range near {
-		if s.pos >= top-r.minBound/levelPart {
-			kept = append(kept, s)
-		}
-	}
-	return kept
+	return slices.DeleteFunc(near, func(s *server) bool { return s.pos < top-r.minBound/levelPart })
 }
 
 // ---- attempts ----
@@ -442,6 +430,9 @@
 		s.busySince = r.now
 	}
 	s.open = append(s.open, a)
+	if q.writesSession() {
+		q.session.writesOut++
+	}
 	if r.warmth(s) < one {
 		s.sends, s.coldDrawnAt = append(s.sends, coldSend{r.now, r.cost(q)}), r.now
 	}
@@ -549,6 +540,9 @@
 // learn takes from an outcome what it says of the server: role, position, health, room.
 func (r *Router) learn(a *attempt, e Outcome) {
 	s, q := a.server, a.req
+	if q.writesSession() {
+		r.wrote(q.session, e)
+	}
 	r.noted(a, e)
 	r.position(s, e.Position)
 	switch e.Result {
@@ -576,21 +570,26 @@
 	}
 }
 
-// answered notes an answer: the class's usual latency, the session's mark and the server's strain.
+// wrote notes for the reads of a session how an attempt of its write ended. What may have run counts as
+// committed by now: its answer may have been lost.
+func (r *Router) wrote(t *session, e Outcome) {
+	t.writesOut--
+	switch {
+	case e.Result == ResultOK && e.Position > 0:
+		t.mark = max(t.mark, e.Position)
+	case !neverRan(e.Result):
+		t.mark = max(t.mark, r.now)
+	}
+}
+
+// answered notes an answer: the class's usual latency and the server's strain.
 func (r *Router) answered(s *server, q *request, e Outcome) {
 	if q.class.typical == 0 {
 		q.class.typical = e.Latency
 	}
 	q.class.typical += (e.Latency - q.class.typical) / smoothing
-	if q.class.Need == NeedWrite && q.session != nil {
-		commit := e.Position
-		if commit == 0 {
-			commit = r.now
-		}
-		q.session.mark = max(q.session.mark, commit)
-	}
 	s.restSpan = 0
-	if q.class.Need == NeedBounded || q.class.Need == NeedSession && q.need > 0 {
+	if q.class.Need == NeedBounded || q.class.Need == NeedSession && r.needOf(q) > 0 {
 		s.missSpan = 0
 	}
 	r.countServed(q)
@@ -900,7 +899,7 @@
 		s.limit = r.firstLimit()
 		r.servers[m.Server] = s
 		s.group.members = append(s.group.members, s)
-		sort.Slice(s.group.members, func(i, j int) bool { return s.group.members[i].id < s.group.members[j].id })
+		slices.SortFunc(s.group.members, func(a, b *server) int { return int(a.id) - int(b.id) })
 	}
 	s.zone, s.listed = m.Zone, m.Primary
 	if m.Started > s.started {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -155,6 +155,62 @@
 		g.step(brain.Arrival{ID: "s", Class: sessionRead, Group: 1, Left: 2000 * ms, SinceWrite: 200 * ms})
 		g.wantSent("s", 2)
 	})
+	t.Run("a read that is sent later sees a write answered meanwhile", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(2)
+		g.fresh(1, 0)
+		g.fresh(2, 0)
+		g.arriveOf("r", sessionRead, 9)
+		g.wantSent("r", 2)
+		g.after(10*ms).arriveOf("w", unsafeWrite, 9)
+		g.after(10*ms).outcome("w", 0, 1, brain.ResultOK)
+		g.outcome("r", 0, 2, brain.ResultReset)
+		g.wantSent("r", 1)
+	})
+	t.Run("a write that is out may have been answered", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(2)
+		g.fresh(1, 0)
+		g.fresh(2, 0)
+		g.after(10*ms).arriveOf("w", unsafeWrite, 9)
+		g.arriveOf("r", sessionRead, 9)
+		g.wantSent("r", 1)
+		g.arriveOf("s", sessionRead, 8) // of another session
+		g.wantSent("s", 2)
+	})
+	t.Run("a write of unknown end counts as committed by then", func(t *testing.T) {
+		for res, want := range map[brain.Result]brain.ServerID{
+			brain.ResultReset: 1, brain.ResultTimeout: 1, brain.ResultCancelled: 1, brain.ResultError: 1, brain.ResultFull: 2,
+		} {
+			g := newRig(t, settings())
+			g.group(2)
+			g.fresh(1, 0)
+			g.fresh(2, 0)
+			g.after(10*ms).arriveOf("w", unsafeWrite, 9)
+			g.step(brain.Dropped{ID: "w"})
+			g.after(10*ms).outcome("w", 0, 1, res)
+			g.after(100*ms).arriveOf("r", sessionRead, 9)
+			if got := sent(g.acts, "r"); len(got) != 1 || got[0] != want {
+				t.Errorf("behind a write that ended with %d a read went to %v, want %d", res, got, want)
+			}
+		}
+	})
+	t.Run("a session with a write out is not forgotten", func(t *testing.T) {
+		g := newRig(t, settings())
+		g.group(2)
+		g.fresh(1, 0)
+		g.fresh(2, 0)
+		g.after(10*ms).arriveOf("w", unsafeWrite, 1)
+		for k := uint64(2); k < 1<<14+2; k++ {
+			g.arriveOf(fmt.Sprint("f", k), freshRead, k)
+			g.outcome(fmt.Sprint("f", k), 0, 1, brain.ResultOK)
+		}
+		g.arriveOf("r", sessionRead, 1)
+		g.wantSent("r", 1)
+		g.outcome("w", 0, 1, brain.ResultFull)
+		g.arriveOf("s", sessionRead, 1<<14+1)
+		g.wantSent("s", 2)
+	})
 	t.Run("forgotten marks merge into a floor", func(t *testing.T) {
 		g := newRig(t, settings())
 		g.group(2)
--- a/brain/state.go
+++ b/brain/state.go
@@ -237,12 +237,16 @@
 	return nil
 }
 
+// writesSession tells whether the request is a write whose commit its session's reads must see.
+func (q *request) writesSession() bool { return q.class.Need == NeedWrite && q.session != nil }
+
 // session is what is remembered of one session.
 type session struct {
-	key     uint64
-	mark    Position // its last commit answered through this gateway
-	replica ServerID
-	stuck   bool // replica is set
+	key       uint64
+	mark      Position // its last commit through this gateway, as far as is known
+	writesOut int      // attempts of its writes that are out
+	replica   ServerID
+	stuck     bool // replica is set
 }
 
 // sessions is a store of bounded size that forgets the session first seen longest ago. All of it is set aside at the
@@ -259,7 +263,7 @@
 }
 
 // get finds or makes a session; a new one begins at the highest mark ever forgotten. A request that still holds the
-// one forgotten can only raise the new one's mark.
+// one forgotten can only raise the new one's mark. One with a write out is not forgotten.
 func (t *sessions) get(key uint64) *session {
 	if s := t.byKey[key]; s != nil {
 		return s
@@ -267,6 +271,12 @@
 	if len(t.ring) < cap(t.ring) {
 		t.ring = append(t.ring, session{})
 	}
+	for range t.ring {
+		if t.ring[t.next].writesOut == 0 {
+			break
+		}
+		t.next = (t.next + 1) % len(t.ring)
+	}
 	s := &t.ring[t.next]
 	t.next = (t.next + 1) % cap(t.ring)
 	t.floor = max(t.floor, s.mark)
