Crossings of a client's close, a stop and an abort with bytes on their way

Found by reading, each forced over loopback by a test that failed without its mend (mutants run one by one, all caught): - a client that sends much at once and goes: its close lies behind bytes that nobody has read, and its requests were asked for as long as that took; with 64 waiting, or in the pause behind a bad message, its leaving was not noticed for up to a minute. The kernel is asked (POLLRDHUP) before anything is asked that was sent ahead, and every 40 ms while nothing is read; 0.1 s is allowed. - that pause, and a long message coming in slowly, held up answers to what was asked before. - a resting connection was closed outright: a request arriving then made a reset of it, which takes unread answers with it. It is shut down first and read out; likewise a client for whom there is no room. - a stop cut off requests that had come whole between the reading of head and body; messages have 0.1 s more now. One stopped within its head held the stop up to its end. - whoever connected behind the last accept of a stop waited until the process ended, and was reset. The address refuses now. - a cancel between a connection's coming up and the first byte was undone by the deadline that the write sets: the statement went out. - an answer whole but for ReadyForQuery waited for the request's end; now as long as any answer that stops.

--- a/internal/program/floating.go
+++ b/internal/program/floating.go
@@ -197,7 +197,6 @@
 	f.mu.Unlock()
 	go func() {
 		l.Serve(t.clients.Serve)
-		l.Release()
 		close(t.freed)
 	}()
 	return nil
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -302,7 +302,6 @@
 	g.floats.giveUp(true)
 	g.listener.Close()
 	<-g.accepting
-	g.listener.Release()
 	g.clients.Drain(transport.EndDrain)
 	g.clients.CutOff()
 	g.end()
@@ -364,7 +363,6 @@
 		g.owner.Ask((*routing.Core).FailAll)
 		wait(leave+stopMargin/2, func() int { return g.clients.Open() + g.floats.open() })
 	}
-	g.listener.Release()
 	g.settleBookings(max(time.Until(start.Add(leave+stopMargin/2)), stopMargin/2))
 	g.owner.Ask(g.printOwner)
 	g.end()
--- a/internal/protocol/postgres/reply.go
+++ b/internal/protocol/postgres/reply.go
@@ -36,8 +36,8 @@
 // Served tells whether the answer is a whole row.
 func (r *Reply) Served() bool { return r.stage == complete }
 
-// Begun tells whether a part of the answer has come that only more of it can make whole.
-func (r *Reply) Begun() bool { return r.stage == described || r.stage == withRow }
+// Begun tells whether a part of the answer has come, behind which the rest is due: at the least ReadyForQuery.
+func (r *Reply) Begun() bool { return r.stage != begun && r.stage != admitted }
 
 // Passes tells whether a message of this type is part of the value that goes on to the client.
 func Passes(kind byte) bool {
--- a/internal/session/asked.go
+++ b/internal/session/asked.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"hash/fnv"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -172,6 +173,9 @@
 	return c.strike()
 }
 
+// sentAhead tells whether the client has sent more than the message in hand: the end of the connection may lie behind it.
+func (c *client) sentAhead() bool { return c.conn.Buffered() > 0 || c.waiting() > 0 }
+
 func (c *client) waiting() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -237,33 +241,22 @@
 	return 0, nil
 }
 
-// watch waits until the oldest query has its answer, told as ErrWoken, or a further message has come, of which the whole
-// is waited for where it fits a buffer. A client that has closed meanwhile has gone away.
+// watch waits until the oldest query has its answer or the gateway stops, told as ErrWoken, or a further message has come,
+// of which the whole is waited for where it fits a buffer. A client that has closed meanwhile has gone away.
 func (c *client) watch() (transport.Reason, error) {
+	if c.deaf || c.waiting() >= mostAsked {
+		return c.watchUnread()
+	}
+	pending := func() bool { return c.answered() || c.isCut() }
 	n := postgres.HeaderSize
 	for {
-		full := c.deaf || c.waiting() >= mostAsked
-		if full {
-			n = c.conn.Buffered() + 1
-		}
-		if n > transport.BufferSize { // the socket is watched again once some of this is read
-			select {
-			case <-c.told:
-			case <-time.After(askTimeout):
-			}
-			if c.answered() {
-				return 0, transport.ErrWoken
-			}
-			continue
-		}
-		err := c.conn.Wait(n, time.Now().Add(askTimeout), c.answered)
+		err := c.conn.Wait(n, time.Now().Add(c.all.Limits.Idle), pending)
 		switch {
 		case errors.Is(err, transport.ErrDeadline):
 		case errors.Is(err, transport.ErrWoken):
 			return 0, err
 		case err != nil:
 			return transport.EndPeerGone, err
-		case full:
 		default:
 			h, err := postgres.ParseHeader(c.conn.Peek(postgres.HeaderSize))
 			whole := postgres.HeaderSize + h.Body
@@ -275,6 +268,28 @@
 	}
 }
 
+// watchUnread is watch while nothing more is read. What the client has sent stays where it is, and its leaving shows in
+// the state of the connection only.
+func (c *client) watchUnread() (transport.Reason, error) {
+	for !c.answered() {
+		if c.conn.PeerClosed() {
+			return transport.EndPeerGone, io.EOF
+		}
+		c.awaitAnswer(closeCheck)
+	}
+	return 0, transport.ErrWoken
+}
+
+// awaitAnswer waits until an answer was left, or for a span.
+func (c *client) awaitAnswer(span time.Duration) {
+	wait := time.NewTimer(span)
+	defer wait.Stop()
+	select {
+	case <-c.told:
+	case <-wait.C:
+	}
+}
+
 // leave tells the owner that the client is gone; answers that have come or still come are dropped.
 func (c *client) leave() {
 	c.mu.Lock()
@@ -311,10 +326,10 @@
 	if !c.all.Buffers.Reserve(reserve) {
 		c.all.Counts.OverMemory.Add(1)
 		c.complain(postgres.CodeRefused, "the gateway has no memory left for this")
-		return reasoned(c.conn.SkipBy(body, by, c.isCut))
+		return reasoned(c.conn.SkipBy(body, by, c.interrupted))
 	}
 	text := c.all.Buffers.NewMessage()
-	if err := c.conn.Fill(text, body, by, c.isCut); err != nil {
+	if err := c.conn.Fill(text, body, by, c.interrupted); err != nil {
 		text.Free()
 		c.all.Buffers.Release(reserve)
 		if transport.ReasonOf(err) == transport.EndTimeout {
@@ -322,6 +337,11 @@
 		}
 		return transport.ReasonOf(err), err
 	}
+	if c.sentAhead() && c.conn.PeerClosed() { // its close lies behind what it has sent: nobody waits for this any more
+		text.Free()
+		c.all.Buffers.Release(reserve)
+		return transport.EndPeerGone, io.EOF
+	}
 	facts := c.all.Facts.Load()
 	arrival, st, fault, code := c.read(facts, text, body)
 	if code != "" || st.ID == "" {
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -27,7 +27,7 @@
 	Message  time.Duration // from a later message's first byte until its last
 	Idle     time.Duration // a client long idle may sit on a machine that is cut off
 	Answer   time.Duration // a client that does not read its answer
-	Linger   time.Duration // after a last word, for the client to read it
+	Linger   time.Duration // after the end of the sending side, for the client to read what it was told
 	Pause    time.Duration // before the next message of a client that has sent a bad one, doubling
 }
 
@@ -44,12 +44,16 @@
 // service sends none.
 const mostStrikes = 8
 
-// askTimeout is the time between looks at a request whose client has sent more ahead than a buffer holds.
-const askTimeout = time.Minute
+// closeCheck is how often a client from which nothing is read for now is looked at: what it has asked for is given up when
+// it has left, and no attempt may begin more than 0.1 s after that.
+const closeCheck = 40 * time.Millisecond
 
 // lateRequest is how long a request that was on its way in when its connection's time was up may take to arrive.
 const lateRequest = 100 * time.Millisecond
 
+// shortLinger takes the place of Timeouts.Linger where descriptors run short.
+const shortLinger = 20 * time.Millisecond
+
 // largestAnswer bounds a message of an answer: the largest value, in hex, and its head.
 const largestAnswer = 130 << 10
 
@@ -96,7 +100,7 @@
 	queue   []*asked // what awaits its answer, oldest first
 	resting bool     // waiting between requests: nothing is lost if it is woken
 	closing bool
-	cut     bool // the gateway stops, and waits for no message that has not come whole
+	cutAt   time.Time // when the gateway, which stops, waits no longer for messages that have not come whole; zero: never
 	reason  transport.Reason
 	served  int
 
@@ -104,8 +108,10 @@
 	known   bool      // it has sent a whole request
 	strikes int       // bad messages
 
-	skipping bool // after an error in the extended protocol, up to Sync
-	deaf     bool // its framing is lost: nothing more is read
+	skipping bool             // after an error in the extended protocol, up to Sync
+	deaf     bool             // nothing more is read: its framing is lost, or the gateway stops
+	broken   transport.Reason // why an answer could not be written while a message was read
+	brokenBy error
 }
 
 // Serve serves one connection to its end. One that cannot stay is turned away before its start-up, with an error that
@@ -113,11 +119,7 @@
 func (s *Clients) Serve(conn *transport.Conn, stays bool) {
 	since := time.Now()
 	if !stays {
-		remote := conn.Remote()
-		conn.Write(since.Add(s.Limits.Linger), net.Buffers{postgres.AppendError(nil, true, postgres.CodeRefused,
-			"too many clients already", 0)})
-		conn.Close()
-		s.Ends.End(transport.Client, remote, transport.EndDescriptors, since, 0, nil)
+		s.turnAway(conn, since)
 		return
 	}
 	c := &client{all: s, conn: conn, told: make(chan struct{}, 1), newBy: since.Add(s.Limits.Newcomer)}
@@ -127,7 +129,7 @@
 	}
 	s.open[c] = struct{}{}
 	if s.cut {
-		c.newBy = since.Add(lateRequest)
+		c.cutOff(since)
 	}
 	s.started++
 	process := s.started
@@ -140,6 +142,8 @@
 		c.sendAway("the address has moved to another gateway")
 	case transport.EndMaintenance:
 		c.sendAway("the gateway is about to be out for maintenance")
+	case transport.EndIdle, transport.EndRoom, transport.EndDrain, transport.EndTimeout:
+		s.linger(conn)
 	}
 	conn.Close()
 	s.mu.Lock()
@@ -153,8 +157,29 @@
 // to leave a booking in doubt.
 func (c *client) sendAway(why string) {
 	if c.write(postgres.AppendError(nil, true, postgres.CodeNotReady, why, 0)) == nil {
-		c.conn.Linger(time.Now().Add(c.all.Limits.Linger), lingerBytes)
+		c.all.linger(c.conn)
+	}
+}
+
+// turnAway tells a client for which there is no descriptor to come again.
+func (s *Clients) turnAway(conn *transport.Conn, since time.Time) {
+	remote := conn.Remote()
+	refusal := postgres.AppendError(nil, true, postgres.CodeRefused, "too many clients already", 0)
+	if _, err := conn.Write(since.Add(s.Limits.Linger), net.Buffers{refusal}); err == nil {
+		s.linger(conn)
 	}
+	conn.Close()
+	s.Ends.End(transport.Client, remote, transport.EndDescriptors, since, 0, nil)
+}
+
+// linger ends a connection's sending side and waits for the client to close. A request that arrives in this very moment
+// would otherwise turn the close into a reset, which takes answers with it that the client has not read yet.
+func (s *Clients) linger(conn *transport.Conn) {
+	span := s.Limits.Linger
+	if s.Fds.Short() {
+		span = min(span, shortLinger)
+	}
+	conn.Linger(time.Now().Add(span), lingerBytes)
 }
 
 // Drain closes idle connections now and every other one after its answer, for a reason that their log lines give.
@@ -182,15 +207,13 @@
 	return slices.Collect(maps.Keys(s.open))
 }
 
-// CutOff ends every connection that has brought a message in part only: its request has not been taken, and its client
-// sends it again elsewhere. Requests under way are still answered. It guards a stop against clients that send in drips or
-// stop halfway: each would hold the gateway up for as long as it may.
+// CutOff ends every connection that has brought a message in part only and not the rest of it within lateRequest: its
+// request has not been taken, and its client sends it again elsewhere. Requests under way are still answered. It guards a
+// stop against clients that send in drips or stop halfway: each would hold the gateway up for as long as it may.
 func (s *Clients) CutOff() {
+	now := time.Now()
 	for _, c := range s.from(&s.cut) {
-		c.mu.Lock()
-		c.cut = true
-		c.conn.Wake()
-		c.mu.Unlock()
+		c.cutOff(now)
 	}
 }
 
@@ -237,10 +260,27 @@
 	c.mu.Unlock()
 }
 
+// cutOff has the connection wait for messages no longer than lateRequest from now on.
+func (c *client) cutOff(now time.Time) {
+	c.mu.Lock()
+	c.cutAt = now.Add(lateRequest)
+	c.mu.Unlock()
+	time.AfterFunc(lateRequest, c.conn.Wake)
+}
+
+// isCut tells whether nothing more is to be read.
 func (c *client) isCut() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.cut
+	return !c.cutAt.IsZero() && !time.Now().Before(c.cutAt)
+}
+
+// interrupted lets out the answers that are due while a message is read, and tells whether reading has to end.
+func (c *client) interrupted() bool {
+	if c.brokenBy == nil {
+		c.broken, c.brokenBy = c.flush()
+	}
+	return c.brokenBy != nil || c.isCut()
 }
 
 func (c *client) isClosing() bool {
@@ -270,7 +310,7 @@
 		c.all.Fds.Unpark(c)
 	}()
 	deadline := c.by(c.all.Limits.Idle)
-	pending := c.isClosing
+	pending := func() bool { return c.isClosing() || c.isCut() }
 	late := false
 	for {
 		err := c.conn.Wait(n, deadline, pending)
@@ -278,12 +318,16 @@
 		case err == nil:
 			return 0, nil
 		case errors.Is(err, transport.ErrWoken):
+			if c.isCut() {
+				reason, _ := c.all.isDraining()
+				return reason, err
+			}
 			if c.conn.Buffered() == 0 && c.conn.Quiet() {
 				c.mu.Lock()
 				defer c.mu.Unlock()
 				return c.reason, err
 			}
-			pending = nil // a request is on its way in: closing now would cut it off
+			pending = c.isCut // a request is on its way in: closing now would cut it off
 		case errors.Is(err, transport.ErrDeadline):
 			switch {
 			case c.conn.Buffered() > 0:
@@ -307,11 +351,27 @@
 	if c.strikes++; c.strikes >= mostStrikes {
 		return c.end(errors.New("too many bad messages"))
 	}
-	time.Sleep(c.all.Limits.Pause << c.strikes)
-	return 0, nil
+	return c.pause(c.all.Limits.Pause << c.strikes)
 }
 
-// run serves start-up and then one message after another. It goes on reading while answers are awaited.
+// pause makes the client wait before its next message is read. Answers go out meanwhile, and its leaving is noticed.
+func (c *client) pause(span time.Duration) (transport.Reason, error) {
+	for end := time.Now().Add(span); ; {
+		if reason, err := c.flush(); err != nil {
+			return reason, err
+		}
+		if c.conn.PeerClosed() {
+			return transport.EndPeerGone, io.EOF
+		}
+		left := time.Until(end)
+		if left <= 0 || c.isCut() {
+			return 0, nil
+		}
+		c.awaitAnswer(min(left, closeCheck))
+	}
+}
+
+// run serves start-up and then one message after another.
 func (c *client) run(process uint32) (transport.Reason, error) {
 	defer c.leave()
 	if reason, err := c.startup(process); err != nil {
@@ -320,11 +380,19 @@
 	if reason, draining := c.all.isDraining(); draining { // it came after Drain had told all that were open
 		c.CloseIdle(reason)
 	}
+	return c.serveMessages()
+}
+
+// serveMessages reads one message after another and writes the answers. It goes on reading while answers are awaited.
+func (c *client) serveMessages() (transport.Reason, error) {
 	for {
 		reason, err := c.flush()
 		if err != nil {
 			return reason, err
 		}
+		if c.isCut() {
+			return c.leaveOff()
+		}
 		if c.waiting() > 0 {
 			if reason, err = c.watch(); errors.Is(err, transport.ErrWoken) {
 				continue
@@ -335,19 +403,26 @@
 		if err == nil {
 			reason, err = c.message()
 		}
-		if errors.Is(err, transport.ErrWoken) && c.isCut() {
-			if reason, err := c.finish(); err != nil {
-				return reason, err
-			}
-			reason, _ := c.all.isDraining()
-			return reason, err
-		}
-		if err != nil {
+		switch {
+		case c.brokenBy != nil:
+			return c.broken, c.brokenBy
+		case errors.Is(err, transport.ErrWoken) && c.isCut():
+			return c.leaveOff()
+		case err != nil:
 			return reason, err
 		}
 	}
 }
 
+// leaveOff answers what was asked before and ends the connection, as the gateway stops.
+func (c *client) leaveOff() (transport.Reason, error) {
+	if reason, err := c.finish(); err != nil {
+		return reason, err
+	}
+	reason, _ := c.all.isDraining()
+	return reason, transport.ErrWoken
+}
+
 // message reads one message whose head has come. Whatever is to be said of it takes its place in the queue.
 func (c *client) message() (transport.Reason, error) {
 	h, err := postgres.ParseHeader(c.conn.Peek(postgres.HeaderSize))
@@ -363,15 +438,15 @@
 		if !c.skipping {
 			return c.query(h.Body, by)
 		}
-		return reasoned(c.conn.SkipBy(h.Body, by, c.isCut))
+		return reasoned(c.conn.SkipBy(h.Body, by, c.interrupted))
 	case postgres.TypeTerminate:
 		return transport.EndTerminate, io.EOF
 	case postgres.TypeSync:
 		c.skipping = false
 		c.say(postgres.AppendReady(nil))
-		return reasoned(c.conn.SkipBy(h.Body, by, c.isCut))
+		return reasoned(c.conn.SkipBy(h.Body, by, c.interrupted))
 	case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f':
-		if err = c.conn.SkipBy(h.Body, by, c.isCut); err != nil || c.skipping || h.Type == 'H' || h.Type >= 'a' {
+		if err = c.conn.SkipBy(h.Body, by, c.interrupted); err != nil || c.skipping || h.Type == 'H' || h.Type >= 'a' {
 			return reasoned(err)
 		}
 		c.all.Counts.Unsupported.Add(1)
@@ -434,12 +509,12 @@
 
 // finish answers what was asked before and reads nothing more.
 func (c *client) finish() (transport.Reason, error) {
+	c.deaf = true
 	for c.waiting() > 0 {
 		if reason, err := c.flush(); err != nil {
 			return reason, err
 		}
 		if c.waiting() > 0 {
-			c.deaf = true
 			if reason, err := c.watch(); err != nil && !errors.Is(err, transport.ErrWoken) {
 				return reason, err
 			}
@@ -454,7 +529,7 @@
 		return reason, err
 	}
 	if c.write(postgres.AppendError(nil, true, postgres.CodeProtocol, cause.Error(), 0)) == nil {
-		c.conn.Linger(time.Now().Add(c.all.Limits.Linger), lingerBytes)
+		c.all.linger(c.conn)
 	}
 	return transport.EndProtocol, cause
 }
--- /dev/null
+++ b/internal/session/crossing_test.go
@@ -0,0 +1,352 @@
+package session
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"marblespan/brain"
+	"marblespan/internal/protocol/postgres"
+	"marblespan/internal/routing"
+	"marblespan/internal/settings"
+	"marblespan/internal/standin"
+	"marblespan/internal/transport"
+)
+
+// crossing is a client's connection without a goroutine of its own: the test calls its steps one by one and lets things
+// happen between two of them.
+type crossing struct {
+	t    *testing.T
+	c    *client
+	peer *net.TCPConn
+	told chan routing.Event
+}
+
+func newCrossing(t *testing.T) *crossing {
+	t.Helper()
+	c, peer := idleClient(t)
+	x := &crossing{t: t, c: c, peer: peer.(*net.TCPConn), told: make(chan routing.Event, 1024)}
+	c.all.Owner, c.all.Clock, c.all.Buffers = poster(x.told), routing.NewClock(), transport.NewBuffers(1<<24)
+	c.all.Counts = &ClientCounts{}
+	c.all.Facts = settings.NewLive(&settings.Facts{
+		Settings: brain.Settings{Classes: []brain.Class{{Name: "look", Need: brain.NeedAny}, {Name: "put", Need: brain.NeedWrite}}},
+		Classes:  map[string]int{"look": 0, "put": 1}, Names: []string{"look", "put"},
+	})
+	c.all.Limits.Pause = patience
+	return x
+}
+
+func lookStatement(id string) []byte {
+	return postgres.AppendQuery(nil, "/* id="+id+",c=look,d=4000,cluster=7 */ SELECT content FROM kv WHERE name = 'k'")
+}
+
+// largeStatement is longer than a buffer.
+func largeStatement(id string) []byte {
+	return postgres.AppendQuery(nil, "/* id="+id+",c=put,d=4000,cluster=7 */ INSERT INTO kv (name, content) VALUES ('k', '\\x"+
+		strings.Repeat("01", transport.BufferSize)+"') RETURNING content")
+}
+
+// arrives waits until all that the peer has written is in our kernel.
+func (x *crossing) arrives(closed bool) {
+	x.t.Helper()
+	for end := time.Now().Add(patience); x.c.conn.Quiet() || closed && !x.c.conn.PeerClosed(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			x.t.Fatal("what the peer wrote never came")
+		}
+	}
+}
+
+// asked is the next request that was handed to the owner.
+func (x *crossing) asked() *routing.Request {
+	x.t.Helper()
+	select {
+	case ev := <-x.told:
+		return ev.(*routing.Request)
+	case <-time.After(patience):
+		x.t.Fatal("nothing was asked")
+		return nil
+	}
+}
+
+// served has the owner's answer left for a request.
+func (x *crossing) served(r *routing.Request, text string) {
+	value := x.c.all.Buffers.NewMessage()
+	value.Append([]byte(text))
+	r.Client.Answer(routing.Answer{Kind: routing.Served, Value: value})
+}
+
+// A client that sends much at once and goes: none of it is asked once its close is here, although the close lies behind bytes
+// that nobody has read. Fails without the look for it in query.
+func TestNothingIsAskedForAClientThatHasGone(t *testing.T) {
+	x := newCrossing(t)
+	x.peer.Write(bytes.Repeat(lookStatement("x"), 200))
+	x.peer.Close()
+	x.arrives(true)
+	if reason, err := x.c.serveMessages(); err == nil || reason != transport.EndPeerGone {
+		t.Errorf("ended with %v, %v", reason, err)
+	}
+	if n := len(x.told); n != 0 {
+		t.Errorf("%d events for the owner", n)
+	}
+}
+
+// A client whose requests fill its part of the queue is not read from; its leaving is noticed all the same, and each of its
+// requests is given up. Fails without the look for it in watchUnread.
+func TestLeavingIsNoticedWhileNothingIsRead(t *testing.T) {
+	x := newCrossing(t)
+	x.peer.Write(bytes.Repeat(lookStatement("x"), 4*mostAsked))
+	ended := make(chan transport.Reason, 1)
+	go func() {
+		reason, _ := x.c.serveMessages()
+		x.c.leave()
+		ended <- reason
+	}()
+	for range mostAsked {
+		x.asked()
+	}
+	x.peer.Close()
+	if reason := <-ended; reason != transport.EndPeerGone {
+		t.Errorf("ended with %v", reason)
+	}
+	for range mostAsked {
+		if _, gone := (<-x.told).(routing.Gone); !gone {
+			t.Fatal("a request was asked behind the close")
+		}
+	}
+}
+
+// While a bad message makes its sender wait, the answers to what it asked before go out, and its leaving is noticed. Fails
+// where the pause sleeps.
+func TestPauseLetsAnswersOutAndSeesTheClose(t *testing.T) {
+	x := newCrossing(t)
+	x.peer.Write(append(lookStatement("x"), postgres.AppendQuery(nil, "DROP TABLE kv")...))
+	ended := make(chan transport.Reason, 1)
+	go func() {
+		reason, _ := x.c.serveMessages()
+		ended <- reason
+	}()
+	x.served(x.asked(), "the answer")
+	got := make([]byte, len("the answer"))
+	if _, err := io.ReadFull(x.peer, got); err != nil || string(got) != "the answer" {
+		t.Errorf("read %q, %v", got, err)
+	}
+	x.peer.Close()
+	if reason := <-ended; reason != transport.EndPeerGone {
+		t.Errorf("ended with %v", reason)
+	}
+}
+
+// An answer goes out while the next message, longer than a buffer, is still on its way in. Fails where Fill is not
+// interrupted for it.
+func TestAnswerWhileALargeMessageComesIn(t *testing.T) {
+	x := newCrossing(t)
+	large := largeStatement("y")
+	x.peer.Write(append(lookStatement("x"), large[:transport.BufferSize+100]...))
+	go x.c.serveMessages()
+	first := x.asked()
+	x.served(first, "the answer")
+	got := make([]byte, len("the answer"))
+	if _, err := io.ReadFull(x.peer, got); err != nil || string(got) != "the answer" {
+		t.Fatalf("read %q, %v", got, err)
+	}
+	x.peer.Write(large[transport.BufferSize+100:])
+	if r := x.asked(); r.ID != "y" {
+		t.Errorf("then asked %q", r.ID)
+	}
+}
+
+// A stop that comes between a request's head and its body takes the request in: it has come whole. Fails where a cut ends
+// the reading at once.
+func TestCutBetweenHeadAndBody(t *testing.T) {
+	x := newCrossing(t)
+	large := largeStatement("x")
+	x.peer.Write(large[:postgres.HeaderSize])
+	if reason, err := x.c.idle(postgres.HeaderSize); err != nil {
+		t.Fatal(reason, err)
+	}
+	x.peer.Write(large[postgres.HeaderSize:])
+	x.arrives(false)
+	x.c.all.open = map[*client]struct{}{x.c: {}}
+	x.c.all.CutOff()
+	if reason, err := x.c.message(); err != nil {
+		t.Fatalf("ended with %v, %v", reason, err)
+	}
+	if r := x.asked(); r.ID != "x" {
+		t.Errorf("asked %q", r.ID)
+	}
+}
+
+// The rest of a message that does not come ends the connection soon after the cut, wherever it stopped: within the head, or
+// behind it.
+func TestCutEndsHalfMessages(t *testing.T) {
+	for _, part := range []int{1, postgres.HeaderSize + 20} {
+		x := newCrossing(t)
+		x.c.all.open = map[*client]struct{}{x.c: {}}
+		x.peer.Write(lookStatement("x")[:part])
+		x.arrives(false)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := x.c.serveMessages()
+			ended <- err
+		}()
+		x.c.all.Drain(transport.EndDrain)
+		x.c.all.CutOff()
+		select {
+		case err := <-ended:
+			if !errors.Is(err, transport.ErrWoken) {
+				t.Errorf("%d bytes: ended with %v", part, err)
+			}
+		case <-time.After(patience):
+			t.Errorf("%d bytes: the connection goes on", part)
+		}
+	}
+}
+
+// A resting connection is closed, and a request arrives in that very moment: it is not read and sent on, and the client sees
+// an orderly end, after which it may ask again elsewhere. Fails without linger in Serve.
+func TestRequestCrossesTheCloseOfARestingConnection(t *testing.T) {
+	x := newCrossing(t)
+	x.c.all.Limits.Linger = patience
+	startup := postgres.AppendStartup(nil, "backend", "store")
+	x.peer.Write(startup)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		x.c.all.Serve(x.c.conn, true)
+	}()
+	x.readReady()
+	x.c.all.Drain(transport.EndDrain)
+	x.readEnd()
+	for range 2 { // a reset would show at the second
+		if _, err := x.peer.Write(lookStatement("x")); err != nil {
+			t.Errorf("the connection was reset: %v", err)
+		}
+	}
+	x.peer.Close()
+	<-served
+	if n := len(x.told); n != 0 {
+		t.Errorf("%d events for the owner", n)
+	}
+}
+
+// A client for which there is no room reads its refusal whole and an orderly end, whatever it has sent by then. Fails
+// without linger in turnAway.
+func TestRefusalBeforeTheStartUpIsRead(t *testing.T) {
+	x := newCrossing(t)
+	x.c.all.Limits.Linger = patience
+	x.peer.Write(append(postgres.AppendStartup(nil, "backend", "store"), lookStatement("x")...))
+	x.arrives(false)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		x.c.all.Serve(x.c.conn, false)
+	}()
+	got, err := io.ReadAll(x.peer)
+	if err != nil || !bytes.Contains(got, []byte("C"+postgres.CodeRefused+"\x00")) {
+		t.Errorf("read %q, %v", got, err)
+	}
+	x.peer.Close()
+	<-served
+}
+
+func (x *crossing) readReady() {
+	x.t.Helper()
+	x.peer.SetReadDeadline(time.Now().Add(patience))
+	for {
+		head := make([]byte, postgres.HeaderSize)
+		if _, err := io.ReadFull(x.peer, head); err != nil {
+			x.t.Fatal(err)
+		}
+		h, err := postgres.ParseHeader(head)
+		if err != nil {
+			x.t.Fatal(err)
+		}
+		if _, err := io.CopyN(io.Discard, x.peer, int64(h.Body)); err != nil {
+			x.t.Fatal(err)
+		}
+		if h.Type == postgres.TypeReady {
+			return
+		}
+	}
+}
+
+func (x *crossing) readEnd() {
+	x.t.Helper()
+	x.peer.SetReadDeadline(time.Now().Add(patience))
+	if n, err := x.peer.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		x.t.Fatalf("%d bytes, %v, want the end", n, err)
+	}
+}
+
+// A task that is given up in the very moment in which its answer was read whole leaves a connection that is not used again.
+// Fails without the look for the abort in settle.
+func TestAbandonedBehindItsAnswer(t *testing.T) {
+	r := newRig(t)
+	answered := newTask(r.job("a"))
+	l := &link{all: r.servers, place: r.servers.place(1), current: answered}
+	if _, _, err := l.connect(answered); err != nil {
+		t.Fatal(err)
+	}
+	e, reason, err := l.exchange(answered)
+	answered.link = l
+	answered.Cancel()
+	if reason, err := l.settle(answered, e, reason, err); reason != carryOn || err != nil {
+		t.Fatal(reason, err)
+	}
+	if e := r.ended(); e.Result != brain.ResultOK {
+		t.Errorf("the answer was lost: %d", e.Result)
+	}
+	if _, ok := r.servers.place(1).idle.Take(); ok {
+		t.Error("the connection was kept")
+	}
+	if reason, _ := l.idle(); reason != transport.EndAbandoned {
+		t.Errorf("the connection ended with %v", reason)
+	}
+}
+
+// A task that is given up between the connection's coming up and the first byte is not sent: the server never sees it. Fails
+// without the look for the abort in Write.
+func TestAbandonedBeforeItsFirstByte(t *testing.T) {
+	r := newRig(t)
+	task := newTask(r.job("a"))
+	l := &link{all: r.servers, place: r.servers.place(1), current: task}
+	if _, _, err := l.connect(task); err != nil {
+		t.Fatal(err)
+	}
+	task.Cancel()
+	if e, _, _ := l.exchange(task); e.result != brain.ResultCancelled {
+		t.Errorf("ended with %d", e.result)
+	}
+	task.Payload.Free()
+	l.conn.Close()
+	<-r.server.Closed
+	if n := len(r.server.Queries()); n != 0 {
+		t.Errorf("%d statements reached the server", n)
+	}
+}
+
+// An answer that is complete but for ReadyForQuery is passed on soon, not at the request's end; likewise an error.
+func TestAnswerWithoutReadyForQuery(t *testing.T) {
+	for want, handle := range map[brain.Result]func(*standin.Query){
+		brain.ResultOK:    func(q *standin.Query) { q.Write(standin.Row([]byte("v"))) },
+		brain.ResultError: func(q *standin.Query) { q.Write(standin.Row([]byte("v"))[:30]) },
+		brain.ResultFull: func(q *standin.Query) {
+			q.Write(postgres.AppendError(nil, false, postgres.CodeRefused, "full", 0))
+		},
+	} {
+		r := newRig(t)
+		r.server.SetHandle(handle)
+		job := r.job("a")
+		job.Until = job.Sent + 4*brain.Micros(patience/time.Microsecond)
+		r.servers.Send(job)
+		if e := r.ended(); e.Result != want {
+			t.Errorf("ended with %d, want %d", e.Result, want)
+		} else {
+			e.Value.Free()
+		}
+	}
+}
--- a/internal/session/link.go
+++ b/internal/session/link.go
@@ -163,6 +163,11 @@
 		return transport.EndPeerClosed, nil
 	}
 	e, reason, err := l.exchange(t)
+	return l.settle(t, e, reason, err)
+}
+
+// settle keeps the connection or closes it, and tells the owner how its task ended.
+func (l *link) settle(t *task, e ended, reason transport.Reason, err error) (transport.Reason, error) {
 	l.served++
 	if reason != carryOn {
 		l.end()
@@ -183,7 +188,11 @@
 	}
 	l.mu.Lock()
 	l.current = nil
-	if !l.closing && l.all.place(l.place.server) != l.place { // the list has moved the server meanwhile
+	switch {
+	case l.closing:
+	case l.conn.Aborted(): // the task was given up in the very moment in which it was done
+		l.closing, l.reason = true, transport.EndAbandoned
+	case l.all.place(l.place.server) != l.place: // the list has moved the server meanwhile
 		l.closing, l.reason = true, transport.EndReplaced
 	}
 	closing := l.closing
@@ -291,6 +300,8 @@
 		e.result, e.value = brain.ResultOK, value
 	case reply.Code != "":
 		e.result = resultOf(reply.Code, false)
+	case errors.Is(err, errStalled):
+		e, reason = ended{result: brain.ResultError}, transport.EndProtocol
 	case errors.Is(err, transport.ErrWoken):
 		e.result, reason = brain.ResultCancelled, transport.EndAbandoned
 	case errors.Is(err, transport.ErrDeadline):
@@ -338,6 +349,9 @@
 // errProtocol marks what a server must not send.
 var errProtocol = errors.New("protocol broken")
 
+// errStalled tells of an answer that has begun and then stopped. What it told in whole messages holds.
+var errStalled = errors.New("the answer stopped in its middle")
+
 // read reads messages up to ReadyForQuery. What belongs to the value goes into value; of a probe's row it returns
 // the text. An answer that has begun must go on: one that stops for longer than a connection may take to come up is
 // spoilt, and its request need not wait for its own end. Harm: a machine that is held up in the middle of an answer.
@@ -420,7 +434,7 @@
 // stalled tells an answer that stopped from one that did not come in time.
 func stalled(err error, due, by time.Time) error {
 	if errors.Is(err, transport.ErrDeadline) && due.Before(by) {
-		return errors.Join(errProtocol, errors.New("the answer stopped in its middle"))
+		return errStalled
 	}
 	return err
 }
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -250,7 +250,6 @@
 	x.mu.Unlock()
 	x.listener.Close()
 	<-x.accepted
-	x.listener.Release()
 	x.done.Wait()
 	x.listener.Wait()
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // past is a deadline that has been; setting it wakes a reader.
@@ -44,7 +46,7 @@
 // Wake ends the wait under way, or the next one whose pending sees what was left.
 func (c *Conn) Wake() { c.nc.SetReadDeadline(past) }
 
-// Abort ends whatever the serving goroutine reads or writes, and with ReadFull whatever it would read next.
+// Abort ends whatever the serving goroutine reads or writes, and whatever it would write, or read by ReadFull, next.
 func (c *Conn) Abort() {
 	c.aborted.Store(true)
 	c.nc.SetDeadline(past)
@@ -125,9 +127,15 @@
 // Write writes all bytes, or tells how many went out.
 func (c *Conn) Write(deadline time.Time, parts net.Buffers) (int64, error) {
 	c.nc.SetWriteDeadline(deadline)
+	if c.aborted.Load() { // as in ReadFull
+		return 0, ErrDeadline
+	}
 	return parts.WriteTo(c.nc)
 }
 
+// Aborted tells whether Abort was called: the connection is of no further use.
+func (c *Conn) Aborted() bool { return c.aborted.Load() }
+
 // Quiet tells that the peer has neither closed nor sent anything unasked. It asks the kernel, so it also sees
 // what came a moment ago: a request written to a connection that the peer has closed would end as a reset, and
 // nobody could tell whether it ran.
@@ -148,6 +156,22 @@
 	return err == nil && quiet
 }
 
+// PeerClosed tells that the peer has ended its sending side or broken the connection, however many bytes of its are still
+// unread. It asks the kernel.
+func (c *Conn) PeerClosed() bool {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		closed = err == nil && n > 0
+	})
+	return err != nil || closed
+}
+
 // Close ends the connection; when it returns the kernel has closed it. Only the goroutine that serves the
 // connection calls it.
 func (c *Conn) Close() {
@@ -160,7 +184,8 @@
 }
 
 // Linger ends the sending side and passes over what still comes until the peer closes, a limit of bytes or the
-// deadline: closing with bytes unread would reset the connection and could take the last answer with it.
+// deadline: closing with bytes unread would reset the connection and could take the last answer with it. Whatever the
+// peer sent just then it may send again elsewhere, as it sees an orderly end with no answer.
 func (c *Conn) Linger(deadline time.Time, most int64) {
 	if c.nc.CloseWrite() != nil {
 		return
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -17,7 +17,8 @@
 // backlogPause is how long a closing listener looks for connections that the kernel has already accepted.
 const backlogPause = 5 * time.Millisecond
 
-// backlogBound is how long it takes in those that are left then, where it had no processor in that time.
+// backlogBound is how long it takes in those that are left then, where it had no processor in that time or others go on
+// connecting.
 const backlogBound = time.Second
 
 // Listener accepts connections for as long as the gateway runs.
@@ -45,15 +46,15 @@
 
 // Serve accepts until Close and serves each connection on a goroutine of its own. Accepting never stops for want
 // of descriptors: a request counts from the moment the kernel has it, whether it was accepted here or not. A connection
-// that finds no room is handed over with the word that it cannot stay.
+// that finds no room is handed over with the word that it cannot stay. When Serve returns the address is free: nobody can
+// connect any more and then wait for a gateway that takes nobody in.
 func (l *Listener) Serve(serve func(conn *Conn, stays bool)) {
-	for left := -1; left != 0; { // how many are left to take in; below 0: as many as come
+	defer l.nl.Close()
+	var last time.Time // when a closing listener takes in nobody more
+	for last.IsZero() || l.waiting() > 0 && time.Now().Before(last) {
 		nc, err := l.nl.AcceptTCP()
 		switch {
 		case err == nil:
-			if left > 0 {
-				left--
-			}
 			stays := l.take()
 			l.served.Add(1)
 			go func() {
@@ -64,12 +65,11 @@
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			// Past its deadline Accept does not look at what is there. A gateway that stood still until then would cut off
-			// all who wait; who comes later than now is not waited for.
-			if left > 0 {
-				return
+			// all who wait.
+			if last.IsZero() {
+				last = time.Now().Add(backlogBound)
+				l.nl.SetDeadline(last)
 			}
-			left = l.waiting()
-			l.nl.SetDeadline(time.Now().Add(backlogBound))
 		default:
 			l.fds.makeRoom()
 			time.Sleep(acceptPause)
@@ -103,9 +103,6 @@
 	l.nl.SetDeadline(time.Now().Add(backlogPause))
 }
 
-// Release gives the address free, after Serve has returned.
-func (l *Listener) Release() { l.nl.Close() }
-
 // Wait blocks until every connection that was accepted has been served to its end.
 func (l *Listener) Wait() { l.served.Wait() }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -377,7 +377,6 @@
 			c.Close()
 		})
 		l.Wait()
-		l.Release()
 		if len(served) != len(peers) {
 			t.Errorf("%v late: %d of %d served", late, len(served), len(peers))
 		}
