Settings without effect, deadline, window or fitting shares are refused with the key named

Read in the code: a class without effect passed for one that must not run twice, a deadline of 0 for one tick, a window of 0 and tenants' shares were not read at all. Each is refused at the start (exit code 1) and at SIGHUP (logged, nothing changes) with its key; the simulator's wire takes them as before. Tests: 16 faulty settings, shares written rounded.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -51,6 +51,30 @@
 	return raw
 }
 
+// classWith is a list of one keyed write with a key set or removed.
+func classWith(key string, value any) []any {
+	class := map[string]any{"name": "put", "aim_ms": 100, "give_up_ms": 500, "effect": "guarded", "key_ttl_ms": 700, "points": 1}
+	if class[key] = value; value == nil {
+		delete(class, key)
+	}
+	return []any{class}
+}
+
+// tenants is a list of names with their shares.
+func tenants(pairs ...any) (list []any) {
+	for i := 0; i < len(pairs); i += 2 {
+		list = append(list, map[string]any{"name": pairs[i], "portion": pairs[i+1], "quota_per_s": 10})
+	}
+	return list
+}
+
+// Shares that add up to the whole are none at fault, also where they are written rounded.
+func TestSharesOfTheWhole(t *testing.T) {
+	if _, err := Parse(change(t, "settings.realms", tenants("a", 0.334, "b", 0.333, "c", 0.334)), none); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestFaultyKeysAreNamed(t *testing.T) {
 	for _, c := range []struct {
 		path  string
@@ -70,6 +94,22 @@
 		{"settings.family_info.freshness", []string{"strong", "purple"}, "settings.family_info.freshness[1]"},
 		{"settings.family_info.checks", "maybe", "settings.family_info.checks"},
 		{"settings.policy_limits.probing", 3, "settings.policy_limits.probing"},
+		{"settings.classes", classWith("effect", nil), "settings.classes[0].effect"},
+		{"settings.classes", classWith("effect", "sideways"), "settings.classes[0].effect"},
+		{"settings.classes", classWith("give_up_ms", nil), "settings.classes[0].give_up_ms"},
+		{"settings.classes", classWith("give_up_ms", 0), "settings.classes[0].give_up_ms"},
+		{"settings.classes", classWith("give_up_ms", -5), "settings.classes[0].give_up_ms"},
+		{"settings.classes", classWith("key_ttl_ms", nil), "settings.classes[0].key_ttl_ms"},
+		{"settings.classes", classWith("key_ttl_ms", 0), "settings.classes[0].key_ttl_ms"},
+		{"settings.classes", classWith("name", nil), "settings.classes[0].name"},
+		{"settings.classes", append(classWith("aim_ms", 200), classWith("aim_ms", 300)...), "settings.classes[1].name"},
+		{"settings.realms", tenants("a", 0.5, "b", 0.6), "settings.realms[1].portion"},
+		{"settings.realms", tenants("a", 1.5), "settings.realms[0].portion"},
+		{"settings.realms", tenants("a", 0), "settings.realms[0].portion"},
+		{"settings.realms", tenants("a", -0.5), "settings.realms[0].portion"},
+		{"settings.realms", tenants("a", "half"), "settings.realms[0].portion"},
+		{"settings.realms", tenants("a", 0.5, "a", 0.5), "settings.realms[1].name"},
+		{"settings.realms", tenants("", 0.5), "settings.realms[0].name"},
 	} {
 		_, err := Parse(change(t, c.path, c.value), none)
 		var fault *KeyError
--- a/internal/program/told_test.go
+++ b/internal/program/told_test.go
@@ -115,3 +115,28 @@
 		t.Errorf("ready after %v", took)
 	}
 }
+
+// A restarted gateway with an old list is ready at once where the list is asked for, whatever discovery does: silent, crowded,
+// down, or slow to connect to. Without a list it is ready with the first one that comes.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	silent := must2(standin.NewDiscovery())
+	defer silent.Close()
+	silent.Answer("silent")
+	crowded := must2(standin.NewDiscovery())
+	defer crowded.Close()
+	crowded.Answer("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+	for name, addr := range map[string]string{
+		"silent": silent.Addr(), "crowded": crowded.Addr(), "down": "127.0.0.1:1",
+	} {
+		w := newWorld(t, func(c *config.Config) { c.Discovery = addr })
+		w.asks(w.dial(), "", "", "")
+		w.asks(w.dial(), look(name), "value of "+name, "")
+	}
+	w := newWorld(t, func(c *config.Config) { c.Known.Entries = nil; c.Discovery = crowded.Addr() })
+	c := w.dial()
+	w.asks(c, "", "", "57P03")
+	crowded.SetTargets(w.targets()...)
+	crowded.Answer("")
+	eventually(t, func() bool { _, code, err := ask(c, ""); return err == nil && code == "" },
+		func() string { return "not ready with a list" })
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,15 +65,17 @@
 		Aim        number `json:"aim_ms"`
 		Deadline   number `json:"give_up_ms"`
 		Effect     string `json:"effect"`
+		Window     number `json:"key_ttl_ms"`
 		Worth      number `json:"points"`
 		LateWorth  number `json:"late_worth"`
 		AimStretch number `json:"aim_stretch"`
 	} `json:"classes"`
-	Balancers int    `json:"balancers"`
-	Ordinal   int    `json:"ordinal"`
-	Tick      number `json:"granularity_ms"`
-	Zone      string `json:"locality"`
-	Mode      string `json:"membership_mode"`
+	Tenants   []wireTenant `json:"realms"`
+	Balancers int          `json:"balancers"`
+	Ordinal   int          `json:"ordinal"`
+	Tick      number       `json:"granularity_ms"`
+	Zone      string       `json:"locality"`
+	Mode      string       `json:"membership_mode"`
 	Family    struct {
 		Checks    string   `json:"checks"`
 		Bounds    []number `json:"oldest_data_ms"`
@@ -112,9 +114,12 @@
 	} `json:"rules"`
 }
 
+// wordKeyed is the effect of a class whose repeats are dropped by a key, within a window.
+const wordKeyed = "guarded"
+
 var effects = map[string]brain.Effect{
 	"free": brain.EffectSafe, "single_shot": brain.EffectUnsafe,
-	"guarded": brain.EffectUnsafe, // repeats dropped by a key: read in the strictest sense, never repeated
+	wordKeyed: brain.EffectUnsafe, // repeats dropped by a key: read in the strictest sense, never repeated
 }
 
 var needs = map[string]brain.Need{
@@ -163,10 +168,16 @@
 		if i < len(w.Family.Bounds) {
 			k.Bound = p.time(fmt.Sprintf("family_info.oldest_data_ms[%d]", i), w.Family.Bounds[i])
 		}
-		if _, twice := f.Classes[c.Name]; twice {
-			p.doubt(key+"name", "%.40q stands twice", c.Name)
+		p.checkName(key+"name", c.Name, f.Classes, i)
+		if c.Effect == "" {
+			p.doubt(key+"effect", "missing")
+		}
+		if k.Deadline == 0 {
+			p.doubt(key+"give_up_ms", "missing or 0: no request could be answered")
+		}
+		if window := p.time(key+"key_ttl_ms", c.Window); c.Effect == wordKeyed && window == 0 {
+			p.doubt(key+"key_ttl_ms", "missing or 0: no repeat could be told")
 		}
-		f.Classes[c.Name] = i
 		f.Names = append(f.Names, c.Name)
 		s.Classes = append(s.Classes, k)
 	}
@@ -180,6 +191,7 @@
 			p.doubt(list.key, "has %d entries for %d classes", list.n, len(w.Classes))
 		}
 	}
+	checkTenants(&p, w.Tenants)
 	f.Zero = p.time("family_info.counted_from_ms", w.Family.Zero)
 	f.Keepalive = p.time("policy_limits.keepalive_ms", l.Keepalive)
 	s.Gateways, s.Ordinal, s.Zone = w.Balancers, w.Ordinal, w.Zone
@@ -208,6 +220,32 @@
 	return f, nil
 }
 
+// shareRounding is how much more than the whole the shares of the tenants may add up to, in thousandths: they are written
+// rounded.
+const shareRounding = 5
+
+// wireTenant is one of those whom requests belong to.
+type wireTenant struct {
+	Name  string `json:"name"`
+	Share number `json:"portion"`
+}
+
+// checkTenants notes names that are missing or stand twice, and shares that are none, or more than the whole together.
+func checkTenants(p *scaler, tenants []wireTenant) {
+	names, total := map[string]int{}, int64(0)
+	for i, t := range tenants {
+		key := fmt.Sprintf("realms[%d].", i)
+		p.checkName(key+"name", t.Name, names, i)
+		share := p.thousandths(key+"portion", t.Share)
+		if t.Share != "" && share == 0 {
+			p.doubt(key+"portion", "%s is no share", string(t.Share))
+		}
+		if total += share; share > 1000 || total > 1000+shareRounding {
+			p.doubt(key+"portion", "%s brings the shares over the whole", string(t.Share))
+		}
+	}
+}
+
 // word looks a word up; one that is missing or not known has the zero value, the strictest.
 func word[T any](p *scaler, key string, table map[string]T, name string) T {
 	v, ok := table[name]
@@ -227,6 +265,17 @@
 	*p.doubts = append(*p.doubts, &KeyError{key, fmt.Sprintf(format, a...)})
 }
 
+// checkName notes a name that is missing or stands twice, and keeps it with its index.
+func (p *scaler) checkName(key, name string, names map[string]int, i int) {
+	if _, twice := names[name]; twice {
+		p.doubt(key, "%.40q stands twice", name)
+	}
+	if name == "" {
+		p.doubt(key, "missing")
+	}
+	names[name] = i
+}
+
 func (p *scaler) thousandths(key string, n number) int64 {
 	if n == "" {
 		return 0
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -58,6 +58,13 @@
 	d.mu.Unlock()
 }
 
+// SetTargets changes the list for calls to come, without a word to the watches.
+func (d *Discovery) SetTargets(targets ...Target) {
+	d.mu.Lock()
+	d.rev, d.targets = d.rev+1, targets
+	d.mu.Unlock()
+}
+
 // Push writes changes to every watch.
 func (d *Discovery) Push(changed ...Target) {
 	d.mu.Lock()
