--- /dev/null
+++ b/internal/program/leaving_test.go
@@ -0,0 +1,151 @@
+package program
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"marblespan/internal/config"
+	"marblespan/internal/standin"
+)
+
+// ways are the ways in which a client leaves.
+var ways = map[string]func(*net.TCPConn){
+	"closed":      func(c *net.TCPConn) { c.Close() },
+	"half closed": func(c *net.TCPConn) { c.CloseWrite() },
+	"reset":       func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+}
+
+// gone waits until so many requests of a class are known to have lost their client.
+func (w *world) gone(class int, n int64) {
+	w.t.Helper()
+	eventually(w.t, func() bool { return w.counts().Gone[class] == n },
+		func() string { return fmt.Sprintf("%d requests without a client, want %d", w.counts().Gone[class], n) })
+}
+
+// A request whose client has left is not sent on, wherever it is by then: waiting in the queue, or between two attempts.
+// Fails where Gone does not end the request in the module (Dropped).
+func TestClientLeavesBeforeAnAttempt(t *testing.T) {
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, nil)
+			w.replica.SetHandle(func(q *standin.Query) { q.Fail("25006") })
+			turnedAway := make(chan struct{}, 64)
+			w.primary.SetHandle(func(q *standin.Query) {
+				q.Fail("53300")
+				turnedAway <- struct{}{}
+			})
+			w.primary.Refuse("") // it takes connections, and turns each request away unseen
+			c := w.raw()
+			c.Write(query(put("x")))
+			<-turnedAway
+			leave(c.Conn.(*net.TCPConn))
+			w.gone(1, 1)
+			before := len(w.primary.Queries())
+			w.primary.SetHandle(func(q *standin.Query) { q.Serve([]byte("v")) })
+			w.asks(w.dial(), put("y"), "v", "")
+			if got := w.primary.Queries()[before:]; len(got) != 1 || !strings.Contains(got[0], "id=y") {
+				t.Errorf("behind the close the primary got %q", got)
+			}
+		})
+	}
+}
+
+// Likewise while a connection to a server is coming up: nothing is written on it once it has. Fails where a cancel does
+// not reach a link that is connecting.
+func TestClientLeavesWhileAConnectionComesUp(t *testing.T) {
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			slow := must2(net.Listen("tcp", "127.0.0.1:0"))
+			defer slow.Close()
+			w := newWorld(t, func(c *config.Config) {
+				for i := range c.Known.Entries {
+					if c.Known.Entries[i].Primary {
+						c.Known.Entries[i].Endpoint = slow.Addr().String()
+					}
+				}
+				c.Discovery = "127.0.0.1:1"
+				c.Facts.Settings.ConnectTimeout = 20_000_000
+				c.Facts.Settings.CanProbe = false
+			})
+			c := w.raw()
+			c.Write(query(put("x")))
+			server := must2(slow.Accept())
+			defer server.Close()
+			server.SetDeadline(time.Now().Add(patience))
+			want := len(startup())
+			if _, err := io.ReadFull(server, make([]byte, want)); err != nil {
+				t.Fatal(err)
+			}
+			leave(c.Conn.(*net.TCPConn))
+			w.gone(1, 1)
+			server.Write([]byte{'R', 0, 0, 0, 8, 0, 0, 0, 0, 'Z', 0, 0, 0, 5, 'I'})
+			if got, _ := io.ReadAll(server); len(got) > 0 {
+				t.Errorf("behind the close the server got %q", got)
+			}
+		})
+	}
+}
+
+// Likewise behind others of the same connection, more of them than are asked at once.
+func TestClientLeavesInAPipeline(t *testing.T) {
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, nil)
+			hold, arrived, release := holding(t)
+			w.primary.SetHandle(hold)
+			c := w.raw()
+			const pipelined = 300
+			var all []byte
+			for i := range pipelined {
+				all = append(all, query(put(fmt.Sprint("x", i)))...)
+			}
+			go c.Write(all)
+			<-arrived
+			eventually(t, func() bool { return w.counts().Requests[1] >= 60 }, func() string { return "not asked ahead" })
+			leave(c.Conn.(*net.TCPConn))
+			eventually(t, func() bool {
+				n := w.counts()
+				return n.Gone[1] > 0 && n.Gone[1] == n.Requests[1]
+			}, func() string { return fmt.Sprintf("%+v", w.counts()) })
+			sent := w.counts().Sends[1]
+			release()
+			w.asks(w.dial(), put("y"), "value of y", "")
+			if n := w.counts(); n.Sends[1] != sent+1 || n.Requests[1] >= pipelined {
+				t.Errorf("%d attempts behind the close; %d requests asked", n.Sends[1]-sent-1, n.Requests[1])
+			}
+		})
+	}
+}
+
+// Idle clients that fill the descriptors while discovery is down take them neither from discovery's return nor from servers,
+// and a request that is read has its answer. Fails where clients have no share of the descriptors (takeClient) and calls to
+// discovery none of their own (urgentDescriptors).
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	w := newWorld(t, func(c *config.Config) { c.Sockets = 64 })
+	w.lists(formFull, 1)
+	w.disc.Answer("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+	w.disc.Cut()
+	w.lists(formFailed, 2)
+	for range 200 {
+		nc := must2(net.Dial("tcp", w.gateway.Addr()))
+		defer nc.Close()
+		nc.Write(startup())
+	}
+	w.logged(`"party":"client"`, `"reason":"room"`)
+	draining := w.targets()[1]
+	draining.State = "draining"
+	w.disc.SetTargets(w.targets()[0], draining)
+	lists := w.counts().Lists[formFull]
+	w.disc.Answer("")
+	w.lists(formFull, lists+1)
+	c := w.dial()
+	w.asks(c, look("a"), "value of a", "")
+	w.asks(c, put("b"), "value of b", "")
+	if n := len(w.replica.Queries()); n != 0 {
+		t.Error("a read went to a server that discovery calls draining since its return")
+	}
+}
