--- a/cmd/marblespan/signals_test.go
+++ b/cmd/marblespan/signals_test.go
@@ -78,10 +78,14 @@
 		answered <- fmt.Sprint(value, " ", err)
 	}()
 	<-arrived
-	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM} {
-		cmd.Process.Signal(s)
+	cmd.Process.Signal(syscall.SIGHUP)
+	cmd.Process.Signal(syscall.SIGTERM)
+	until(t, lines, `"stopping"`)
+	for range 3 { // the answer to a later SIGHUP shows that the SIGTERM before it was taken in
+		cmd.Process.Signal(syscall.SIGTERM)
+		cmd.Process.Signal(syscall.SIGHUP)
+		until(t, lines, `"reloaded"`)
 	}
-	until(t, lines, "stopping")
 	close(release)
 	if got := <-answered; got != "value of a <nil>" {
 		t.Errorf("the request under way got %s", got)
--- a/internal/program/leaving_test.go
+++ b/internal/program/leaving_test.go
@@ -122,8 +122,7 @@
 }
 
 // Idle clients that fill the descriptors while discovery is down take them neither from discovery's return nor from servers,
-// and a request that is read has its answer. Fails where clients have no share of the descriptors (takeClient) and calls to
-// discovery none of their own (urgentDescriptors).
+// and a request that is read has its answer. Fails where idle clients are not asked to give way (makeRoom).
 func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
 	w := newWorld(t, func(c *config.Config) { c.Sockets = 64 })
 	w.lists(formFull, 1)
