What waits for a connection to a server that the list takes out or moves is taken back

Read in the code: between the choice of a server and the first byte lies the connection's coming up, up to the connect timeout. A drain told in that time did not reach the attempt; where the settings' grace is shorter than that timeout plus the slack the drain rule was broken, and after a move the request went to whoever is at the old place. The module says what is taken back (Withdraw), the link looks before its first byte; the attempt never ran and goes elsewhere.

--- a/brain/api.go
+++ b/brain/api.go
@@ -266,6 +266,10 @@
 // CloseIdle closes idle connections to a server.
 type CloseIdle struct{ Server ServerID }
 
+// Withdraw takes back what was sent to a server and has not begun there: it may not begin any more, and ends as what
+// could not connect.
+type Withdraw struct{ Server ServerID }
+
 // Forget tells that nothing is kept of a server any more: it is off the list and nothing is out at it.
 type Forget struct{ Server ServerID }
 
@@ -294,6 +298,7 @@
 func (SetTimer) action()  {}
 func (Probe) action()     {}
 func (CloseIdle) action() {}
+func (Withdraw) action()  {}
 func (Forget) action()    {}
 func (Tell) action()      {}
 func (Log) action()       {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -905,14 +905,10 @@
 	if m.Started > s.started {
 		s.started, s.limit = m.Started, min(s.limit, r.firstLimit())
 	}
-	switch m.State {
-	case MemberGone:
+	if m.State == MemberGone {
 		r.gone(s)
-	default:
-		s.state, s.forbidden = m.State, m.State == MemberDraining
-	}
-	if s.forbidden && s.group.primary == s {
-		r.losePrimary(s.group)
+	} else if s.state, s.forbidden = m.State, false; m.State == MemberDraining {
+		r.forbid(s)
 	}
 }
 
@@ -920,10 +916,16 @@
 func (r *Router) gone(s *server) {
 	s.state, s.listed = MemberGone, false
 	if !r.set.OnlyDrainingBinds {
-		s.forbidden = true
-		if s.group.primary == s {
-			r.losePrimary(s.group)
-		}
+		r.forbid(s)
+	}
+}
+
+// forbid takes a server out by the list's word; what waits for a connection to it does not begin any more.
+func (r *Router) forbid(s *server) {
+	s.forbidden = true
+	r.do(Withdraw{Server: s.id})
+	if s.group.primary == s {
+		r.losePrimary(s.group)
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1193,3 +1193,32 @@
 		t.Errorf("then ends after %d us of 2 s", end)
 	}
 }
+
+// What the list takes out gets nothing more, also of what waits for a connection there: it is taken back at once. Where only
+// draining binds, gone alone takes nothing back.
+func TestWhatHasNotBegunIsTakenBack(t *testing.T) {
+	for _, c := range []struct {
+		onlyDraining bool
+		state        brain.MemberState
+		want         int
+	}{
+		{false, brain.MemberDraining, 1}, {false, brain.MemberGone, 1}, {true, brain.MemberDraining, 1}, {true, brain.MemberGone, 0},
+		{false, brain.MemberReady, 0},
+	} {
+		set := settings()
+		set.OnlyDrainingBinds = c.onlyDraining
+		g := newRig(t, set)
+		g.group(3)
+		m := member(2, false)
+		m.State = c.state
+		n := 0
+		for _, a := range g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{m}}) {
+			if w, is := a.(brain.Withdraw); is && w.Server == 2 {
+				n++
+			}
+		}
+		if n != c.want {
+			t.Errorf("%+v: taken back %d times", c, n)
+		}
+	}
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -301,6 +301,8 @@
 			c.servers.Probe(a.Server, c.now, c.now+c.facts.Settings.ConnectTimeout)
 		case brain.CloseIdle:
 			c.servers.CloseIdle(a.Server)
+		case brain.Withdraw:
+			c.servers.Withdraw(a.Server)
 		case brain.Forget:
 			c.members.forget(a.Server)
 			c.servers.Forget(a.Server)
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -31,6 +31,7 @@
 type fakeServers struct {
 	jobs      []Job
 	cancelled []int
+	withdrawn []brain.ServerID
 	probes    []brain.ServerID
 	places    map[brain.ServerID]string
 }
@@ -50,6 +51,7 @@
 	s.probes = append(s.probes, id)
 }
 func (s *fakeServers) CloseIdle(brain.ServerID)           {}
+func (s *fakeServers) Withdraw(id brain.ServerID)         { s.withdrawn = append(s.withdrawn, id) }
 func (s *fakeServers) Forget(id brain.ServerID)           { delete(s.places, id) }
 func (s *fakeServers) Place(id brain.ServerID, at string) { s.places[id] = at }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -57,6 +57,7 @@
 	Send(Job) Attempt
 	Probe(server brain.ServerID, sent, until brain.Micros)
 	CloseIdle(brain.ServerID)
+	Withdraw(brain.ServerID)
 	Place(server brain.ServerID, endpoint string)
 	Forget(server brain.ServerID)
 }
--- a/internal/session/crossing_test.go
+++ b/internal/session/crossing_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -350,3 +351,97 @@
 		}
 	}
 }
+
+// slowServer accepts connections and leaves it to the test when they come up.
+type slowServer struct {
+	t *testing.T
+	l net.Listener
+}
+
+func newSlowServer(t *testing.T, r *rig) *slowServer {
+	s := &slowServer{t, listenLoopback(t)}
+	r.servers.Place(1, s.l.Addr().String())
+	return s
+}
+
+// accept takes a connection in and reads its start-up.
+func (s *slowServer) accept() net.Conn {
+	s.t.Helper()
+	s.l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	nc, err := s.l.Accept()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience))
+	if _, err := io.ReadFull(nc, make([]byte, len(postgres.AppendStartup(nil, "backend", "store")))); err != nil {
+		s.t.Fatal(err)
+	}
+	return nc
+}
+
+// admitted is a server's answer to a start-up.
+var admitted = []byte{'R', 0, 0, 0, 8, 0, 0, 0, 0, 'Z', 0, 0, 0, 5, 'I'}
+
+// A server that the list takes out, or moves, while a connection to it comes up gets no byte of a request on it: the attempt
+// never ran, and may go elsewhere. What is sent to it after its return does. Fails without withdrawn in exchange.
+func TestWithdrawnWhileAConnectionComesUp(t *testing.T) {
+	for name, change := range map[string]func(*rig){
+		"taken out": func(r *rig) { r.servers.Withdraw(1) },
+		"moved":     func(r *rig) { r.servers.Place(1, r.server.Addr()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.facts(func(f *settings.Facts) { f.Settings.ConnectTimeout = brain.Micros(patience / time.Microsecond) })
+			slow := newSlowServer(t, r)
+			r.servers.Send(r.job("a"))
+			nc := slow.accept()
+			change(r)
+			nc.Write(admitted)
+			if e := r.ended(); e.Result != brain.ResultConnectFailed {
+				t.Errorf("ended with %s", routing.ResultNames[e.Result])
+			}
+			if got, _ := io.ReadAll(nc); len(got) > 0 {
+				t.Errorf("the server got %q", got)
+			}
+			r.servers.Place(1, r.server.Addr())
+			r.servers.Send(r.job("b"))
+			if e := r.ended(); e.Result != brain.ResultOK {
+				t.Errorf("after the return: %s", routing.ResultNames[e.Result])
+			} else {
+				e.Value.Free()
+			}
+		})
+	}
+}
+
+// The time that a server is told is what is left when its first byte is written, not when its connection was asked for.
+// Fails where the time is taken before the connection is up.
+func TestTimeToldIsWhatIsLeft(t *testing.T) {
+	r := newRig(t)
+	r.facts(func(f *settings.Facts) { f.Settings.ConnectTimeout = brain.Micros(patience / time.Microsecond) })
+	slow := newSlowServer(t, r)
+	job := r.job("a")
+	r.servers.Send(job)
+	nc := slow.accept()
+	const late = 200_000
+	for r.servers.Clock.Now() < job.Sent+late {
+		time.Sleep(time.Millisecond)
+	}
+	nc.Write(admitted)
+	head := make([]byte, postgres.HeaderSize)
+	if _, err := io.ReadFull(nc, head); err != nil {
+		t.Fatal(err)
+	}
+	h, _ := postgres.ParseHeader(head)
+	body := make([]byte, h.Body)
+	if _, err := io.ReadFull(nc, body); err != nil {
+		t.Fatal(err)
+	}
+	told, err := strconv.Atoi((&standin.Query{SQL: string(body)}).Field("d"))
+	if most := int(job.Until-job.Sent-late) / 1000; err != nil || told > most || told < most/2 {
+		t.Errorf("told %d ms (%v), %d are left", told, err, most)
+	}
+	nc.Close()
+	r.ended()
+}
--- a/internal/session/link.go
+++ b/internal/session/link.go
@@ -269,8 +269,19 @@
 	return nil
 }
 
+// errWithdrawn tells that a server was taken out, or has moved, before the first byte of an attempt went there.
+var errWithdrawn = errors.New("withdrawn before its first byte")
+
+// withdrawn tells whether a task may not begin here any more.
+func (l *link) withdrawn(t *task) bool {
+	return !t.probe && (t.since != l.place.withdrawals.Load() || l.all.place(t.Server) != l.place)
+}
+
 // exchange writes a request and reads its answer.
 func (l *link) exchange(t *task) (ended, transport.Reason, error) {
+	if l.withdrawn(t) {
+		return ended{result: brain.ResultConnectFailed}, transport.EndReplaced, errWithdrawn
+	}
 	clock := l.all.Clock
 	until := clock.Time(t.Until)
 	var parts net.Buffers
--- a/internal/session/link_test.go
+++ b/internal/session/link_test.go
@@ -48,6 +48,13 @@
 	return r
 }
 
+// facts puts changed settings in force.
+func (r *rig) facts(change func(*settings.Facts)) {
+	next := *r.servers.Facts.Load()
+	change(&next)
+	r.servers.Facts.Store(&next)
+}
+
 // poster hands what is posted to a channel.
 type poster chan routing.Event
 
--- a/internal/session/servers.go
+++ b/internal/session/servers.go
@@ -42,6 +42,8 @@
 	endpoint string
 	idle     transport.Pool[*link]
 	doubted  atomic.Int64 // the clock's reading when a kept connection was last reset under a request
+	// withdrawals counts how often what had not begun here was taken back.
+	withdrawals atomic.Int64
 }
 
 // doubtFor is how long no kept connection is trusted with what must not run twice after one was reset under a request,
@@ -54,6 +56,7 @@
 type task struct {
 	routing.Job
 	probe bool
+	since int64 // the withdrawals at its place when it was sent
 	ctx   context.Context
 	stop  context.CancelFunc
 
@@ -104,6 +107,14 @@
 	}
 }
 
+// Withdraw has every attempt at a server that has not written its first byte end as one that could not connect: it may be
+// sent elsewhere.
+func (s *Servers) Withdraw(server brain.ServerID) {
+	if p := s.place(server); p != nil {
+		p.withdrawals.Add(1)
+	}
+}
+
 // Forget drops a server's place once nothing is out there. Its idle connections are closed.
 func (s *Servers) Forget(server brain.ServerID) {
 	s.mu.Lock()
@@ -154,6 +165,7 @@
 		go s.finish(t, ended{result: brain.ResultConnectFailed}) // the owner must not wait on its own queue
 		return
 	}
+	t.since = p.withdrawals.Load()
 	doubted := p.doubted.Load()
 	for !t.Once || int64(s.Clock.Now()-doubtFor) >= doubted {
 		l, ok := p.idle.Take()
--- a/internal/simwire/actions.go
+++ b/internal/simwire/actions.go
@@ -43,7 +43,7 @@
 		b = appendNumber(begin(b, "POLL", inst), int64(a.Server))
 	case brain.CloseIdle:
 		b = appendNumber(begin(b, "CLOSE_IDLE", inst), int64(a.Server))
-	case brain.Forget: // the simulator keeps its own servers
+	case brain.Forget, brain.Withdraw: // the simulator keeps its own servers; what is sent there has begun
 		return b
 	case brain.Tell:
 		b = begin(b, "MEMO_TO", inst)
