--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -97,7 +97,11 @@
 // A budget of one send a window each is hundreds from hundreds of gateways. A newcomer must stand the sum of them,
 // the few busy ones and the many quiet ones, and must still be eased in.
 func TestColdBudgetHoldsForTheSumOfGateways(t *testing.T) {
-	for _, n := range []int{3, 40, 200} {
+	for _, c := range []struct {
+		n       int
+		restart bool // half of the gateways start as the servers do, and have measured nothing
+	}{{3, false}, {20, false}, {20, true}, {30, false}, {30, true}, {40, false}, {200, false}, {200, true}} {
+		n := c.n
 		set := settings()
 		const replicas = 4
 		f := newFleet(t, n, replicas+1, set)
@@ -108,7 +112,12 @@
 		}
 		capacity := float64(warm) / replicas / 20 / 0.7 // answered a second at 70% load
 		started := f.rigs[0].now
-		for _, g := range f.rigs {
+		for i, g := range f.rigs {
+			if c.restart && i%2 == 0 {
+				set.Gateways = n
+				g.r, g.acts = brain.New(g.now, uint64(1000+i), set)
+				g.group(replicas + 1)
+			}
 			var news []brain.Member
 			for id := brain.ServerID(2); id <= replicas+1; id++ {
 				m := member(id, false)
@@ -134,12 +143,12 @@
 				warmth := float64(set.ColdShare)/1000 + 0.75*float64(at[i]-started)/float64(set.Ramp)
 				most := float64(set.FallMultiple) / 1000 * warmth * capacity * float64(set.FallWindow) / 1e6
 				if float64(k-i) > most {
-					t.Fatalf("%d gateways: %d sends to cold server %d within a fall window, it stands %.0f", n, k-i, id, most)
+					t.Fatalf("%+v: %d sends to cold server %d within a fall window, it stands %.0f", c, k-i, id, most)
 				}
 			}
 		}
 		if total < 100 {
-			t.Errorf("%d gateways: only %d sends to the newcomers: they never warm up", n, total)
+			t.Errorf("%+v: only %d sends to the newcomers: they never warm up", c, total)
 		}
 	}
 }
