--- /dev/null
+++ b/internal/program/stopping_test.go
@@ -0,0 +1,174 @@
+package program
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"marblespan/internal/config"
+	"marblespan/internal/routing"
+	"marblespan/internal/standin"
+)
+
+// stop begins a stop and returns when it has ended.
+func (w *world) stop() (ended chan struct{}) {
+	w.stopped = true
+	ended = make(chan struct{})
+	go func() {
+		w.gateway.Stop()
+		close(ended)
+	}()
+	w.logged(`"stopping"`)
+	return ended
+}
+
+// wantServed reads one answer and its value's end.
+func (c *reading) wantServed(value string) {
+	c.t.Helper()
+	if kinds, bodies := c.until('Z'); kinds != "TDCZ" || !strings.HasSuffix(bodies[1], value) {
+		c.t.Errorf("got %s %.200q, want %q", kinds, bodies, value)
+	}
+}
+
+// A request that was read and is not with routing yet when the stop begins is routed and answered. Fails where the stop ends
+// the owner while clients are open.
+func TestStopBeforeARequestIsRouted(t *testing.T) {
+	w := newWorld(t, nil)
+	c := w.raw()
+	held, release := make(chan struct{}), make(chan struct{})
+	go w.gateway.owner.Ask(func(*routing.Core) {
+		close(held)
+		<-release
+	})
+	<-held
+	c.Write(query(put("x")))
+	eventually(t, func() bool { return w.gateway.clients.Busy() == 1 }, func() string { return "the request was not read" })
+	ended := w.stop()
+	close(release)
+	c.wantServed("value of x")
+	<-ended
+}
+
+// One that waits for its connection to come up is sent once it has, also while the gateway stops.
+func TestStopWhileAConnectionComesUp(t *testing.T) {
+	slow := must2(net.Listen("tcp", "127.0.0.1:0"))
+	defer slow.Close()
+	w := newWorld(t, func(c *config.Config) {
+		for i := range c.Known.Entries {
+			if c.Known.Entries[i].Primary {
+				c.Known.Entries[i].Endpoint = slow.Addr().String()
+			}
+		}
+		c.Discovery = "127.0.0.1:1"
+		c.Facts.Settings.ConnectTimeout = 3_000_000
+		c.Facts.Settings.CanProbe = false
+	})
+	c := w.raw()
+	c.Write(query(put("x")))
+	server := must2(slow.Accept())
+	defer server.Close()
+	server.SetDeadline(time.Now().Add(patience))
+	if _, err := io.ReadFull(server, make([]byte, len(startup()))); err != nil {
+		t.Fatal(err)
+	}
+	ended := w.stop()
+	server.Write([]byte{'R', 0, 0, 0, 8, 0, 0, 0, 0, 'S', 0, 0, 0, 17, 'r', 'o', 'l', 'e', 0, 'p', 'r', 'i', 'm', 'a', 'r', 'y', 0})
+	server.Write([]byte{'Z', 0, 0, 0, 5, 'I'})
+	if _, err := io.ReadFull(server, make([]byte, 5)); err != nil {
+		t.Fatalf("nothing was sent: %v", err)
+	}
+	server.Write(append(standin.Row([]byte("late")), 'Z', 0, 0, 0, 5, 'I'))
+	c.wantServed("late")
+	<-ended
+}
+
+// A further attempt that falls due while the gateway stops is made.
+func TestStopBeforeAFurtherAttempt(t *testing.T) {
+	w := newWorld(t, nil)
+	w.replica.SetHandle(func(q *standin.Query) { q.Fail("25006") })
+	turnedAway := make(chan struct{}, 1024)
+	w.primary.SetHandle(func(q *standin.Query) {
+		q.Fail("53300")
+		turnedAway <- struct{}{}
+	})
+	c := w.raw()
+	c.Write(query(put("x")))
+	<-turnedAway
+	ended := w.stop()
+	w.primary.SetHandle(func(q *standin.Query) { q.Serve([]byte("at last")) })
+	c.wantServed("at last")
+	<-ended
+}
+
+// Answers that are half written when the stop begins, as their client reads slowly, go out whole, and the client sees an
+// orderly end behind them.
+func TestStopInTheMiddleOfAnswers(t *testing.T) {
+	w := newWorld(t, nil)
+	value := bytes.Repeat([]byte("0123456789abcdef"), 8<<10)
+	w.primary.SetHandle(func(q *standin.Query) { q.Serve(value) })
+	c := w.raw()
+	const answers = 60
+	var all []byte
+	for i := range answers {
+		all = append(all, query(put(fmt.Sprint("x", i)))...)
+	}
+	c.Write(all)
+	eventually(t, func() bool { return w.counts().Answers[routing.Served][1] >= answers/2 }, func() string { return "not answered" })
+	ended := w.stop()
+	for range answers {
+		c.wantServed(string(value))
+	}
+	if k, _, err := c.next(); err != io.EOF {
+		t.Errorf("then %q, %v", k, err)
+	}
+	<-ended
+}
+
+// A watch that is reset right before servers begin to drain is opened again, and what it missed is heard: nothing goes to
+// them. The same when nothing but silence comes from the new watch at first.
+func TestWatchResetBeforeADrain(t *testing.T) {
+	for _, answer := range []string{"", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"} {
+		w := newWorld(t, func(c *config.Config) {}, func(g *Gateway) { g.discovery.Limits.Answer = 200 * time.Millisecond })
+		w.lists(formFull, 1)
+		w.disc.Answer(answer)
+		w.disc.Cut()
+		draining := w.targets()[1]
+		draining.State = "draining"
+		w.disc.SetTargets(w.targets()[0], draining)
+		if answer != "" {
+			w.lists(formFailed, 2)
+			w.disc.Answer("")
+		}
+		w.lists(formFull, 2)
+		w.asks(w.dial(), look("a"), "value of a", "")
+		if n := len(w.replica.Queries()); n != 0 {
+			t.Error("a read went to a draining server")
+		}
+	}
+}
+
+// A client that comes again on the same connection before its first request has ended, with a new id, is asked beside it;
+// each id is sent once.
+func TestRepeatBeforeTheFirstHasEnded(t *testing.T) {
+	w := newWorld(t, nil)
+	hold, arrived, release := holding(t)
+	w.primary.SetHandle(hold)
+	c := w.raw()
+	c.Write(query(put("first")))
+	<-arrived
+	again := strings.Replace(put("again"), "cluster=7", "cluster=7,r=1", 1)
+	c.Write(query(again))
+	if id := <-arrived; id != "again" {
+		t.Errorf("%s was sent", id)
+	}
+	release()
+	c.wantServed("value of first")
+	c.wantServed("value of again")
+	if n := len(w.primary.Queries()); n != 2 {
+		t.Errorf("%d statements", n)
+	}
+}
