--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,7 @@
 	go test -race ./internal/...
 
 lint:
-	@unformatted=$$(gofmt -l brain cmd internal); \
-	if [ -n "$$unformatted" ]; then echo "not gofmt'd: $$unformatted" >&2; exit 1; fi
-	go vet ./...
+	.ci/lint
 
 run: build
 	PROXY_CONFIG=$(CONFIG) bin/marblespan
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,5 +1,5 @@
-// Every decision of a gateway stands in this file; its interface (settings, events, actions) is api.go, and
-// state.go holds the containers. No other file decides anything.
+// Package brain has every decision of a gateway in this file; its interface (settings, events, actions) is
+// api.go, and state.go holds the containers. No other file decides anything.
 //
 // The path of a request:
 //
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -479,7 +479,7 @@
 					} else {
 						// Warm members answer about eight requests a window each.
 						if i%25 == 0 {
-							acts = g.outcome(id, k, got[0], brain.ResultOK)
+							g.outcome(id, k, got[0], brain.ResultOK)
 						}
 						break
 					}
--- a/internal/copies/ledger.go
+++ b/internal/copies/ledger.go
@@ -107,13 +107,6 @@
 	l.notices = append(l.notices, Noticed{What: what, Group: group, Epoch: epoch, Number: number, Name: name})
 }
 
-func (l *ledger) name(store uint64) string {
-	if s := l.store(store); s != nil {
-		return s.Name
-	}
-	return ""
-}
-
 func (l *ledger) change(c *api.Change) {
 	switch {
 	case c.Join != nil:
--- a/internal/copies/trouble_test.go
+++ b/internal/copies/trouble_test.go
@@ -804,17 +804,6 @@
 	}
 }
 
-// stored spoils what a start finds on the disk.
-func stored(do func(g *StoredGroup)) func(*world, *node, **Stored, *bool) {
-	return func(_ *world, _ *node, s **Stored, _ *bool) {
-		if *s != nil {
-			for i := range (*s).Groups {
-				do(&(*s).Groups[i])
-			}
-		}
-	}
-}
-
 // writes spoils what is written.
 func writes(do func(g *GroupWrite)) func(Write) Write {
 	return func(w Write) Write {
--- a/internal/duties/sim_test.go
+++ b/internal/duties/sim_test.go
@@ -37,7 +37,6 @@
 	keep  *Keeper
 	alive bool
 	woken Micros // no event of its own is planned before
-	slow  Micros // its clock is behind by so much
 }
 
 type event struct {
--- a/internal/floating/floating.go
+++ b/internal/floating/floating.go
@@ -187,7 +187,7 @@
 			s.Counts.Tenures.Add(1)
 			if err := s.address.Take(g.Name, g.Listen, s.gate(g)); err != nil {
 				s.log.Error().Err(err).Str("group", g.Name).Msg("floating listener")
-				s.tell(g, vrrp.TakeFailed{Tenure: a.Tenure})
+				s.tell(g, vrrp.TakeFailed(a))
 				return
 			}
 		case vrrp.Release:
--- a/internal/lab/members/world.go
+++ b/internal/lab/members/world.go
@@ -272,7 +272,6 @@
 	believed map[int]bool
 	notices  [membership.Notices]int
 	done     bool
-	sequence uint64
 }
 
 func (p *swim) handle(now Micros, in any, from int) []packet {
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -202,7 +202,9 @@
 		if !m.away() {
 			continue
 		}
-		to, life, why := m.State, uint64(0), ""
+		var to State
+		var life uint64
+		var why string
 		switch {
 		case m.State == Next:
 			to, life, why = j.next(m)
--- a/internal/protocol/discovery/http.go
+++ b/internal/protocol/discovery/http.go
@@ -17,6 +17,9 @@
 	MaxList = 4 << 20
 )
 
+// StatusOK is the status of an answer that holds a list.
+const StatusOK = 200
+
 // Request writes a GET of the list. A watch asks for the changes after a version.
 func Request(host string, watch bool, from int64) []byte {
 	path, end := "/v1/servers", "Connection: close\r\n"
--- a/internal/protocol/postgres/statement.go
+++ b/internal/protocol/postgres/statement.go
@@ -114,7 +114,7 @@
 			return fmt.Errorf("%.40q is no name=value", given[at:at+end])
 		}
 		if !plain(value) {
-			return fmt.Errorf("%s is %.40q, not from 1 to %d letters, digits and -_.:", name, value, maxText)
+			return fmt.Errorf("%s is %.40q; letters, digits and -_.: may stand there, from 1 to %d of them", name, value, maxText)
 		}
 		if seen[name] {
 			return fmt.Errorf("%.40q stands twice", name)
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -58,8 +58,6 @@
 	from, to int64
 }
 
-func (w window) covers(at int64) bool { return w.from <= at && at <= w.to }
-
 // on tells whether a fault on gateways concerns one.
 func (w window) on(node int) bool { return w.From == nil || slices.Contains(w.From, node) }
 
--- a/internal/session/watch.go
+++ b/internal/session/watch.go
@@ -7,7 +7,6 @@
 	"io"
 	"maps"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -265,7 +264,7 @@
 		if err := conn.Skip(n); err != nil {
 			return transport.ReasonOf(err), err
 		}
-		if a.response.HeadDone() && a.response.Status != http.StatusOK {
+		if a.response.HeadDone() && a.response.Status != discovery.StatusOK {
 			return transport.EndStatus, fmt.Errorf("discovery answered with status %d", a.response.Status)
 		}
 	}
@@ -276,7 +275,7 @@
 // pieces that comes in: bytes alone are no sign of life.
 func (a *answer) line(text []byte) error {
 	switch {
-	case a.response.Status != http.StatusOK:
+	case a.response.Status != discovery.StatusOK:
 		return nil
 	case !a.call.watch:
 		if len(a.body)+len(text) > discovery.MaxList {
--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -82,8 +82,10 @@
 			case <-time.After(50 * time.Millisecond):
 			}
 			p.Set(way[0], way[1], Fate{})
-			if !<-answer || !<-answer {
-				t.Fatalf("%+v from %d: something was lost", f, way[0])
+			for range 2 {
+				if !<-answer {
+					t.Fatalf("%+v from %d: something was lost", f, way[0])
+				}
 			}
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
@@ -73,7 +74,7 @@
 		// The list of free pages is kept in the file: to find them anew the library looks through all pages on a goroutine of
 		// its own, where nothing catches the panic that a damaged one causes.
 		f.db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockBy, FreelistType: bbolt.FreelistMapType})
-		if errors.Is(err, bbolt.ErrTimeout) || errors.Is(err, os.ErrPermission) {
+		if errors.Is(err, bbolterrors.ErrTimeout) || errors.Is(err, os.ErrPermission) {
 			return &usage{err}
 		}
 		if err != nil {
@@ -451,7 +452,7 @@
 	}
 	err = guarded(path, func() error {
 		db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockBy, ReadOnly: true})
-		if errors.Is(err, bbolt.ErrTimeout) || errors.Is(err, os.ErrPermission) {
+		if errors.Is(err, bbolterrors.ErrTimeout) || errors.Is(err, os.ErrPermission) {
 			return &usage{err}
 		}
 		if err != nil {
--- a/internal/streams/frame.go
+++ b/internal/streams/frame.go
@@ -16,9 +16,6 @@
 // greetingSize is the listener's first word in bytes: the version and a number drawn for this stream.
 const greetingSize = 1 + 16
 
-// headSize is what stands before a frame's body: its length, and the channel, which counts as a part of it.
-const headSize = 4 + 1
-
 // errFrame is a frame that is not signed as it must be, or not understood.
 var errFrame = errors.New("a frame that is not valid")
 
--- a/internal/withcopies/withcopies.go
+++ b/internal/withcopies/withcopies.go
@@ -20,7 +20,7 @@
 // leastLog is how long a shard's log gets before a snapshot takes its place, in bytes.
 const leastLog = 1 << 20
 
-// Format, if it is not empty, is the format of records that this program says to understand: tests link another one in.
+// Format is, if it is not empty, the format of records that this program says to understand: tests link another one in.
 var Format string
 
 // Use has gateways of this process open stores.
