--- a/internal/program/bookings.go
+++ b/internal/program/bookings.go
@@ -29,7 +29,7 @@
 		Now:  func() doubt.Micros { return doubt.Micros(g.clock.Now()) },
 		Time: func(t doubt.Micros) time.Time { return g.clock.Time(brain.Micros(t)) },
 		Look: func(class, key string, group int, by time.Time, done func(row, answer []byte, ok bool)) {
-			g.clients.Look(class, key, group, by, done)
+			g.clients.Lookup(class, key, group, by, done)
 		},
 	}
 	for _, d := range g.ops.InDoubt {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -343,6 +343,6 @@
 	q.out++
 	q.attempts[index] = c.servers.Send(Job{
 		ID: q.id, Attempt: index, Server: a.Server, Payload: q.payload.Share(), Sent: c.now, Until: until,
-		Once: q.facts.Settings.Classes[q.class].Effect == brain.EffectUnsafe,
+		NonIdempotent: q.facts.Settings.Classes[q.class].Effect == brain.EffectUnsafe,
 	})
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -40,13 +40,13 @@
 
 // Job is one attempt, for the servers' side to carry out.
 type Job struct {
-	ID      string
-	Attempt int
-	Server  brain.ServerID
-	Payload Payload      // a share of it, freed by whoever carries the job out
-	Sent    brain.Micros // when the module asked for it
-	Until   brain.Micros // when to give it up
-	Once    bool         // it must not run twice: a reset that may have hidden its answer ends its request
+	ID            string
+	Attempt       int
+	Server        brain.ServerID
+	Payload       Payload      // a share of it, freed by whoever carries the job out
+	Sent          brain.Micros // when the module asked for it
+	Until         brain.Micros // when to give it up
+	NonIdempotent bool         // it must not run twice: a reset that may have hidden its answer ends its request
 }
 
 // Attempt is an attempt under way. Cancel gives it up, if it still runs; it must not block.
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -39,10 +39,10 @@
 	Linger: 200 * time.Millisecond, Pause: 10 * time.Millisecond,
 }
 
-// mostStrikes is how many bad messages a connection may send, each behind a pause twice as long as the one before: the
+// maxBadMessages is how many bad messages a connection may send, each behind a pause twice as long as the one before: the
 // last ones come seconds after the first. It guards against clients that ask the same again at full speed; a client in
 // service sends none.
-const mostStrikes = 8
+const maxBadMessages = 8
 
 // closeCheck is how often a client from which nothing is read for now is looked at: what it has asked for is given up when
 // it has left, and no attempt may begin more than 0.1 s after that.
@@ -82,7 +82,7 @@
 	ending   transport.Reason // of a drain
 	cut      bool
 	started  uint32
-	looks    atomic.Int64
+	lookups  atomic.Int64
 }
 
 // ClientCounts count what clients sent that never became a request.
@@ -92,26 +92,26 @@
 
 // client is one client's connection. Its queries are answered in their order; each is asked as soon as it has come.
 type client struct {
-	all  *Clients
-	conn *transport.Conn
-	told chan struct{} // an answer was left, for when the socket cannot be watched
+	all         *Clients
+	conn        *transport.Conn
+	answerReady chan struct{} // an answer was left, for when the socket cannot be watched
 
 	mu      sync.Mutex
-	queue   []*asked // what awaits its answer, oldest first
-	resting bool     // waiting between requests: nothing is lost if it is woken
+	queue   []*pendingQuery // what awaits its answer, oldest first
+	resting bool            // waiting between requests: nothing is lost if it is woken
 	closing bool
 	cutAt   time.Time // when the gateway, which stops, waits no longer for messages that have not come whole; zero: never
 	reason  transport.Reason
 	served  int
 
-	newBy   time.Time // when a newcomer's time is up
-	known   bool      // it has sent a whole request
-	strikes int       // bad messages
+	newBy       time.Time // when a newcomer's time is up
+	known       bool      // it has sent a whole request
+	badMessages int       // bad messages
 
-	skipping bool             // after an error in the extended protocol, up to Sync
-	deaf     bool             // nothing more is read: its framing is lost, or the gateway stops
-	broken   transport.Reason // why an answer could not be written while a message was read
-	brokenBy error
+	skipping       bool             // after an error in the extended protocol, up to Sync
+	readingStopped bool             // nothing more is read: its framing is lost, or the gateway stops
+	broken         transport.Reason // why an answer could not be written while a message was read
+	brokenBy       error
 }
 
 // Serve serves one connection to its end. One that cannot stay is turned away before its start-up, with an error that
@@ -119,10 +119,10 @@
 func (s *Clients) Serve(conn *transport.Conn, stays bool) {
 	since := time.Now()
 	if !stays {
-		s.turnAway(conn, since)
+		s.refuseConnection(conn, since)
 		return
 	}
-	c := &client{all: s, conn: conn, told: make(chan struct{}, 1), newBy: since.Add(s.Limits.Newcomer)}
+	c := &client{all: s, conn: conn, answerReady: make(chan struct{}, 1), newBy: since.Add(s.Limits.Newcomer)}
 	s.mu.Lock()
 	if s.open == nil {
 		s.open = map[*client]struct{}{}
@@ -139,9 +139,9 @@
 	s.Fds.Unpark(c)
 	switch reason {
 	case transport.EndMoved:
-		c.sendAway("the address has moved to another gateway")
+		c.announceClose("the address has moved to another gateway")
 	case transport.EndMaintenance:
-		c.sendAway("the gateway is about to be out for maintenance")
+		c.announceClose("the gateway is about to be out for maintenance")
 	case transport.EndIdle, transport.EndRoom, transport.EndDrain, transport.EndTimeout:
 		s.linger(conn)
 	}
@@ -152,17 +152,17 @@
 	s.Ends.End(transport.Client, remote, reason, since, c.served, err)
 }
 
-// sendAway tells a client between requests, before its connection is closed, that it may come again at once. A request that
+// announceClose tells a client between requests, before its connection is closed, that it may come again at once. A request that
 // crosses this reads it as its refusal: without it the client could not tell whether that request was read, and would have
 // to leave a booking in doubt.
-func (c *client) sendAway(why string) {
+func (c *client) announceClose(why string) {
 	if c.write(postgres.AppendError(nil, true, postgres.CodeNotReady, why, 0)) == nil {
 		c.all.linger(c.conn)
 	}
 }
 
-// turnAway tells a client for which there is no descriptor to come again.
-func (s *Clients) turnAway(conn *transport.Conn, since time.Time) {
+// refuseConnection tells a client for which there is no descriptor to come again.
+func (s *Clients) refuseConnection(conn *transport.Conn, since time.Time) {
 	remote := conn.Remote()
 	refusal := postgres.AppendError(nil, true, postgres.CodeRefused, "too many clients already", 0)
 	if _, err := conn.Write(since.Add(s.Limits.Linger), net.Buffers{refusal}); err == nil {
@@ -342,16 +342,16 @@
 	}
 }
 
-// strike counts a bad message, and makes its sender wait before the next one is read, not for its answer.
-func (c *client) strike() (transport.Reason, error) {
+// penalize counts a bad message, and makes its sender wait before the next one is read, not for its answer.
+func (c *client) penalize() (transport.Reason, error) {
 	c.all.Counts.Malformed.Add(1)
 	if reason, err := c.flush(); err != nil {
 		return reason, err
 	}
-	if c.strikes++; c.strikes >= mostStrikes {
+	if c.badMessages++; c.badMessages >= maxBadMessages {
 		return c.end(errors.New("too many bad messages"))
 	}
-	return c.pause(c.all.Limits.Pause << c.strikes)
+	return c.pause(c.all.Limits.Pause << c.badMessages)
 }
 
 // pause makes the client wait before its next message is read. Answers go out meanwhile, and its leaving is noticed.
@@ -391,7 +391,7 @@
 			return reason, err
 		}
 		if c.isCut() {
-			return c.leaveOff()
+			return c.finishStop()
 		}
 		if c.waiting() > 0 {
 			if reason, err = c.watch(); errors.Is(err, transport.ErrWoken) {
@@ -407,16 +407,16 @@
 		case c.brokenBy != nil:
 			return c.broken, c.brokenBy
 		case errors.Is(err, transport.ErrWoken) && c.isCut():
-			return c.leaveOff()
+			return c.finishStop()
 		case err != nil:
 			return reason, err
 		}
 	}
 }
 
-// leaveOff answers what was asked before and ends the connection, as the gateway stops.
-func (c *client) leaveOff() (transport.Reason, error) {
-	if reason, err := c.finish(); err != nil {
+// finishStop answers what was asked before and ends the connection, as the gateway stops.
+func (c *client) finishStop() (transport.Reason, error) {
+	if reason, err := c.drainAnswers(); err != nil {
 		return reason, err
 	}
 	reason, _ := c.all.isDraining()
@@ -443,7 +443,7 @@
 		return transport.EndTerminate, io.EOF
 	case postgres.TypeSync:
 		c.skipping = false
-		c.say(postgres.AppendReady(nil))
+		c.enqueueResponse(postgres.AppendReady(nil))
 		return reasoned(c.conn.SkipBy(h.Body, by, c.interrupted))
 	case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f':
 		if err = c.conn.SkipBy(h.Body, by, c.interrupted); err != nil || c.skipping || h.Type == 'H' || h.Type >= 'a' {
@@ -456,8 +456,8 @@
 		} else {
 			c.skipping = true
 		}
-		c.say(out)
-		return c.strike()
+		c.enqueueResponse(out)
+		return c.penalize()
 	}
 	return c.reject(errors.New("message of unknown type " + strconv.Quote(string(h.Type))))
 }
@@ -507,9 +507,9 @@
 	return c.end(cause)
 }
 
-// finish answers what was asked before and reads nothing more.
-func (c *client) finish() (transport.Reason, error) {
-	c.deaf = true
+// drainAnswers answers what was asked before and reads nothing more.
+func (c *client) drainAnswers() (transport.Reason, error) {
+	c.readingStopped = true
 	for c.waiting() > 0 {
 		if reason, err := c.flush(); err != nil {
 			return reason, err
@@ -525,7 +525,7 @@
 
 // end answers what was asked before, gives the last word and leaves the client time to read it.
 func (c *client) end(cause error) (transport.Reason, error) {
-	if reason, err := c.finish(); err != nil {
+	if reason, err := c.drainAnswers(); err != nil {
 		return reason, err
 	}
 	if c.write(postgres.AppendError(nil, true, postgres.CodeProtocol, cause.Error(), 0)) == nil {
--- a/internal/session/client_test.go
+++ b/internal/session/client_test.go
@@ -31,7 +31,7 @@
 	}
 	t.Cleanup(func() { conn.Close(); peer.Close() })
 	all := &Clients{Fds: fds, Ends: transport.NewEnds(zerolog.Nop()), Limits: DefaultTimeouts}
-	return &client{all: all, conn: conn, told: make(chan struct{}, 1), known: true}, peer
+	return &client{all: all, conn: conn, answerReady: make(chan struct{}, 1), known: true}, peer
 }
 
 // A connection that is asked to close while a request has already reached the machine serves that request first.
--- a/internal/session/crossing_test.go
+++ b/internal/session/crossing_test.go
@@ -99,21 +99,21 @@
 // requests is given up. Fails without the look for it in watchUnread.
 func TestLeavingIsNoticedWhileNothingIsRead(t *testing.T) {
 	x := newCrossing(t)
-	x.peer.Write(bytes.Repeat(lookStatement("x"), 4*mostAsked))
+	x.peer.Write(bytes.Repeat(lookStatement("x"), 4*maxPipelined))
 	ended := make(chan transport.Reason, 1)
 	go func() {
 		reason, _ := x.c.serveMessages()
 		x.c.leave()
 		ended <- reason
 	}()
-	for range mostAsked {
+	for range maxPipelined {
 		x.asked()
 	}
 	x.peer.Close()
 	if reason := <-ended; reason != transport.EndPeerGone {
 		t.Errorf("ended with %v", reason)
 	}
-	for range mostAsked {
+	for range maxPipelined {
 		if _, gone := (<-x.told).(routing.Gone); !gone {
 			t.Fatal("a request was asked behind the close")
 		}
@@ -299,12 +299,12 @@
 func TestAbandonedBehindItsAnswer(t *testing.T) {
 	r := newRig(t)
 	answered := newTask(r.job("a"))
-	l := &link{all: r.servers, place: r.servers.place(1), current: answered}
+	l := &serverConn{all: r.servers, endpoint: r.servers.endpointOf(1), current: answered}
 	if _, _, err := l.connect(answered); err != nil {
 		t.Fatal(err)
 	}
 	e, reason, err := l.exchange(answered)
-	answered.link = l
+	answered.conn = l
 	answered.Cancel()
 	if reason, err := l.settle(answered, e, reason, err); reason != carryOn || err != nil {
 		t.Fatal(reason, err)
@@ -312,7 +312,7 @@
 	if e := r.ended(); e.Result != brain.ResultOK {
 		t.Errorf("the answer was lost: %d", e.Result)
 	}
-	if _, ok := r.servers.place(1).idle.Take(); ok {
+	if _, ok := r.servers.endpointOf(1).idle.Take(); ok {
 		t.Error("the connection was kept")
 	}
 	if reason, _ := l.idle(); reason != transport.EndAbandoned {
@@ -325,7 +325,7 @@
 func TestAbandonedBeforeItsFirstByte(t *testing.T) {
 	r := newRig(t)
 	task := newTask(r.job("a"))
-	l := &link{all: r.servers, place: r.servers.place(1), current: task}
+	l := &serverConn{all: r.servers, endpoint: r.servers.endpointOf(1), current: task}
 	if _, _, err := l.connect(task); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/session/look.go
+++ b/internal/session/lookup.go
@@ -10,13 +10,13 @@
 	"marblespan/internal/routing"
 )
 
-// look is the client of a read of the gateway's own.
-type look struct {
+// lookup is the client of a read of the gateway's own.
+type lookup struct {
 	done func(row, answer []byte, ok bool)
 }
 
 // Answer takes the final answer.
-func (l *look) Answer(a routing.Answer) {
+func (l *lookup) Answer(a routing.Answer) {
 	if a.Kind != routing.Served {
 		l.done(nil, nil, false)
 		return
@@ -26,9 +26,9 @@
 	l.done(row, answer, answer != nil)
 }
 
-// Look reads a key as of now, as a client would, which shows whether a booking ran. done is told the row and the answer that the
+// Lookup reads a key as of now, as a client would, which shows whether a booking ran. done is told the row and the answer that the
 // booking itself would have had; it must not block.
-func (s *Clients) Look(class, key string, group int, by time.Time, done func(row, answer []byte, ok bool)) {
+func (s *Clients) Lookup(class, key string, group int, by time.Time, done func(row, answer []byte, ok bool)) {
 	facts := s.Facts.Load()
 	index, known := facts.Classes[class]
 	wait := time.Until(by).Milliseconds()
@@ -36,7 +36,7 @@
 		done(nil, nil, false)
 		return
 	}
-	id := "look-" + strconv.FormatInt(s.looks.Add(1), 36) + "-" + strconv.FormatInt(int64(s.Clock.Now()), 36)
+	id := "look-" + strconv.FormatInt(s.lookups.Add(1), 36) + "-" + strconv.FormatInt(int64(s.Clock.Now()), 36)
 	statement := postgres.SelectStatement(id, class, key, group, wait)
 	text := s.Buffers.NewMessage()
 	text.Append(statement)
@@ -48,7 +48,7 @@
 	}
 	now := s.Clock.Now()
 	s.Owner.Post(&routing.Request{
-		Client: &look{done}, ID: id, Payload: &query{text: text, statement: st}, Facts: facts, ReadAt: now, After: now,
+		Client: &lookup{done}, ID: id, Payload: &query{text: text, statement: st}, Facts: facts, ReadAt: now, After: now,
 		Arrival: brain.Arrival{Class: index, Group: group}, Wait: brain.Micros(wait) * 1000,
 	})
 }
--- a/internal/session/asked.go
+++ b/internal/session/pending.go
@@ -18,12 +18,12 @@
 	"marblespan/internal/transport"
 )
 
-// mostAsked is how many queries of one connection may await their answers. Beyond it nothing more is read: a client that
+// maxPipelined is how many queries of one connection may await their answers. Beyond it nothing more is read: a client that
 // sends hundreds at once holds a bounded part of memory and of the owner's time.
-const mostAsked = 64
+const maxPipelined = 64
 
-// asked is one query's place in the order of answers. It stands for its client at the owner.
-type asked struct {
+// pendingQuery is one query's place in the order of answers. It stands for its client at the owner.
+type pendingQuery struct {
 	client  *client
 	text    []byte          // what the gateway itself says to it
 	answer  *routing.Answer // what the owner has left; guarded by the client's lock, as gone is
@@ -58,7 +58,7 @@
 }
 
 // Answer takes the final answer from routing. Where the booking is claimed, what is told to its client follows from that.
-func (q *asked) Answer(a routing.Answer) {
+func (q *pendingQuery) Answer(a routing.Answer) {
 	if q.claim == nil {
 		q.answered(a)
 		return
@@ -86,13 +86,13 @@
 }
 
 // Route sends a booking that is claimed on its way.
-func (q *asked) Route() { q.client.all.Owner.Post(q.request) }
+func (q *pendingQuery) Route() { q.client.all.Owner.Post(q.request) }
 
 // Drop lets go of one that is not sent.
-func (q *asked) Drop() { q.request.Payload.Free() }
+func (q *pendingQuery) Drop() { q.request.Payload.Free() }
 
 // Reply takes the final answer of a booking that is claimed, or was not to be.
-func (q *asked) Reply(kind doubt.Kind, value []byte) {
+func (q *pendingQuery) Reply(kind doubt.Kind, value []byte) {
 	c := q.client
 	c.mu.Lock()
 	held := q.held
@@ -116,9 +116,9 @@
 
 // answered takes the answer that the client is to have. That of a write whose commit is to be kept waits for that: if it is not,
 // the client must not rely on it.
-func (q *asked) answered(a routing.Answer) {
+func (q *pendingQuery) answered(a routing.Answer) {
 	if q.mark == nil || a.Kind != routing.Served {
-		q.leave(a)
+		q.deliver(a)
 		return
 	}
 	position := a.Position
@@ -130,12 +130,12 @@
 			a.Value.Free()
 			a = routing.Answer{Kind: routing.Failed}
 		}
-		q.leave(a)
+		q.deliver(a)
 	})
 }
 
-// leave leaves the final answer for the connection's goroutine.
-func (q *asked) leave(a routing.Answer) {
+// deliver leaves the final answer for the connection's goroutine.
+func (q *pendingQuery) deliver(a routing.Answer) {
 	c := q.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -146,31 +146,31 @@
 	q.answer = &a
 	if c.queue[0] == q {
 		select {
-		case c.told <- struct{}{}:
+		case c.answerReady <- struct{}{}:
 		default:
 		}
 		c.conn.Wake()
 	}
 }
 
-func (c *client) push(q *asked) {
+func (c *client) push(q *pendingQuery) {
 	c.mu.Lock()
 	c.queue = append(c.queue, q)
 	c.mu.Unlock()
 }
 
-// say puts an answer of the gateway's own into the queue.
-func (c *client) say(text []byte) { c.push(&asked{client: c, text: text}) }
+// enqueueResponse puts an answer of the gateway's own into the queue.
+func (c *client) enqueueResponse(text []byte) { c.push(&pendingQuery{client: c, text: text}) }
 
-// complain answers a query that never became a request.
-func (c *client) complain(code, message string) {
-	c.say(postgres.AppendReady(postgres.AppendError(nil, false, code, message, 0)))
+// respondError answers a query that never became a request.
+func (c *client) respondError(code, message string) {
+	c.enqueueResponse(postgres.AppendReady(postgres.AppendError(nil, false, code, message, 0)))
 }
 
-// rebuke answers a bad statement.
-func (c *client) rebuke(code, message string) (transport.Reason, error) {
-	c.complain(code, message)
-	return c.strike()
+// rejectStatement answers a bad statement.
+func (c *client) rejectStatement(code, message string) (transport.Reason, error) {
+	c.respondError(code, message)
+	return c.penalize()
 }
 
 // sentAhead tells whether the client has sent more than the message in hand: the end of the connection may lie behind it.
@@ -208,7 +208,7 @@
 }
 
 // pass writes one answer.
-func (c *client) pass(q *asked) (transport.Reason, error) {
+func (c *client) pass(q *pendingQuery) (transport.Reason, error) {
 	if q.answer == nil {
 		return reasoned(c.write(q.text))
 	}
@@ -231,7 +231,7 @@
 	if reason, err := reasoned(c.write(postgres.AppendReady(out))); err != nil || q.answer.Kind != routing.Rejected {
 		return reason, err
 	}
-	return c.strike()
+	return c.penalize()
 }
 
 func reasoned(err error) (transport.Reason, error) {
@@ -244,7 +244,7 @@
 // watch waits until the oldest query has its answer or the gateway stops, told as ErrWoken, or a further message has come,
 // of which the whole is waited for where it fits a buffer. A client that has closed meanwhile has gone away.
 func (c *client) watch() (transport.Reason, error) {
-	if c.deaf || c.waiting() >= mostAsked {
+	if c.readingStopped || c.waiting() >= maxPipelined {
 		return c.watchUnread()
 	}
 	pending := func() bool { return c.answered() || c.isCut() }
@@ -285,7 +285,7 @@
 	wait := time.NewTimer(span)
 	defer wait.Stop()
 	select {
-	case <-c.told:
+	case <-c.answerReady:
 	case <-wait.C:
 	}
 }
@@ -320,12 +320,12 @@
 
 // query reads one query and asks it.
 func (c *client) query(body int, by time.Time) (transport.Reason, error) {
-	// Of the answer only a first buffer is set aside. A larger one waits at its server's link until there is room for
+	// Of the answer only a first buffer is set aside. A larger one waits at its server's connection until there is room for
 	// it: were the largest reserved for every request, a small gateway would refuse for memory that nobody uses.
 	reserve := body + transport.BufferSize
 	if !c.all.Buffers.Reserve(reserve) {
 		c.all.Counts.OverMemory.Add(1)
-		c.complain(postgres.CodeRefused, "the gateway has no memory left for this")
+		c.respondError(postgres.CodeRefused, "the gateway has no memory left for this")
 		return reasoned(c.conn.SkipBy(body, by, c.interrupted))
 	}
 	text := c.all.Buffers.NewMessage()
@@ -350,12 +350,12 @@
 		switch code {
 		case "":
 			c.all.Counts.Empty.Add(1)
-			c.say(postgres.AppendEmptyAnswer(nil))
+			c.enqueueResponse(postgres.AppendEmptyAnswer(nil))
 		case postgres.CodeNotReady:
 			c.all.Counts.NotReady.Add(1)
-			c.complain(code, fault)
+			c.respondError(code, fault)
 		default:
-			return c.rebuke(code, fault)
+			return c.rejectStatement(code, fault)
 		}
 		return 0, nil
 	}
@@ -366,12 +366,12 @@
 		text.Free()
 		c.all.Buffers.Release(reserve)
 		c.all.Counts.Moved.Add(1)
-		c.complain(postgres.CodeRefused, "the address has moved to another gateway")
+		c.respondError(postgres.CodeRefused, "the address has moved to another gateway")
 		c.CloseIdle(transport.EndMoved)
 		return 0, nil
 	}
 	c.known = true
-	q := &asked{client: c, reserve: reserve}
+	q := &pendingQuery{client: c, reserve: reserve}
 	r := &routing.Request{
 		Client: q, ID: st.ID, Payload: &query{text: text, statement: st}, Facts: facts, Arrival: arrival,
 		ReadAt: c.all.Clock.Now(),
@@ -389,7 +389,7 @@
 			text.Free()
 			c.all.Buffers.Release(reserve)
 			c.all.Counts.Unmarked.Add(1)
-			c.complain(postgres.CodeRefused, "the session's commit could not be kept")
+			c.respondError(postgres.CodeRefused, "the session's commit could not be kept")
 			return 0, nil
 		}
 		q.mark = &mark{c.all.Marks, arrival.Group, arrival.Session, time.Now().Add(patience)}
@@ -406,7 +406,7 @@
 }
 
 // send hands a request to routing, a booking that must be claimed first to the desk of bookings.
-func (c *client) send(q *asked, r *routing.Request, claims bool) {
+func (c *client) send(q *pendingQuery, r *routing.Request, claims bool) {
 	if !claims {
 		c.all.Owner.Post(r)
 		return
--- a/internal/session/link.go
+++ b/internal/session/server_conn.go
@@ -13,11 +13,11 @@
 	"marblespan/internal/transport"
 )
 
-// link is one connection to a database server. One request at a time travels on it.
-type link struct {
-	all   *Servers
-	place *place
-	conn  *transport.Conn
+// serverConn is one connection to a database server. One request at a time travels on it.
+type serverConn struct {
+	all      *Servers
+	endpoint *serverEndpoint
+	conn     *transport.Conn
 
 	mu      sync.Mutex
 	current *task // what it carries out; nil while it is idle
@@ -28,8 +28,8 @@
 	answered atomic.Int64 // the clock's reading at its last whole answer
 }
 
-// assign gives an idle link its next task, unless it is about to close.
-func (l *link) assign(t *task) bool {
+// assign gives an idle connection its next task, unless it is about to close.
+func (l *serverConn) assign(t *task) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closing {
@@ -42,7 +42,7 @@
 }
 
 // abort ends the task under way, if it still is that one.
-func (l *link) abort(t *task) {
+func (l *serverConn) abort(t *task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.current == t && l.conn != nil {
@@ -50,9 +50,9 @@
 	}
 }
 
-// CloseIdle asks the link to close once it is idle.
-func (l *link) CloseIdle(reason transport.Reason) {
-	l.place.idle.Remove(l)
+// CloseIdle asks the connection to close once it is idle.
+func (l *serverConn) CloseIdle(reason transport.Reason) {
+	l.endpoint.idle.Remove(l)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closing {
@@ -64,21 +64,21 @@
 	}
 }
 
-func (l *link) task() *task {
+func (l *serverConn) task() *task {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.current
 }
 
-// disturbed tells an idle link that something was left for it.
-func (l *link) disturbed() bool {
+// disturbed tells an idle connection that something was left for it.
+func (l *serverConn) disturbed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.current != nil || l.closing
 }
 
 // run connects, carries out the first task, and then whatever it is given, until the connection ends.
-func (l *link) run(first *task) {
+func (l *serverConn) run(first *task) {
 	defer l.all.remove(l)
 	since := time.Now()
 	result, reason, err := l.connect(first)
@@ -89,7 +89,7 @@
 		if first.cancelled() {
 			result, reason = brain.ResultCancelled, transport.EndAbandoned
 		}
-		l.all.Ends.End(transport.Server, l.place.endpoint, reason, since, 0, err)
+		l.all.Ends.End(transport.Server, l.endpoint.endpoint, reason, since, 0, err)
 		l.all.finish(first, ended{result: result})
 		return
 	}
@@ -102,18 +102,18 @@
 			break
 		}
 	}
-	l.all.Ends.End(transport.Server, l.place.endpoint, reason, since, l.served, err)
+	l.all.Ends.End(transport.Server, l.endpoint.endpoint, reason, since, l.served, err)
 }
 
 // carryOn stands for the reason of a connection that has not ended.
 const carryOn = transport.Reason(255)
 
 // connect dials and starts up, within the connect timeout.
-func (l *link) connect(t *task) (brain.Result, transport.Reason, error) {
+func (l *serverConn) connect(t *task) (brain.Result, transport.Reason, error) {
 	t.carriedBy(l)
 	clock := l.all.Clock
 	by := clock.Time(min(clock.Now()+l.all.Facts.Load().Settings.ConnectTimeout, t.Until))
-	conn, err := transport.Dial(t.ctx, l.place.endpoint, by, l.all.Buffers, l.all.Fds, t.probe)
+	conn, err := transport.Dial(t.ctx, l.endpoint.endpoint, by, l.all.Buffers, l.all.Fds, t.probe)
 	if err != nil {
 		return brain.ResultConnectFailed, transport.DialReason(err), err
 	}
@@ -155,11 +155,11 @@
 
 // carryOut does the current task and tells the owner how it ended. A connection whose task did not end with the
 // server's own ReadyForQuery is closed before anybody hears of it.
-func (l *link) carryOut() (transport.Reason, error) {
+func (l *serverConn) carryOut() (transport.Reason, error) {
 	t := l.task()
 	if l.served > 0 && !l.conn.Quiet() { // closed under our eyes: nothing was written, so another may be tried
 		l.end()
-		l.all.dial(t, l.place)
+		l.all.dial(t, l.endpoint)
 		return transport.EndPeerClosed, nil
 	}
 	e, reason, err := l.exchange(t)
@@ -167,7 +167,7 @@
 }
 
 // settle keeps the connection or closes it, and tells the owner how its task ended.
-func (l *link) settle(t *task, e ended, reason transport.Reason, err error) (transport.Reason, error) {
+func (l *serverConn) settle(t *task, e ended, reason transport.Reason, err error) (transport.Reason, error) {
 	l.served++
 	if reason != carryOn {
 		l.end()
@@ -175,11 +175,11 @@
 		case t.probe && e.result == brain.ResultTimeout:
 			// The machine is cut off: when it is back its kernel knows none of the idle siblings, and a request on
 			// one of them would be lost like this probe. Harm: some new handshakes too many.
-			closeAll(l.place)
+			closeAll(l.endpoint)
 		case e.result == brain.ResultReset && l.served > 1:
-			l.place.doubted.Store(int64(l.all.Clock.Now()))
+			l.endpoint.suspectedAt.Store(int64(l.all.Clock.Now()))
 			if t.probe { // only the kept connection is known to be dead; a new one tells whether the server is
-				l.all.dial(t, l.place)
+				l.all.dial(t, l.endpoint)
 				return reason, err
 			}
 		}
@@ -192,7 +192,7 @@
 	case l.closing:
 	case l.conn.Aborted(): // the task was given up in the very moment in which it was done
 		l.closing, l.reason = true, transport.EndAbandoned
-	case l.all.place(l.place.server) != l.place: // the list has moved the server meanwhile
+	case l.all.endpointOf(l.endpoint.server) != l.endpoint: // the list has moved the server meanwhile
 		l.closing, l.reason = true, transport.EndReplaced
 	}
 	closing := l.closing
@@ -200,18 +200,18 @@
 	l.answered.Store(int64(l.all.Clock.Now()))
 	if !closing {
 		l.all.Fds.Park(l, transport.Kept)
-		l.place.idle.Put(l)
+		l.endpoint.idle.Put(l)
 	}
 	l.all.finish(t, e)
 	return carryOn, nil
 }
 
 // end closes the connection.
-func (l *link) end() {
+func (l *serverConn) end() {
 	l.mu.Lock()
 	l.closing, l.current = true, nil
 	l.mu.Unlock()
-	l.place.idle.Remove(l)
+	l.endpoint.idle.Remove(l)
 	l.all.Fds.Unpark(l)
 	l.conn.Close()
 }
@@ -220,12 +220,12 @@
 var errUnasked = errors.New("a message that nobody asked for")
 
 // idle waits for the next task. What the server sends or ends meanwhile is noticed at once.
-func (l *link) idle() (transport.Reason, error) {
+func (l *serverConn) idle() (transport.Reason, error) {
 	deadline := time.Now().Add(l.all.idleAfter())
 	for {
 		err := l.conn.Wait(postgres.HeaderSize, deadline, l.disturbed)
 		if err == nil {
-			if err = l.aside(); err == nil {
+			if err = l.skipAsync(); err == nil {
 				continue
 			}
 		}
@@ -251,14 +251,14 @@
 		}
 		l.end()
 		if next != nil { // given in this very moment: another connection takes it
-			l.all.dial(next, l.place)
+			l.all.dial(next, l.endpoint)
 		}
 		return reason, err
 	}
 }
 
-// aside passes over a message that may come between requests; any other ends the connection.
-func (l *link) aside() error {
+// skipAsync passes over a message that may come between requests; any other ends the connection.
+func (l *serverConn) skipAsync() error {
 	h, err := postgres.ParseHeader(l.conn.Peek(postgres.HeaderSize))
 	if err != nil || h.Type != postgres.TypeParameterStatus && h.Type != postgres.TypeNotice {
 		return errUnasked
@@ -273,12 +273,12 @@
 var errWithdrawn = errors.New("withdrawn before its first byte")
 
 // withdrawn tells whether a task may not begin here any more.
-func (l *link) withdrawn(t *task) bool {
-	return !t.probe && (t.since != l.place.withdrawals.Load() || l.all.place(t.Server) != l.place)
+func (l *serverConn) withdrawn(t *task) bool {
+	return !t.probe && (t.since != l.endpoint.withdrawals.Load() || l.all.endpointOf(t.Server) != l.endpoint)
 }
 
 // exchange writes a request and reads its answer.
-func (l *link) exchange(t *task) (ended, transport.Reason, error) {
+func (l *serverConn) exchange(t *task) (ended, transport.Reason, error) {
 	if l.withdrawn(t) {
 		return ended{result: brain.ResultConnectFailed}, transport.EndReplaced, errWithdrawn
 	}
@@ -334,7 +334,7 @@
 
 // put writes a request. Of one that needs a claim the last byte is held back until the claim is known to be this gateway's: a
 // server begins with the last byte, and this gateway may have stood still before any of the others.
-func (l *link) put(t *task, parts net.Buffers, total int64, until time.Time) (transport.Reason, error) {
+func (l *serverConn) put(t *task, parts net.Buffers, total int64, until time.Time) (transport.Reason, error) {
 	write := func(parts net.Buffers, total int64) (transport.Reason, error) {
 		if n, err := l.conn.Write(until, parts); n < total {
 			return transport.ReasonOf(err), err
@@ -351,7 +351,7 @@
 	if reason, err := write(parts, total-1); err != nil {
 		return reason, err
 	}
-	if !q.claim.May(t.ctx, l.place.endpoint, until) {
+	if !q.claim.May(t.ctx, l.endpoint.endpoint, until) {
 		return transport.EndAbandoned, errBarred
 	}
 	return write(net.Buffers{last}, 1)
@@ -366,7 +366,7 @@
 // read reads messages up to ReadyForQuery. What belongs to the value goes into value; of a probe's row it returns
 // the text. An answer that has begun must go on: one that stops for longer than a connection may take to come up is
 // spoilt, and its request need not wait for its own end. Harm: a machine that is held up in the middle of an answer.
-func (l *link) read(reply *postgres.Reply, by time.Time, t *task, value *transport.Message) (string, error) {
+func (l *serverConn) read(reply *postgres.Reply, by time.Time, t *task, value *transport.Message) (string, error) {
 	row := ""
 	for !reply.Ready {
 		due := by
@@ -418,7 +418,7 @@
 
 // fill reads a message into the value, a buffer at a time. A large one waits here until there is memory for it: what
 // is held already goes out to its clients whatever happens here.
-func (l *link) fill(value *transport.Message, whole int, by time.Time, t *task) error {
+func (l *serverConn) fill(value *transport.Message, whole int, by time.Time, t *task) error {
 	if err := value.Grow(whole, by, t.cancelled); err != nil {
 		return err
 	}
@@ -434,7 +434,7 @@
 }
 
 // stall is when an answer that has begun and stops counts as spoilt.
-func (l *link) stall(by time.Time) time.Time {
+func (l *serverConn) stall(by time.Time) time.Time {
 	due := time.Now().Add(time.Duration(l.all.Facts.Load().Settings.ConnectTimeout) * time.Microsecond)
 	if due.After(by) {
 		return by
--- a/internal/session/link_test.go
+++ b/internal/session/server_conn_test.go
@@ -84,14 +84,14 @@
 	}
 }
 
-// idleLink returns the link that has carried out one task and is idle now.
-func (r *rig) idleLink() *link {
+// idleConn returns the connection that has carried out one task and is idle now.
+func (r *rig) idleConn() *serverConn {
 	r.t.Helper()
 	r.servers.Send(r.job("first"))
 	if e := r.ended(); e.Result != brain.ResultOK {
 		r.t.Fatalf("the first attempt ended with %d", e.Result)
 	}
-	l, ok := r.servers.place(1).idle.Take()
+	l, ok := r.servers.endpointOf(1).idle.Take()
 	if !ok {
 		r.t.Fatal("no connection was kept")
 	}
@@ -104,14 +104,14 @@
 	r := newRig(t)
 	first := newTask(r.job("first"))
 	defer first.Payload.Free()
-	l := &link{all: r.servers, place: r.servers.place(1), current: first, served: 1}
+	l := &serverConn{all: r.servers, endpoint: r.servers.endpointOf(1), current: first, served: 1}
 	if _, _, err := l.connect(first); err != nil {
 		t.Fatal(err)
 	}
 	r.server.Drop()
 	<-r.server.Closed
 	l.current = newTask(r.job("second"))
-	l.carryOut() // here, where no goroutine of the link's own sees the end first
+	l.carryOut() // here, where no goroutine of its own sees the end first
 	if e := r.ended(); e.Result != brain.ResultOK {
 		t.Errorf("ended with %s", routing.ResultNames[e.Result])
 	}
@@ -120,10 +120,10 @@
 	}
 }
 
-// A task given to a link in the very moment in which it ends is carried out by another.
+// A task given to a connection in the very moment in which it ends is carried out by another.
 func TestTaskGivenToAnEndingLink(t *testing.T) {
 	r := newRig(t)
-	l := r.idleLink()
+	l := r.idleConn()
 	done := make(chan struct{})
 	l.mu.Lock() // the goroutine wakes up to a closed connection, and finds the task there
 	go func() {
@@ -177,7 +177,7 @@
 // An idle connection to a place that the list has left is closed.
 func TestMovedWhileIdle(t *testing.T) {
 	r := newRig(t)
-	r.servers.place(1).idle.Put(r.idleLink())
+	r.servers.endpointOf(1).idle.Put(r.idleConn())
 	r.servers.Place(1, "127.0.0.1:9")
 	select {
 	case <-r.server.Closed:
@@ -309,7 +309,7 @@
 		queries <- q
 		q.Serve([]byte("v"))
 	})
-	r.servers.place(1).idle.Put(r.idleLink())
+	r.servers.endpointOf(1).idle.Put(r.idleConn())
 	first := <-queries
 	first.Write([]byte("S\x00\x00\x00\x08a\x00b\x00"))
 	r.servers.Send(r.job("second"))
@@ -317,7 +317,7 @@
 		t.Fatalf("behind a parameter's value: ended with %s", routing.ResultNames[e.Result])
 	}
 	second := <-queries
-	l, _ := r.servers.place(1).idle.Take()
+	l, _ := r.servers.endpointOf(1).idle.Take()
 	l.mu.Lock()
 	second.Write([]byte("E\x00\x00\x00\x05\x00"))
 	l.current = newTask(r.job("third"))
@@ -424,7 +424,7 @@
 	})
 	send := func(id string, once bool) brain.Result {
 		job := r.job(id)
-		job.Once = once
+		job.NonIdempotent = once
 		r.servers.Send(job)
 		e := r.ended()
 		e.Value.Free()
@@ -445,7 +445,7 @@
 		t.Errorf("ended with %s on connection %d, want a new one behind %d", routing.ResultNames[res],
 			r.server.Opened(), before)
 	}
-	r.servers.place(1).doubted.Store(0)
+	r.servers.endpointOf(1).suspectedAt.Store(0)
 	if send("sixth", true); r.server.Opened() != before+1 {
 		t.Error("a new connection with nothing left to doubt")
 	}
@@ -454,7 +454,7 @@
 // A probe that is reset on a kept connection tells nothing of the server: it is asked again on a new one.
 func TestProbeResetOnAKeptConnection(t *testing.T) {
 	r := newRig(t)
-	r.servers.place(1).idle.Put(r.idleLink())
+	r.servers.endpointOf(1).idle.Put(r.idleConn())
 	r.server.SetProbe(func(q *standin.Query) bool {
 		if q.Conn == 1 {
 			q.Hangup()
--- a/internal/session/servers.go
+++ b/internal/session/servers.go
@@ -26,49 +26,49 @@
 	User    string
 	DB      string
 
-	mu     sync.Mutex
-	places map[brain.ServerID]*place
-	open   sync.WaitGroup
-	links  map[*link]struct{}
-	closed bool
+	mu        sync.Mutex
+	endpoints map[brain.ServerID]*serverEndpoint
+	open      sync.WaitGroup
+	conns     map[*serverConn]struct{}
+	closed    bool
 }
 
 // Queue is where the owner of the module takes its events from.
 type Queue interface{ Post(routing.Event) }
 
-// place is where a server is, and the idle connections there.
-type place struct {
-	server   brain.ServerID
-	endpoint string
-	idle     transport.Pool[*link]
-	doubted  atomic.Int64 // the clock's reading when a kept connection was last reset under a request
+// serverEndpoint is where a server is, and the idle connections there.
+type serverEndpoint struct {
+	server      brain.ServerID
+	endpoint    string
+	idle        transport.Pool[*serverConn]
+	suspectedAt atomic.Int64 // the clock's reading when a kept connection was last reset under a request
 	// withdrawals counts how often what had not begun here was taken back.
 	withdrawals atomic.Int64
 }
 
-// doubtFor is how long no kept connection is trusted with what must not run twice after one was reset under a request,
+// suspectFor is how long no kept connection is trusted with what must not run twice after one was reset under a request,
 // and later only those that have answered since. It guards against servers, machines back from being cut off and paths
 // to them that have dropped kept connections without a word. Closing all of them instead would cost handshakes on a path
 // that resets at random. Harm: some handshakes too many for writes in the seconds after a server's death.
-const doubtFor = 5 * brain.Micros(time.Second/time.Microsecond)
+const suspectFor = 5 * brain.Micros(time.Second/time.Microsecond)
 
 // task is one attempt or one probe.
 type task struct {
 	routing.Job
 	probe bool
-	since int64 // the withdrawals at its place when it was sent
+	since int64 // the withdrawals at its endpoint when it was sent
 	ctx   context.Context
 	stop  context.CancelFunc
 
 	mu   sync.Mutex
-	link *link // that carries it out, once it is connected
+	conn *serverConn // that carries it out, once it is connected
 }
 
 // Cancel gives the attempt up, in whatever state it is.
 func (t *task) Cancel() {
 	t.stop()
 	t.mu.Lock()
-	l := t.link
+	l := t.conn
 	t.mu.Unlock()
 	if l != nil {
 		l.abort(t)
@@ -77,22 +77,22 @@
 
 func (t *task) cancelled() bool { return t.ctx.Err() != nil }
 
-// carriedBy notes the link that a cancel has to reach.
-func (t *task) carriedBy(l *link) {
+// carriedBy notes the connection that a cancel has to reach.
+func (t *task) carriedBy(l *serverConn) {
 	t.mu.Lock()
-	t.link = l
+	t.conn = l
 	t.mu.Unlock()
 }
 
 // Place tells where a server is. Idle connections to another place are closed.
 func (s *Servers) Place(server brain.ServerID, endpoint string) {
 	s.mu.Lock()
-	if s.places == nil {
-		s.places, s.links = map[brain.ServerID]*place{}, map[*link]struct{}{}
+	if s.endpoints == nil {
+		s.endpoints, s.conns = map[brain.ServerID]*serverEndpoint{}, map[*serverConn]struct{}{}
 	}
-	old := s.places[server]
+	old := s.endpoints[server]
 	if old == nil || old.endpoint != endpoint {
-		s.places[server] = &place{server: server, endpoint: endpoint}
+		s.endpoints[server] = &serverEndpoint{server: server, endpoint: endpoint}
 	}
 	s.mu.Unlock()
 	if old != nil && old.endpoint != endpoint {
@@ -102,7 +102,7 @@
 
 // CloseIdle closes the idle connections to a server.
 func (s *Servers) CloseIdle(server brain.ServerID) {
-	if p := s.place(server); p != nil {
+	if p := s.endpointOf(server); p != nil {
 		closeAll(p)
 	}
 }
@@ -110,7 +110,7 @@
 // Withdraw has every attempt at a server that has not written its first byte end as one that could not connect: it may be
 // sent elsewhere.
 func (s *Servers) Withdraw(server brain.ServerID) {
-	if p := s.place(server); p != nil {
+	if p := s.endpointOf(server); p != nil {
 		p.withdrawals.Add(1)
 	}
 }
@@ -118,24 +118,24 @@
 // Forget drops a server's place once nothing is out there. Its idle connections are closed.
 func (s *Servers) Forget(server brain.ServerID) {
 	s.mu.Lock()
-	p := s.places[server]
-	delete(s.places, server)
+	p := s.endpoints[server]
+	delete(s.endpoints, server)
 	s.mu.Unlock()
 	if p != nil {
 		closeAll(p)
 	}
 }
 
-func closeAll(p *place) {
+func closeAll(p *serverEndpoint) {
 	for _, l := range p.idle.TakeAll() {
 		l.CloseIdle(transport.EndReplaced)
 	}
 }
 
-func (s *Servers) place(server brain.ServerID) *place {
+func (s *Servers) endpointOf(server brain.ServerID) *serverEndpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.places[server]
+	return s.endpoints[server]
 }
 
 // Send starts an attempt.
@@ -160,19 +160,19 @@
 
 // start gives a task to an idle connection, or to a new one.
 func (s *Servers) start(t *task) {
-	p := s.place(t.Server)
+	p := s.endpointOf(t.Server)
 	if p == nil { // never listed: nothing can have run there
 		go s.finish(t, ended{result: brain.ResultConnectFailed}) // the owner must not wait on its own queue
 		return
 	}
 	t.since = p.withdrawals.Load()
-	doubted := p.doubted.Load()
-	for !t.Once || int64(s.Clock.Now()-doubtFor) >= doubted {
+	suspected := p.suspectedAt.Load()
+	for !t.NonIdempotent || int64(s.Clock.Now()-suspectFor) >= suspected {
 		l, ok := p.idle.Take()
 		if !ok {
 			break
 		}
-		if t.Once && l.answered.Load() < doubted {
+		if t.NonIdempotent && l.answered.Load() < suspected {
 			l.CloseIdle(transport.EndReplaced)
 			continue
 		}
@@ -183,11 +183,11 @@
 	s.dial(t, p)
 }
 
-func (s *Servers) dial(t *task, p *place) {
-	l := &link{all: s, place: p, current: t}
+func (s *Servers) dial(t *task, p *serverEndpoint) {
+	l := &serverConn{all: s, endpoint: p, current: t}
 	s.mu.Lock()
-	s.links[l] = struct{}{}
-	if s.closed { // a link that broke during Close hands its task on
+	s.conns[l] = struct{}{}
+	if s.closed { // a connection that broke during Close hands its task on
 		t.stop()
 		l.closing, l.reason = true, transport.EndDrain
 	}
@@ -247,7 +247,7 @@
 func (s *Servers) Close() {
 	s.mu.Lock()
 	s.closed = true
-	all := slices.Collect(maps.Keys(s.links))
+	all := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
 	for _, l := range all {
 		l.CloseIdle(transport.EndDrain)
@@ -258,9 +258,9 @@
 	s.open.Wait()
 }
 
-func (s *Servers) remove(l *link) {
+func (s *Servers) remove(l *serverConn) {
 	s.mu.Lock()
-	delete(s.links, l)
+	delete(s.conns, l)
 	s.mu.Unlock()
 }
 
