A read that waits for its session's mark is not routed for a client that has left

Taking in a query is split into steps (receive, admit, ask, route) for it; the rest does what it did. The test leaves before the mark is known and in the moment of the hand-over; both looks at gone are seen by it.

--- a/internal/session/crossing_test.go
+++ b/internal/session/crossing_test.go
@@ -363,6 +363,67 @@
 	}
 }
 
+// slowMarks tells the position that a session's read needs when the test wants it.
+type slowMarks struct {
+	Marks
+	needed func(brain.Position)
+}
+
+func (*slowMarks) Concerns(string) bool { return true }
+
+func (m *slowMarks) Needed(_ int, _ uint64, _ time.Time, done func(brain.Position)) { m.needed = done }
+
+// leavingQueue has the client leave as its request is handed over.
+type leavingQueue struct {
+	poster
+	leave func()
+}
+
+func (q leavingQueue) Post(ev routing.Event) {
+	if _, is := ev.(*routing.Request); is {
+		q.leave()
+	}
+	q.poster.Post(ev)
+}
+
+// A read that waits for its session's mark is not routed once its client has left; where it leaves in the very moment, routing
+// hears of that behind the request, not before it. Fails without the looks at gone in route.
+func TestClientLeavesWhileAMarkIsAwaited(t *testing.T) {
+	for name, late := range map[string]bool{"before": false, "in the moment": true} {
+		t.Run(name, func(t *testing.T) {
+			x := newCrossing(t)
+			facts := *x.c.all.Facts.Load()
+			facts.Settings.Classes[0].Need = brain.NeedSession
+			x.c.all.Facts.Store(&facts)
+			marks := &slowMarks{}
+			x.c.all.Marks = marks
+			x.peer.Write(lookStatement("x"))
+			if reason, err := x.c.idle(postgres.HeaderSize); err != nil {
+				t.Fatal(reason, err)
+			}
+			if reason, err := x.c.message(); err != nil {
+				t.Fatal(reason, err)
+			}
+			if late {
+				x.c.all.Owner = leavingQueue{poster(x.told), x.c.leave}
+			} else {
+				x.c.leave()
+			}
+			marks.needed(1)
+			close(x.told)
+			routed, gone := false, false
+			for ev := range x.told {
+				_, isRequest := ev.(*routing.Request)
+				routed = routed || isRequest
+				gone = !isRequest // the last event counts
+			}
+			if !gone || routed != late {
+				t.Errorf("routed %v, and then told that the client is gone: %v", routed, gone)
+			}
+		})
+	}
+}
+
 // slowServer accepts connections and leaves it to the test when they come up.
 type slowServer struct {
 	t *testing.T
--- a/internal/session/pending.go
+++ b/internal/session/pending.go
@@ -318,91 +318,157 @@
 	}
 }
 
+// received is a query that has come whole, with the memory that was set aside for it and its answer.
+type received struct {
+	text      *transport.Message
+	reserve   int             // bytes
+	facts     *settings.Facts // in force when it was read
+	arrival   brain.Arrival
+	statement postgres.Statement
+	claims    bool // it must be claimed before it is sent
+}
+
+// release gives back what a query holds that goes no further.
+func (c *client) release(in *received) {
+	in.text.Free()
+	c.all.Buffers.Release(in.reserve)
+}
+
 // query reads one query and asks it.
 func (c *client) query(body int, by time.Time) (transport.Reason, error) {
+	in, reason, err := c.receive(body, by)
+	if in == nil {
+		return reason, err
+	}
+	fault, code := "", ""
+	in.facts = c.all.Facts.Load()
+	in.arrival, in.statement, fault, code = c.read(in.facts, in.text, body)
+	if code != "" || in.statement.ID == "" {
+		c.release(in)
+		return c.respondUnrouted(code, fault)
+	}
+	bookings := c.all.Bookings
+	in.claims = in.statement.Write && bookings != nil && bookings.Concerns(in.statement.Class)
+	c.known = true
+	if !c.admit(in) {
+		c.release(in)
+		return 0, nil
+	}
+	c.ask(in)
+	return 0, nil
+}
+
+// receive reads a query's text. None is returned where it did not come whole, or nobody waits for it, and where there is no
+// memory for it, which the client is told.
+func (c *client) receive(body int, by time.Time) (*received, transport.Reason, error) {
 	// Of the answer only a first buffer is set aside. A larger one waits at its server's connection until there is room for
 	// it: were the largest reserved for every request, a small gateway would refuse for memory that nobody uses.
-	reserve := body + transport.BufferSize
-	if !c.all.Buffers.Reserve(reserve) {
+	in := &received{reserve: body + transport.BufferSize}
+	if !c.all.Buffers.Reserve(in.reserve) {
 		c.all.Counts.OverMemory.Add(1)
 		c.respondError(postgres.CodeRefused, "the gateway has no memory left for this")
-		return reasoned(c.conn.SkipBy(body, by, c.interrupted))
+		reason, err := reasoned(c.conn.SkipBy(body, by, c.interrupted))
+		return nil, reason, err
 	}
-	text := c.all.Buffers.NewMessage()
-	if err := c.conn.Fill(text, body, by, c.interrupted); err != nil {
-		text.Free()
-		c.all.Buffers.Release(reserve)
+	in.text = c.all.Buffers.NewMessage()
+	if err := c.conn.Fill(in.text, body, by, c.interrupted); err != nil {
+		c.release(in)
 		if transport.ReasonOf(err) == transport.EndTimeout {
 			c.end(errors.New("the message did not come in time"))
 		}
-		return transport.ReasonOf(err), err
+		return nil, transport.ReasonOf(err), err
 	}
 	if c.sentAhead() && c.conn.PeerClosed() { // its close lies behind what it has sent: nobody waits for this any more
-		text.Free()
-		c.all.Buffers.Release(reserve)
-		return transport.EndPeerGone, io.EOF
-	}
-	facts := c.all.Facts.Load()
-	arrival, st, fault, code := c.read(facts, text, body)
-	if code != "" || st.ID == "" {
-		text.Free()
-		c.all.Buffers.Release(reserve)
-		switch code {
-		case "":
-			c.all.Counts.Empty.Add(1)
-			c.enqueueResponse(postgres.AppendEmptyAnswer(nil))
-		case postgres.CodeNotReady:
-			c.all.Counts.NotReady.Add(1)
-			c.respondError(code, fault)
-		default:
-			return c.rejectStatement(code, fault)
-		}
-		return 0, nil
+		c.release(in)
+		return nil, transport.EndPeerGone, io.EOF
 	}
-	claims := st.Write && c.all.Bookings != nil && c.all.Bookings.Concerns(st.Class)
-	if c.all.Gate != nil && !(claims && st.Repeat) && !c.all.Gate() {
-		// The process stood still, and another gateway may have the address by now. Nothing was sent for this request, so
-		// its client may ask there. What is asked again and known to all gateways is answered by any.
-		text.Free()
-		c.all.Buffers.Release(reserve)
+	return in, 0, nil
+}
+
+// respondUnrouted answers a query that makes no request: an empty one, or a bad one.
+func (c *client) respondUnrouted(code, fault string) (transport.Reason, error) {
+	switch code {
+	case "":
+		c.all.Counts.Empty.Add(1)
+		c.enqueueResponse(postgres.AppendEmptyAnswer(nil))
+	case postgres.CodeNotReady:
+		c.all.Counts.NotReady.Add(1)
+		c.respondError(code, fault)
+	default:
+		return c.rejectStatement(code, fault)
+	}
+	return 0, nil
+}
+
+// admit tells whether a request may be taken, and refuses it unsent where it may not. What is asked again and is known to all
+// gateways may have run: it is looked up, and never refused here.
+func (c *client) admit(in *received) bool {
+	known := in.claims && in.statement.Repeat
+	switch {
+	case known:
+	case c.all.Gate != nil && !c.all.Gate():
+		// The process stood still, and another gateway may have the address by now: the client may ask there.
 		c.all.Counts.Moved.Add(1)
 		c.respondError(postgres.CodeRefused, "the address has moved to another gateway")
 		c.CloseIdle(transport.EndMoved)
-		return 0, nil
+		return false
+	case c.marked(in) && in.statement.Write && !c.all.Marks.Able(in.arrival.Group, in.arrival.Session):
+		c.all.Counts.Unmarked.Add(1)
+		c.respondError(postgres.CodeRefused, "the session's commit could not be kept")
+		return false
 	}
-	c.known = true
-	q := &pendingQuery{client: c, reserve: reserve}
+	return true
+}
+
+// marked tells whether the last commit of a request's session is kept where every gateway finds it.
+func (c *client) marked(in *received) bool {
+	return c.all.Marks != nil && in.arrival.HasSession && c.all.Marks.Concerns(in.statement.Class)
+}
+
+// ask puts a request into the order of answers and sends it on its way.
+func (c *client) ask(in *received) {
+	wait := in.statement.Wait
+	q := &pendingQuery{client: c, reserve: in.reserve}
 	r := &routing.Request{
-		Client: q, ID: st.ID, Payload: &query{text: text, statement: st}, Facts: facts, Arrival: arrival,
-		ReadAt: c.all.Clock.Now(),
-		Wait:   brain.Micros(st.Wait) * 1000, After: brain.Micros(st.After) * 1000,
-	}
-	if c.all.Marks == nil || !arrival.HasSession || !c.all.Marks.Concerns(st.Class) {
-		c.push(q)
-		c.send(q, r, claims)
-		return 0, nil
+		Client: q, ID: in.statement.ID, Payload: &query{text: in.text, statement: in.statement}, Facts: in.facts,
+		Arrival: in.arrival, ReadAt: c.all.Clock.Now(),
+		Wait: brain.Micros(wait) * 1000, After: brain.Micros(in.statement.After) * 1000,
 	}
-	patience := time.Duration(st.Wait) * time.Millisecond
-	if st.Write {
-		// One that is asked again may have run: it is looked up, never refused for what its mark would need.
-		if !(claims && st.Repeat) && !c.all.Marks.Able(arrival.Group, arrival.Session) {
-			text.Free()
-			c.all.Buffers.Release(reserve)
-			c.all.Counts.Unmarked.Add(1)
-			c.respondError(postgres.CodeRefused, "the session's commit could not be kept")
-			return 0, nil
-		}
-		q.mark = &mark{c.all.Marks, arrival.Group, arrival.Session, time.Now().Add(patience)}
-		c.push(q)
-		c.send(q, r, claims)
-		return 0, nil
+	patience := time.Duration(wait) * time.Millisecond
+	marked, group, session := c.marked(in), in.arrival.Group, in.arrival.Session
+	if marked && in.statement.Write {
+		q.mark = &mark{c.all.Marks, group, session, time.Now().Add(patience)}
 	}
 	c.push(q)
-	c.all.Marks.Needed(arrival.Group, arrival.Session, time.Now().Add(patience/markPart), func(needed brain.Position) {
+	if !marked || in.statement.Write {
+		c.send(q, r, in.claims)
+		return
+	}
+	c.all.Marks.Needed(group, session, time.Now().Add(patience/markPart), func(needed brain.Position) {
 		r.After = max(r.After, needed)
-		c.all.Owner.Post(r)
+		q.route(r)
 	})
-	return 0, nil
+}
+
+// route hands a request to routing that had to wait before. Its client may have left meanwhile, and routing must hear of that
+// behind the request, if it hears of the request at all.
+func (q *pendingQuery) route(r *routing.Request) {
+	if q.isGone() {
+		r.Payload.Free()
+		return
+	}
+	owner := q.client.all.Owner
+	owner.Post(r)
+	if q.isGone() {
+		owner.Post(routing.Gone{Client: q})
+	}
+}
+
+// isGone tells whether the client has left.
+func (q *pendingQuery) isGone() bool {
+	q.client.mu.Lock()
+	defer q.client.mu.Unlock()
+	return q.gone
 }
 
 // send hands a request to routing, a booking that must be claimed first to the desk of bookings.
