--- a/internal/program/leaving_test.go
+++ b/internal/program/leaving_test.go
@@ -54,32 +54,39 @@
 	}
 }
 
+// askWithSlowPrimary is a gateway that has been asked to write x, and the primary's end of the connection for it, which has not
+// come up: the start-up is read, and not answered.
+func askWithSlowPrimary(t *testing.T) (*world, *reading, net.Conn) {
+	t.Helper()
+	primary := must2(net.Listen("tcp", "127.0.0.1:0"))
+	t.Cleanup(func() { primary.Close() })
+	w := newWorld(t, func(c *config.Config) {
+		for i := range c.Known.Entries {
+			if c.Known.Entries[i].Primary {
+				c.Known.Entries[i].Endpoint = primary.Addr().String()
+			}
+		}
+		c.Discovery = "127.0.0.1:1"
+		c.Facts.Settings.ConnectTimeout = 20_000_000
+		c.Facts.Settings.CanProbe = false
+	})
+	c := w.raw()
+	c.Write(query(put("x")))
+	server := must2(primary.Accept())
+	t.Cleanup(func() { server.Close() })
+	server.SetDeadline(time.Now().Add(patience))
+	if _, err := io.ReadFull(server, make([]byte, len(startup()))); err != nil {
+		t.Fatal(err)
+	}
+	return w, c, server
+}
+
 // Likewise while a connection to a server is coming up: nothing is written on it once it has. Fails where a cancel does
 // not reach a link that is connecting.
 func TestClientLeavesWhileAConnectionComesUp(t *testing.T) {
 	for name, leave := range ways {
 		t.Run(name, func(t *testing.T) {
-			slow := must2(net.Listen("tcp", "127.0.0.1:0"))
-			defer slow.Close()
-			w := newWorld(t, func(c *config.Config) {
-				for i := range c.Known.Entries {
-					if c.Known.Entries[i].Primary {
-						c.Known.Entries[i].Endpoint = slow.Addr().String()
-					}
-				}
-				c.Discovery = "127.0.0.1:1"
-				c.Facts.Settings.ConnectTimeout = 20_000_000
-				c.Facts.Settings.CanProbe = false
-			})
-			c := w.raw()
-			c.Write(query(put("x")))
-			server := must2(slow.Accept())
-			defer server.Close()
-			server.SetDeadline(time.Now().Add(patience))
-			want := len(startup())
-			if _, err := io.ReadFull(server, make([]byte, want)); err != nil {
-				t.Fatal(err)
-			}
+			w, c, server := askWithSlowPrimary(t)
 			leave(c.Conn.(*net.TCPConn))
 			w.gone(1, 1)
 			server.Write([]byte{'R', 0, 0, 0, 8, 0, 0, 0, 0, 'Z', 0, 0, 0, 5, 'I'})
--- a/internal/program/stopping_test.go
+++ b/internal/program/stopping_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -60,26 +59,7 @@
 
 // One that waits for its connection to come up is sent once it has, also while the gateway stops.
 func TestStopWhileAConnectionComesUp(t *testing.T) {
-	slow := must2(net.Listen("tcp", "127.0.0.1:0"))
-	defer slow.Close()
-	w := newWorld(t, func(c *config.Config) {
-		for i := range c.Known.Entries {
-			if c.Known.Entries[i].Primary {
-				c.Known.Entries[i].Endpoint = slow.Addr().String()
-			}
-		}
-		c.Discovery = "127.0.0.1:1"
-		c.Facts.Settings.ConnectTimeout = 20_000_000
-		c.Facts.Settings.CanProbe = false
-	})
-	c := w.raw()
-	c.Write(query(put("x")))
-	server := must2(slow.Accept())
-	defer server.Close()
-	server.SetDeadline(time.Now().Add(patience))
-	if _, err := io.ReadFull(server, make([]byte, len(startup()))); err != nil {
-		t.Fatal(err)
-	}
+	w, c, server := askWithSlowPrimary(t)
 	ended := w.stop()
 	server.Write([]byte{'R', 0, 0, 0, 8, 0, 0, 0, 0, 'S', 0, 0, 0, 17, 'r', 'o', 'l', 'e', 0, 'p', 'r', 'i', 'm', 'a', 'r', 'y', 0})
 	server.Write([]byte{'Z', 0, 0, 0, 5, 'I'})
