What was to go to a server that has started again since is placed anew

Between the choice of a server and the first byte it may have started again: the attempt was counted for a warm server and would reach a cold one beside its budget. The list's word of a start now takes back what has not begun there, as a drain does.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -150,10 +150,8 @@
 	if e.HasSession {
 		q.session = r.sessions.get(e.Session)
 	}
-	if c.Need == NeedSession { // the commit that it must see comes with the request, or is remembered here
-		if e.SinceWrite > 0 {
-			q.need = r.now - e.SinceWrite
-		}
+	if c.Need == NeedSession && e.SinceWrite > 0 { // the commit that it must see comes with the request
+		q.need = r.now - e.SinceWrite
 	}
 	r.at(max(min(r.end(q), r.now+e.Left/2-r.set.Tick), r.now+1), q.id)
 	r.enqueue(q)
@@ -904,6 +902,7 @@
 	s.zone, s.listed = m.Zone, m.Primary
 	if m.Started > s.started {
 		s.started, s.limit = m.Started, min(s.limit, r.firstLimit())
+		r.do(Withdraw{Server: s.id}) // what was to go to a warm server is placed anew, within the cold budget
 	}
 	if m.State == MemberGone {
 		r.gone(s)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1195,22 +1195,23 @@
 }
 
 // What the list takes out gets nothing more, also of what waits for a connection there: it is taken back at once. Where only
-// draining binds, gone alone takes nothing back.
+// draining binds, gone alone takes nothing back. So it is with what was to go to a server that has started again since.
 func TestWhatHasNotBegunIsTakenBack(t *testing.T) {
 	for _, c := range []struct {
 		onlyDraining bool
 		state        brain.MemberState
+		started      brain.Micros
 		want         int
 	}{
-		{false, brain.MemberDraining, 1}, {false, brain.MemberGone, 1}, {true, brain.MemberDraining, 1}, {true, brain.MemberGone, 0},
-		{false, brain.MemberReady, 0},
+		{false, brain.MemberDraining, 0, 1}, {false, brain.MemberGone, 0, 1}, {true, brain.MemberDraining, 0, 1},
+		{true, brain.MemberGone, 0, 0}, {false, brain.MemberReady, 0, 0}, {false, brain.MemberReady, origin, 1},
 	} {
 		set := settings()
 		set.OnlyDrainingBinds = c.onlyDraining
 		g := newRig(t, set)
 		g.group(3)
 		m := member(2, false)
-		m.State = c.state
+		m.State, m.Started = c.state, c.started
 		n := 0
 		for _, a := range g.step(brain.MemberNews{Form: brain.ListDelta, Members: []brain.Member{m}}) {
 			if w, is := a.(brain.Withdraw); is && w.Server == 2 {
