--- a/internal/session/crossing_test.go
+++ b/internal/session/crossing_test.go
@@ -158,7 +158,11 @@
 	x := newCrossing(t)
 	large := largeStatement("y")
 	x.peer.Write(append(lookStatement("x"), large[:transport.BufferSize+100]...))
-	go x.c.serveMessages()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		x.c.serveMessages()
+	}()
 	first := x.asked()
 	x.served(first, "the answer")
 	got := make([]byte, len("the answer"))
@@ -169,6 +173,8 @@
 	if r := x.asked(); r.ID != "y" {
 		t.Errorf("then asked %q", r.ID)
 	}
+	x.peer.Close()
+	<-ended
 }
 
 // A stop that comes between a request's head and its body takes the request in: it has come whole. Fails where a cut ends
