--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,5 +1,5 @@
-// Package brain has every decision of a gateway in this file; its interface (settings, events, actions) is
-// api.go, and state.go holds the containers. No other file decides anything.
+// Package brain has every decision of a gateway in this file, one file as its lines are limited to 1,070; its
+// interface (settings, events, actions) is api.go, state.go holds the containers. No other file decides.
 //
 // The path of a request:
 //
--- /dev/null
+++ b/internal/rig/node.go
@@ -0,0 +1,354 @@
+package rig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"marblespan/internal/standin"
+)
+
+// This file is one gateway of a fleet: its files, its process, and what is done to both.
+
+// Node is one gateway, in all its lives.
+type Node struct {
+	Number   int
+	IP       net.IP
+	Listen   string
+	Floating string
+	Binary   string // of its next lives, if not the fleet's
+
+	f         *Fleet
+	dir       string
+	discovery *standin.Discovery
+	reach     *standin.Relay            // of discovery
+	servers   map[string]*standin.Relay // of each server
+	told      sync.WaitGroup
+
+	mu      sync.Mutex
+	process *process // of this life; nil: none yet
+	stops   int      // faults that have it stand still now
+	files   uint64   // how large its files may grow, in bytes
+	lives   int
+}
+
+// newNode makes what stands between one gateway and the rest.
+func (f *Fleet) newNode(number int, ip net.IP) (*Node, error) {
+	n := &Node{Number: number, IP: ip, f: f, dir: filepath.Join(f.Dir, fmt.Sprint("n", number)), servers: map[string]*standin.Relay{}, files: noBound}
+	n.Listen, n.Floating = fmt.Sprintf("%v:%d", ip, portClients), fmt.Sprintf("%v:%d", ip, portFloating)
+	f.Nodes = append(f.Nodes, n)
+	var targets []standin.Target
+	for _, s := range f.servers() {
+		r, err := standin.NewRelay("127.0.0.1:0", s.Addr(), ip)
+		if err != nil {
+			return nil, err
+		}
+		r.Seen = func(chunk []byte) { n.sent(s.name, chunk) }
+		n.servers[s.name] = r
+		targets = append(targets, s.target(r.Addr()))
+	}
+	var err error
+	if n.discovery, err = standin.NewDiscovery(targets...); err != nil {
+		return nil, err
+	}
+	n.told.Add(1)
+	go func() { // nobody waits for the calls that are told
+		defer n.told.Done()
+		for range n.discovery.Asked {
+		}
+	}()
+	n.reach, err = standin.NewRelay("127.0.0.1:0", n.discovery.Addr(), nil)
+	return n, err
+}
+
+// sent notes a request as its first byte leaves for a server.
+func (n *Node) sent(server string, chunk []byte) {
+	for _, m := range requestID.FindAllSubmatch(chunk, -1) {
+		n.f.History.Add(Event{Kind: Sent, Node: n.Number, ID: string(m[1]), Server: server})
+	}
+}
+
+// configure writes a gateway's two files.
+func (n *Node) configure() error {
+	f := n.f
+	if err := os.MkdirAll(filepath.Join(n.dir, "data"), 0o755); err != nil {
+		return err
+	}
+	if err := os.WriteFile(n.Conf(), []byte(n.sections()), 0o600); err != nil {
+		return err
+	}
+	var known []standin.Target
+	for _, s := range f.servers() {
+		known = append(known, s.target(n.servers[s.name].Addr()))
+	}
+	raw, err := json.Marshal(map[string]any{
+		"name": fmt.Sprint("n", n.Number), "listen": n.Listen, "discovery": n.reach.Addr(),
+		"seed":     fmt.Sprintf("%x", f.Seed+uint64(n.Number)),
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"rev": 1, "all": true, "targets": known},
+		"settings": json.RawMessage(fmt.Sprintf(settings, len(f.Nodes), n.Number-1, f.Ramp.Milliseconds())),
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(n.dir, "json"), raw, 0o600)
+}
+
+// Name is the gateway's name among the members.
+func (n *Node) Name() string { return fmt.Sprint("g", n.Number) }
+
+// Conf is the path of its operators' file, and Socket that of its control socket.
+func (n *Node) Conf() string { return filepath.Join(n.dir, "conf") }
+
+// Socket is where it is asked how it is.
+func (n *Node) Socket() string { return filepath.Join(n.dir, "ctl") }
+
+// Reconfigure changes the operators' file and has it read again.
+func (n *Node) Reconfigure(change func(string) string) error {
+	raw, err := os.ReadFile(n.Conf())
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(n.Conf(), []byte(change(string(raw))), 0o600); err != nil {
+		return err
+	}
+	return n.Signal(syscall.SIGHUP)
+}
+
+// sections writes the operators' file.
+func (n *Node) sections() string {
+	f := n.f
+	var b strings.Builder
+	fmt.Fprintf(&b, "control %s\n", n.Socket())
+	if f.Members != nil {
+		fmt.Fprintf(&b, "members\n node %s\n bind %v:%d\n key 1 \"%s\"\n interval %v\n zone z%d\n", n.Name(), n.IP, portMembers, secret, f.Probe, n.Number%3)
+		for _, other := range f.Nodes {
+			if other.Number <= 3 {
+				fmt.Fprintf(&b, " join %v:%d\n", other.IP, portMembers)
+			}
+			if other != n {
+				fmt.Fprintf(&b, " via %v:%d %s\n", other.IP, portMembers, f.Members.Peer(n.Number-1, other.Number-1))
+			}
+		}
+	}
+	if f.Copies != nil {
+		b.WriteString(f.Copies.section(n))
+	}
+	if f.InDoubt != nil {
+		b.WriteString(f.InDoubt.section())
+	}
+	if f.Maintain != nil {
+		b.WriteString(f.Maintain.section())
+	}
+	if n.Number > 1 && len(f.Nodes) > mostPeers+1 {
+		return b.String() // VRRP names its peers, sixteen at most: in larger fleets the first one has the address alone
+	}
+	priority := 201 - n.Number
+	if f.Priorities != nil {
+		priority = f.Priorities[n.Number-1]
+	}
+	fmt.Fprintf(&b, "vrrp\n node %d\n bind %v:%d\n announce %s\n key 1 \"%s\"\n", n.Number, n.IP, portVRRP, f.Switch.Announced(), secret)
+	for _, other := range f.Nodes {
+		if other != n && len(f.Nodes) <= mostPeers+1 {
+			fmt.Fprintf(&b, " peer %d %s\n", other.Number, f.Path.Peer(n.Number-1, other.Number-1))
+		}
+	}
+	fmt.Fprintf(&b, "group counters\n vrid 51\n address 192.0.2.10\n listen %s\n priority %d\n interval %v\n damp 0s 0s 0s\n",
+		n.Floating, priority, f.Interval)
+	return b.String()
+}
+
+// Start starts a gateway's next life. The last one must have ended.
+func (n *Node) Start() error { return n.startAfter(n.current()) }
+
+// startAfter starts the life after a given one, unless that has been done: two faults may have taken a gateway away.
+func (n *Node) startAfter(last *process) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != last {
+		return nil
+	}
+	n.lives++
+	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	binary := n.f.Binary
+	if n.Binary != "" {
+		binary = n.Binary
+	}
+	cmd := exec.Command(binary, "--conf", n.Conf())
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+filepath.Join(n.dir, "json"))
+	life := n.lives
+	n.f.History.Add(Event{Kind: Process, Node: n.Number, What: "started", Text: fmt.Sprint("life ", life)})
+	n.process, err = launch(cmd, log, n.line, func(how string) {
+		log.Close()
+		n.f.History.Add(Event{Kind: Process, Node: n.Number, What: "ended", Text: how})
+	})
+	if err != nil {
+		log.Close()
+		return fmt.Errorf("gateway %d: %w", n.Number, err)
+	}
+	n.stops = 0
+	n.process.boundFiles(n.files)
+	go n.awaitServing(n.process)
+	return nil
+}
+
+// line takes what a gateway believes out of its log.
+func (n *Node) line(text string) {
+	if !strings.Contains(text, `"message":"vrrp"`) && !strings.Contains(text, `"message":"member`) && !strings.Contains(text, `"message":"copies"`) &&
+		!strings.Contains(text, `"message":"maintenance"`) {
+		return
+	}
+	var line struct {
+		Time                                             time.Time
+		Message, From, To, Cause, Member, By, What, Node string
+		Machine                                          string
+		Group                                            any // a floating address's name, or a shard's number
+	}
+	if json.Unmarshal([]byte(text), &line) != nil {
+		return
+	}
+	e := Event{At: n.f.History.At(line.Time), Kind: Belief, Node: n.Number, Text: line.To}
+	switch line.Message {
+	case "vrrp":
+		e.What, e.Value = fmt.Sprint("vrrp ", line.Group), line.Cause
+	case "member":
+		e.What, e.Value = "member "+line.Member, line.By
+	case "membership":
+		e.What, e.Text, e.Value = "itself", line.What, line.By
+	case "maintenance":
+		e.What, e.Value = "order "+line.Machine, line.From
+	case "copies":
+		e.What, e.Text, e.Value = "copies "+line.What, line.Node, line.Cause
+		if line.Group != nil {
+			e.Server = fmt.Sprint(line.Group)
+		}
+	default:
+		return
+	}
+	n.f.History.Add(e)
+}
+
+// awaitServing notes when a life answers its first question, as a front does.
+func (n *Node) awaitServing(p *process) {
+	for !p.over() {
+		if standin.Serves(n.Listen, time.Second) {
+			n.f.History.Add(Event{Kind: Process, Node: n.Number, What: "ready"})
+			return
+		}
+		select {
+		case <-p.ended:
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// Signal sends a signal to the life that runs.
+func (n *Node) Signal(s syscall.Signal) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil {
+		return errors.New("it was never started")
+	}
+	return n.process.signal(s)
+}
+
+// current is the life that runs, or the last one.
+func (n *Node) current() *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
+}
+
+// Wait waits for the end of a life that was told to end.
+func (n *Node) Wait() { <-n.current().ended }
+
+// still has a life of a gateway stand still, or run on once nothing else has it stand still.
+func (n *Node) still(p *process, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != p {
+		return // it is another life's time now
+	}
+	if on {
+		n.stops++
+		p.signal(syscall.SIGSTOP)
+	} else if n.stops--; n.stops == 0 {
+		p.signal(syscall.SIGCONT)
+	}
+}
+
+// slice is how long a starved process is stopped and run in turn, together: well below any interval that the gateways use
+// among themselves, so that it is slow and not away.
+const slice = 20 * time.Millisecond
+
+// starve keeps a life from running for a share of the time, until quit is closed.
+func (n *Node) starve(p *process, share float64, quit <-chan struct{}) {
+	off := time.Duration(share * float64(slice))
+	for {
+		n.still(p, true)
+		time.Sleep(off)
+		n.still(p, false)
+		select {
+		case <-quit:
+			return
+		case <-p.ended:
+			return
+		case <-time.After(slice - off):
+		}
+	}
+}
+
+// disk does something to the data directory.
+func (n *Node) disk(what string) error {
+	data, saved := filepath.Join(n.dir, "data"), filepath.Join(n.dir, "saved")
+	replace := func(at, with string) error {
+		if err := os.RemoveAll(at); err != nil {
+			return err
+		}
+		if with == "" {
+			return os.MkdirAll(at, 0o755)
+		}
+		return os.CopyFS(at, os.DirFS(with))
+	}
+	switch what {
+	case "save":
+		return replace(saved, data)
+	case "old":
+		return replace(data, saved)
+	}
+	return replace(data, "")
+}
+
+// largest is the size of the largest file in the data directory, in bytes.
+func (n *Node) largest() (size uint64) {
+	filepath.WalkDir(filepath.Join(n.dir, "data"), func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && d.Type().IsRegular() {
+			if info, err := d.Info(); err == nil {
+				size = max(size, uint64(info.Size()))
+			}
+		}
+		return nil
+	})
+	return size
+}
+
+// boundFiles bounds how large the files of this gateway may grow, in this life and further ones.
+func (n *Node) boundFiles(most uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.files = most; n.process != nil {
+		n.process.boundFiles(most)
+	}
+}
