--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -121,10 +121,7 @@
 
 func TestSessionMarks(t *testing.T) {
 	t.Run("remembered", func(t *testing.T) {
-		g := newRig(t, settings())
-		g.group(2)
-		g.fresh(1, 0)
-		g.fresh(2, 0)
+		g := newFreshPair(t)
 		g.after(100*ms).arriveOf("w", unsafeWrite, 9)
 		g.step(brain.Outcome{ID: "w", Server: 1, Final: true, Latency: 50 * ms, Role: brain.RolePrimary, Position: g.now})
 		g.after(10*ms).arriveOf("r", sessionRead, 9)
@@ -134,10 +131,7 @@
 		g.wantSent("s", 2)
 	})
 	t.Run("a write without a position counts as committed now", func(t *testing.T) {
-		g := newRig(t, settings())
-		g.group(2)
-		g.fresh(1, 0)
-		g.fresh(2, 0)
+		g := newFreshPair(t)
 		g.after(100*ms).arriveOf("w", unsafeWrite, 9)
 		g.outcome("w", 0, 1, brain.ResultOK)
 		g.arriveOf("r", sessionRead, 9)
@@ -156,10 +150,7 @@
 		g.wantSent("s", 2)
 	})
 	t.Run("a read that is sent later sees a write answered meanwhile", func(t *testing.T) {
-		g := newRig(t, settings())
-		g.group(2)
-		g.fresh(1, 0)
-		g.fresh(2, 0)
+		g := newFreshPair(t)
 		g.arriveOf("r", sessionRead, 9)
 		g.wantSent("r", 2)
 		g.after(10*ms).arriveOf("w", unsafeWrite, 9)
@@ -168,10 +159,7 @@
 		g.wantSent("r", 1)
 	})
 	t.Run("a write that is out may have been answered", func(t *testing.T) {
-		g := newRig(t, settings())
-		g.group(2)
-		g.fresh(1, 0)
-		g.fresh(2, 0)
+		g := newFreshPair(t)
 		g.after(10*ms).arriveOf("w", unsafeWrite, 9)
 		g.arriveOf("r", sessionRead, 9)
 		g.wantSent("r", 1)
@@ -182,10 +170,7 @@
 		for res, want := range map[brain.Result]brain.ServerID{
 			brain.ResultReset: 1, brain.ResultTimeout: 1, brain.ResultCancelled: 1, brain.ResultError: 1, brain.ResultFull: 2,
 		} {
-			g := newRig(t, settings())
-			g.group(2)
-			g.fresh(1, 0)
-			g.fresh(2, 0)
+			g := newFreshPair(t)
 			g.after(10*ms).arriveOf("w", unsafeWrite, 9)
 			g.step(brain.Dropped{ID: "w"})
 			g.after(10*ms).outcome("w", 0, 1, res)
@@ -196,10 +181,7 @@
 		}
 	})
 	t.Run("a session with a write out is not forgotten", func(t *testing.T) {
-		g := newRig(t, settings())
-		g.group(2)
-		g.fresh(1, 0)
-		g.fresh(2, 0)
+		g := newFreshPair(t)
 		g.after(10*ms).arriveOf("w", unsafeWrite, 1)
 		for k := uint64(2); k < 1<<14+2; k++ {
 			g.arriveOf(fmt.Sprint("f", k), freshRead, k)
@@ -212,10 +194,7 @@
 		g.wantSent("s", 2)
 	})
 	t.Run("forgotten marks merge into a floor", func(t *testing.T) {
-		g := newRig(t, settings())
-		g.group(2)
-		g.fresh(1, 0)
-		g.fresh(2, 0)
+		g := newFreshPair(t)
 		g.after(100*ms).arriveOf("w", unsafeWrite, 1)
 		g.outcome("w", 0, 1, brain.ResultOK)
 		for k := uint64(2); k < 1<<14+2; k++ {
--- a/brain/harness_test.go
+++ b/brain/harness_test.go
@@ -97,6 +97,15 @@
 	g.probed(id, role, g.now-ago)
 }
 
+// newFreshPair is a router over a primary, server 1, and a replica, server 2, both known to be fresh now.
+func newFreshPair(t *testing.T) *rig {
+	g := newRig(t, settings())
+	g.group(2)
+	g.fresh(1, 0)
+	g.fresh(2, 0)
+	return g
+}
+
 func (g *rig) probed(id brain.ServerID, role brain.Role, pos brain.Position) {
 	g.step(brain.Probed{
 		Server: id, Result: brain.ResultOK,
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -106,7 +106,7 @@
 
 	newBy       time.Time // when a newcomer's time is up
 	known       bool      // it has sent a whole request
-	badMessages int       // bad messages
+	badMessages int       // how many it has sent
 
 	skipping       bool             // after an error in the extended protocol, up to Sync
 	readingStopped bool             // nothing more is read: its framing is lost, or the gateway stops
