--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rs/zerolog"
 
+	"marblespan/internal/policy"
 	"marblespan/internal/routing"
 	"marblespan/internal/transport"
 )
@@ -41,6 +42,10 @@
 		}
 		line.Msg("requests by class")
 	}
+	for _, kind := range []routing.AnswerKind{routing.AnswerRejected, routing.AnswerFailed} {
+		line := g.log.Info().Str("answer", routing.AnswerKindNames[kind])
+		addCounts(line, policy.ReasonNames[:], n.Reasons[kind][:]).Msg("requests not served")
+	}
 	addCounts(g.log.Info(), routing.ResultNames[:], n.Outcomes[:]).Msg("outcomes of attempts")
 	addCounts(g.log.Info().Int64("sent", n.HealthChecksSent), routing.ResultNames[:], n.HealthChecks[:]).Msg("outcomes of health checks")
 	addCounts(g.log.Info().Int64("watches", n.Watches).Int64("fetches", n.Fetches), routing.ListFormNames[:],
--- a/internal/policy/api.go
+++ b/internal/policy/api.go
@@ -174,10 +174,14 @@
 type Reject struct {
 	ID         string
 	RetryAfter clock.Micros // 0: no advice
+	Reason     Reason
 }
 
 // Fail ends a request and promises nothing.
-type Fail struct{ ID string }
+type Fail struct {
+	ID     string
+	Reason Reason
+}
 
 // Cancel stops waiting for an attempt.
 type Cancel struct {
@@ -215,7 +219,10 @@
 const AllPeers = -1
 
 // Log is a line for the operators' log.
-type Log struct{ Text string }
+type Log struct {
+	Text   string
+	Server ServerID // that it is about; 0: none
+}
 
 // Watch asks for changes of the endpoint list from now on, or stops them.
 type Watch struct{ On bool }
--- a/internal/policy/attempts.go
+++ b/internal/policy/attempts.go
@@ -48,8 +48,12 @@
 	case e.Final:
 		req.done = true
 	case req.done:
-	case !r.mayRetry(req) || !r.takeRetryToken(e.Result):
-		r.finish(req)
+	case !mayReject(req):
+		r.finish(req, ReasonMayHaveRun)
+	case !r.mayRetry(req):
+		r.finish(req, ReasonAttemptsUsed)
+	case !r.takeRetryToken(e.Result):
+		r.finish(req, ReasonRetryBudget)
 	default:
 		r.enqueue(req)
 	}
--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -114,7 +114,7 @@
 	s.excluded = true
 	r.emit(Withdraw{Server: s.id})
 	if s.group.primary == s {
-		r.losePrimary(s.group)
+		r.losePrimary(s.group, "the endpoint list excludes it")
 	}
 }
 
--- a/internal/policy/health.go
+++ b/internal/policy/health.go
@@ -49,7 +49,7 @@
 		if !ran {
 			s.startedAt = max(s.startedAt, r.now)
 		}
-		r.log("server %d is back, in slow start: %v", s.id, !ran)
+		r.logServer(s, "server %d is back, in slow start: %v", s.id, !ran)
 	}
 }
 
@@ -61,11 +61,11 @@
 		s.down = true
 		s.downAt = r.now
 		s.recheckInterval = r.settings.ConnectTimeout
-		r.log("server %d is down", s.id)
+		r.logServer(s, "server %d is down", s.id)
 	}
 	s.recheckInterval = min(s.recheckInterval*2, r.maxObjective)
 	if s.group.primary == s {
-		r.losePrimary(s.group)
+		r.losePrimary(s.group, "its health checks fail")
 	}
 	for _, a := range s.inFlight {
 		if a.request.settings.CanCancel && !a.request.done && a.request.class.Effect == EffectIdempotent {
--- a/internal/policy/outlier.go
+++ b/internal/policy/outlier.go
@@ -40,7 +40,7 @@
 	s.ejected = true
 	s.ejectedAt = r.now
 	s.ejectionTime = min(max(s.ejectionTime*2, r.maxObjective), r.maxObjective*maxBackOffFactor)
-	r.log("server %d ejected for %d ms, error share %d", s.id, s.ejectionTime/1000, s.errorShare)
+	r.logServer(s, "server %d ejected for %d ms, error share %d", s.id, s.ejectionTime/1000, s.errorShare)
 }
 
 // unejectExpired ends an ejection whose time is over: one attempt at a time, and the next failed
--- a/internal/policy/primary.go
+++ b/internal/policy/primary.go
@@ -46,7 +46,7 @@
 	s.roleProvenAt = at
 	switch {
 	case role == RolePrimary && g.primary != s && at >= g.primaryProvenAt:
-		r.log("group %d: primary is %d", g.id, s.id)
+		r.logServer(s, "group %d: primary is %d", g.id, s.id)
 		g.primary = s
 		g.primaryProvenAt = at
 		s.writeMisdirectedAt = 0
@@ -54,7 +54,7 @@
 	case role == RolePrimary && g.primary == s:
 		g.primaryProvenAt = max(g.primaryProvenAt, at)
 	case role == RoleReplica && g.primary == s && at >= g.primaryProvenAt:
-		r.losePrimary(g)
+		r.losePrimary(g, "it says that it is a replica")
 	}
 }
 
@@ -75,8 +75,9 @@
 }
 
 // losePrimary forgets the primary of a group; health checks and writes look for the next one.
-func (r *Router) losePrimary(g *group) {
-	r.log("group %d: primary lost", g.id)
+func (r *Router) losePrimary(g *group, why string) {
+	r.logServer(g.primary, "group %d: primary lost: %s; %d attempts in flight there, %d requests wait", g.id,
+		why, len(g.primary.inFlight), len(g.queue))
 	g.primary = nil
 }
 
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -32,11 +32,11 @@
 			continue
 		}
 		if r.now+r.expectedLatency(req)/infeasiblePart > r.endOf(req) {
-			r.finish(req)
+			r.finish(req, ReasonTooLate)
 		} else if s := r.place(req); s != nil {
 			r.send(req, s)
 		} else if r.likelyLate(req) {
-			r.finish(req)
+			r.finish(req, ReasonNoCapacity)
 		}
 	}
 }
--- a/internal/policy/requests.go
+++ b/internal/policy/requests.go
@@ -85,10 +85,12 @@
 	req := r.requests[id]
 	switch {
 	case req == nil:
-	case r.now < r.endOf(req) && len(req.attempts) > 0:
-		r.setTimer(r.endOf(req), Timer{RequestID: id})
+	case r.now >= r.endOf(req):
+		r.finish(req, ReasonTimeUp)
+	case len(req.attempts) == 0:
+		r.finish(req, ReasonNothingSent)
 	default:
-		r.finish(req)
+		r.setTimer(r.endOf(req), Timer{RequestID: id})
 	}
 }
 
@@ -98,7 +100,7 @@
 // outlasts its patience.
 //
 // The harm: after a short fault it comes back later than it could.
-func (r *Router) finish(req *request) {
+func (r *Router) finish(req *request, reason Reason) {
 	if req.done {
 		return
 	}
@@ -107,9 +109,9 @@
 		if req.settings.CanSendRetryAfter {
 			advice = req.settings.MaxRetryAfter
 		}
-		r.emit(Reject{ID: req.id, RetryAfter: advice})
+		r.emit(Reject{ID: req.id, RetryAfter: advice, Reason: reason})
 	} else {
-		r.emit(Fail{ID: req.id})
+		r.emit(Fail{ID: req.id, Reason: reason})
 	}
 	r.closeRequest(req)
 }
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -206,6 +206,11 @@
 // log writes a line for the operators.
 func (r *Router) log(format string, a ...any) { r.emit(Log{Text: fmt.Sprintf(format, a...)}) }
 
+// logServer is log for a line about a server.
+func (r *Router) logServer(s *server, format string, a ...any) {
+	r.emit(Log{Text: fmt.Sprintf(format, a...), Server: s.id})
+}
+
 // removeFirst removes the first x from list in place, keeping the order.
 func removeFirst[T comparable](list []T, x T) []T {
 	if i := slices.Index(list, x); i >= 0 {
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -9,9 +9,9 @@
 		case policy.Send:
 			c.startAttempt(a)
 		case policy.Reject:
-			c.answerOpen(a.ID, Answer{Kind: AnswerRejected, RetryAfter: a.RetryAfter})
+			c.endUnserved(a.ID, Answer{Kind: AnswerRejected, RetryAfter: a.RetryAfter}, a.Reason)
 		case policy.Fail:
-			c.answerOpen(a.ID, Answer{Kind: AnswerFailed})
+			c.endUnserved(a.ID, Answer{Kind: AnswerFailed}, a.Reason)
 		case policy.Cancel:
 			c.cancelAttempt(a)
 		case policy.SetTimer:
@@ -32,12 +32,21 @@
 			c.Counts.Fetches++
 			c.discovery.Fetch()
 		case policy.Log:
-			c.log.Info().Str("from", "module").Msg(a.Text)
+			c.logPolicy(a)
 		case policy.SendToPeer: // gateways have no path to one another for it
 		}
 	}
 }
 
+// logPolicy logs a line of the router's, with the name on the list of the server that it is about.
+func (c *Core) logPolicy(a policy.Log) {
+	line := c.log.Info().Str("from", "module")
+	if a.Server != 0 {
+		line.Str("server", c.endpoints.uidByID[a.Server])
+	}
+	line.Msg(a.Text)
+}
+
 // startAttempt sends an attempt to its server. It checks once more what policy has decided, because a mistake there could
 // otherwise run a request twice or without end: the request must be open, no other attempt in flight, its deadline not over
 // and MaxAttempts (at least 1) not reached. An attempt that fails the check is not sent; the router is told so by
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -29,6 +29,8 @@
 	pending   []policy.Event // caused by the router's own actions, to be handled after them
 	requests  requestTable
 	endpoints endpointList
+
+	requestLog requestLog
 }
 
 // maxListWait is how long after a start the gateway is not ready while the first list of a discovery that pushes is missing.
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -35,13 +35,15 @@
 // Counts are the owner's counters since the start. Those by class are indexed as ClassNames; a class keeps its index for as
 // long as the gateway runs, also when the settings change.
 type Counts struct {
-	ClassNames   []string
-	Requests     []int64                       // by class: taken in
-	Sends        []int64                       // by class: attempts sent
-	Disconnects  []int64                       // by class: clients that left before their answer
-	Answers      [len(AnswerKindNames)][]int64 // by kind and class
-	Outcomes     [len(ResultNames)]int64       // of attempts
-	StaleAnswers int64                         // answers of replicas to reads that need the primary, discarded
+	ClassNames  []string
+	Requests    []int64                       // by class: taken in
+	Sends       []int64                       // by class: attempts sent
+	Disconnects []int64                       // by class: clients that left before their answer
+	Answers     [len(AnswerKindNames)][]int64 // by kind and class
+	Outcomes    [len(ResultNames)]int64       // of attempts
+	// Reasons counts, by kind of answer, why requests ended without a served one.
+	Reasons      [len(AnswerKindNames)][len(policy.ReasonNames)]int64
+	StaleAnswers int64 // answers of replicas to reads that need the primary, discarded
 
 	UnknownGroup int64 // requests rejected because no list has ever named their group
 	ClassChanged int64 // requests rejected because their class changed while they were on their way in
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -14,6 +14,8 @@
 	clientID string // given by the client; empty: none
 	client   Client
 	payload  Payload
+	group    int
+	readAt   clock.Micros // when its last byte was read
 	deadline clock.Micros
 
 	inForce      *settings.InForce // the settings it is finished under
@@ -22,7 +24,8 @@
 
 	attempts []Attempt // by index; nil where one was not sent or has ended
 	inFlight int       // attempts sent that have not ended
-	closed   bool      // answered, or its client has disconnected
+	ended    []endedAttempt
+	closed   bool // answered, or its client has disconnected
 }
 
 // requestClass is the class of a request in the settings it is finished under.
@@ -84,8 +87,9 @@
 		return
 	}
 	q := &request{
-		clientID: e.ClientID, client: e.Client, payload: e.Payload, deadline: e.ReadAt + e.Timeout,
-		inForce: c.inForce, class: class, counterIndex: c.counterIndexes[class],
+		clientID: e.ClientID, client: e.Client, payload: e.Payload, group: e.Arrival.Group, readAt: e.ReadAt,
+		deadline: e.ReadAt + e.Timeout,
+		inForce:  c.inForce, class: class, counterIndex: c.counterIndexes[class],
 	}
 	c.requests.add(q)
 	c.Counts.Requests[q.counterIndex]++
@@ -141,11 +145,19 @@
 	}
 	q.attempts[e.Job.Attempt] = nil
 	q.inFlight--
+	ended := endedAttempt{
+		server: e.Job.Server, received: e.Result, result: e.Result, role: e.Role, latency: e.Latency,
+	}
 	if answeredByStaleReplica(q, e) {
 		c.Counts.StaleAnswers++
 		e.Result = policy.ResultMisdirected
+		ended.result = e.Result
+		c.logUnused(q, ended, "the server says that it is a replica")
 	}
 	served := e.Result == policy.ResultOK
+	if !served {
+		q.ended = append(q.ended, ended)
+	}
 	final := q.closed || served
 	if served && !q.closed {
 		c.answer(q, Answer{Kind: AnswerServed, Value: e.Value, Position: e.Position})
@@ -166,11 +178,15 @@
 	return e.Result == policy.ResultOK && e.Role == policy.RoleReplica && q.requestClass().Need == policy.NeedFresh
 }
 
-// answerOpen answers a request by its id, unless it is closed.
-func (c *Core) answerOpen(id string, a Answer) {
-	if q := c.requests.byID[id]; q != nil && !q.closed {
-		c.answer(q, a)
+// endUnserved answers a request by its id, unless it is closed, with other than a server's answer.
+func (c *Core) endUnserved(id string, a Answer, reason policy.Reason) {
+	q := c.requests.byID[id]
+	if q == nil || q.closed {
+		return
 	}
+	c.Counts.Reasons[a.Kind][reason]++
+	c.logUnserved(q, a.Kind, reason.String())
+	c.answer(q, a)
 }
 
 // answer gives an open request its one final answer.
@@ -192,6 +208,7 @@
 // without an answer.
 func (c *Core) FailAll() {
 	for _, q := range c.requests.byClient {
+		c.logUnserved(q, AnswerFailed, "stopping")
 		c.answer(q, Answer{Kind: AnswerFailed})
 		c.step(policy.ClientDisconnected{ID: q.id})
 		c.handlePending()
