--- a/internal/testcluster/check.go
+++ b/internal/testcluster/check.go
@@ -34,7 +34,7 @@
 var checkers = []checker{
 	{"answers", checkAnswers}, {"bookings", checkBookings}, {"drains", checkDrains}, {"stale", checkStale}, {"linearizable", checkLinearizable},
 	{"crashes", checkCrashes}, {"address", checkAddress}, {"members", checkMembers}, {"sessions", checkSessions}, {"told", checkRetryAnswers},
-	{"order", checkMaintenanceOrder},
+	{"order", checkMaintenanceOrder}, {"quotes", checkQuotes},
 }
 
 // Check lists the violations in a history, in the order of time.
@@ -250,6 +250,26 @@
 	return out
 }
 
+// checkQuotes: a read that must not run twice runs once at the most, and none that was refused has run.
+func checkQuotes(history *timeline) (out []Violation) {
+	for _, id := range history.requestOrder {
+		r := history.requests[id]
+		if r.submitted == nil || r.submitted.Class != ClassQuote {
+			continue
+		}
+		if len(r.executions) > 1 {
+			out = append(out, Violation{At: r.executions[1].At, Text: fmt.Sprintf("%s ran %d times", id, len(r.executions))})
+		}
+		if len(r.responses) > 0 && r.responses[0].What == EndRejected && len(r.executions) > 0 {
+			out = append(out, Violation{At: r.responses[0].At, Text: fmt.Sprintf("%s was refused by gateway %d and ran at %s", id, r.submitted.Node, r.executions[0].Server)})
+		}
+	}
+	return out
+}
+
+// mustBeCurrent reports whether reads of a class must see all that was booked before.
+func mustBeCurrent(class string) bool { return class == ClassSeat || class == ClassQuote }
+
 // checkRetryAnswers: the retry of a booking that ran is not rejected as if it had not.
 func checkRetryAnswers(history *timeline) (out []Violation) {
 	ran := map[string]int64{}
@@ -334,7 +354,7 @@
 			case e.Class == ClassView && age > ViewBound.Microseconds()+protocolSlack:
 				out = append(out, Violation{At: e.At, Text: fmt.Sprintf(
 					"%s ran at %s, whose data were %.0f ms old when gateway %d had sent it", id, e.Server, float64(age)/1000, e.Node)})
-			case e.Class == ClassSeat && e.What != rolePrimary && i == len(r.executions)-1 && len(r.responses) > 0 && r.responses[0].What == EndServed:
+			case mustBeCurrent(e.Class) && e.What != rolePrimary && i == len(r.executions)-1 && len(r.responses) > 0 && r.responses[0].What == EndServed:
 				out = append(out, Violation{At: e.At, Text: fmt.Sprintf("%s must be current and ran at %s", id, e.Server)})
 			}
 		}
@@ -381,7 +401,7 @@
 	clients := map[string]int{}
 	for _, id := range history.requestOrder {
 		r := history.requests[id]
-		if r.submitted == nil || r.submitted.Class != ClassBooking && r.submitted.Class != ClassSeat {
+		if r.submitted == nil || r.submitted.Class != ClassBooking && !mustBeCurrent(r.submitted.Class) {
 			continue
 		}
 		if _, ok := clients[r.submitted.Client]; !ok {
--- a/internal/testcluster/faults.go
+++ b/internal/testcluster/faults.go
@@ -122,7 +122,8 @@
 	if fault.Name == "" || faultKinds[fault.Verb].target == onNodes || fault.Verb == verbSever && fault.Name == Discovery {
 		return nil
 	}
-	if server := c.server(fault.Name); server == nil || fault.Verb != verbSever && server.primary {
+	anyRole := fault.Verb == verbSever || fault.Verb == verbHandover
+	if server := c.server(fault.Name); server == nil || !anyRole && server.primary {
 		return fmt.Errorf("%q: there is no such server, or not for this", fault)
 	}
 	return nil
@@ -158,6 +159,11 @@
 		}
 		return nil, nil
 	}
+	if fault.Verb == verbHandover {
+		next := c.server(fault.Name)
+		next.group.demote()
+		return func() error { next.group.promote(next); return nil }, nil
+	}
 	if fault.Verb == verbPromote {
 		next := c.server(fault.Name)
 		c.updateFaults(func() { c.formerPrimary = next.group.promote(next); c.activeFaults = append(c.activeFaults, fault) })
--- a/internal/testcluster/load.go
+++ b/internal/testcluster/load.go
@@ -27,6 +27,7 @@
 	Viewers         int
 	SeatReaders     int // that read what was booked, and must see it
 	SessionReaders  int // that read in the sessions of bookings, at any gateway
+	QuoteReaders    int // that read what was booked, must see it, and must not read it twice
 	ThinkTime       time.Duration
 	RetryInDoubt    bool // bookings that may have run are retried at the next gateway
 }
@@ -38,7 +39,7 @@
 
 // classCount is how many classes of requests the load has.
 func (o LoadOptions) classCount() (n int) {
-	for _, clients := range []int{o.Bookers + o.FloatingBookers, o.Viewers, o.SeatReaders, o.SessionReaders} {
+	for _, clients := range []int{o.Bookers + o.FloatingBookers, o.Viewers, o.SeatReaders, o.SessionReaders, o.QuoteReaders} {
 		n += min(clients, 1)
 	}
 	return n
@@ -84,6 +85,7 @@
 	load.clients("v", ClassView, options.Viewers, options.ThinkTime, readRecent, false)
 	load.clients("s", ClassSeat, options.SeatReaders, options.ThinkTime, readRecent, false)
 	load.clients("m", ClassMine, options.SessionReaders, options.ThinkTime, readRecent, false)
+	load.clients("q", ClassQuote, options.QuoteReaders, options.ThinkTime, readRecent, false)
 	return load
 }
 
--- a/internal/testcluster/script.go
+++ b/internal/testcluster/script.go
@@ -119,6 +119,7 @@
 	verbSever     = "sever"
 	verbLag       = "lag"
 	verbPromote   = "promote"
+	verbHandover  = "handover"
 	verbDrain     = "drain"
 )
 
@@ -142,6 +143,7 @@
 	verbSever:     {target: onServer, help: "a gateway is cut from a server, or from discovery"},
 	verbLag:       {target: onNamedServer, parseValue: parseDelay, formatValue: formatDelay, help: "a replica falls behind by so much"},
 	verbPromote:   {target: onNamedServer, scriptOnly: true, help: "a replica is the primary from now on; the one that was is cut off for the duration, then a replica"},
+	verbHandover:  {target: onNamedServer, scriptOnly: true, help: "the primary becomes a replica and goes on with what it has; this server is the primary after the duration"},
 	verbDrain:     {target: onNamedServer, help: "the list says that a server drains"},
 }
 
--- a/internal/testcluster/servers.go
+++ b/internal/testcluster/servers.go
@@ -31,6 +31,7 @@
 	ClassView    = "view"    // a read that may be behind by ViewBound
 	ClassSeat    = "seat"    // a read that must be current
 	ClassMine    = "mine"    // a read that must see what its session has booked
+	ClassQuote   = "quote"   // a read that must be current and must not run twice
 )
 
 // ViewBound is how far behind a view's data may be.
@@ -110,7 +111,7 @@
 }
 
 // promote makes a replica the primary, with all that was committed, and the former primary a replica. It returns the former
-// primary.
+// primary; nil: there was none.
 func (c *serverGroup) promote(next *server) (last *server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -119,12 +120,26 @@
 			last = s
 		}
 	}
-	last.primary, next.primary, next.lag = false, true, 0
-	last.Role.Store(last.role())
+	if last != nil {
+		last.primary = false
+		last.Role.Store(last.role())
+	}
+	next.primary, next.lag = true, 0
 	next.Role.Store(next.role())
 	return last
 }
 
+// demote makes the primary a replica, as one that is about to stop does. It goes on with the requests that it has, and answers them
+// as a replica. The group has no primary until the next promotion.
+func (c *serverGroup) demote() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		s.primary = false
+		s.Role.Store(s.role())
+	}
+}
+
 // servers are those of all groups.
 func (c *Cluster) servers() (all []*server) {
 	for _, group := range c.groups {
