--- a/internal/indoubt/cancel.go
+++ b/internal/indoubt/cancel.go
@@ -1,7 +1,7 @@
 package indoubt
 
 // requestCanceled lets a client go. A write of which an attempt was permitted is still waited for, so that a repeat gets its answer;
-// a write of which none was is fenced, and routing gives it up. What only read or waited is forgotten.
+// a write of which none was is given up by routing. Neither is permitted a further attempt. What only read or waited is forgotten.
 func (r *Resolver) requestCanceled(id uint64) {
 	w := r.find(id)
 	if w == nil || w.client != clientWaiting {
@@ -12,10 +12,8 @@
 	case followingWrite, awaitingOwner, readingIntent, lookingUp:
 		w.phase = finished
 	case routed, confirmingClaim:
-		if w.sending.state.mayHaveRun() {
-			w.sending.state = permittedOnce
-		} else {
-			w.sending.state = fencedUnsent
-		}
+		// Only ever raised: a fence stays, and an attempt that was permitted stays known. A permission that is being confirmed
+		// is denied by the fence.
+		w.sending.state = w.sending.state.fence()
 	}
 }
--- a/internal/indoubt/model_test.go
+++ b/internal/indoubt/model_test.go
@@ -158,7 +158,9 @@
 	}
 	var out []Action
 	if ev != nil {
+		before := slices.Clone(d.writes)
 		out = d.Handle(w.now, ev)
+		w.checkSendStates(before, d)
 	}
 	if m.mutant != nil && m.mutant.after != nil {
 		out = m.mutant.after(d, out)
@@ -181,6 +183,28 @@
 	}
 }
 
+// checkSendStates: that an attempt was permitted is never forgotten, a fence is never lifted, and a write whose client has gone is
+// fenced.
+func (w *world) checkSendStates(before []write, d *Resolver) {
+	for i := range before {
+		now := d.find(before[i].request.ID)
+		if now == nil {
+			continue
+		}
+		was, is := before[i].sending.state, now.sending.state
+		switch {
+		case was.mayHaveRun() && !is.mayHaveRun():
+			w.broken = "a permitted attempt was forgotten"
+		case was.fenced() && !is.fenced():
+			w.broken = "a fence was lifted"
+		case was.fenced() && !was.mayHaveRun() && is.mayHaveRun():
+			w.broken = "an attempt was permitted behind a fence"
+		case now.client == clientCanceled && now.inRouting() && !is.fenced():
+			w.broken = "a write whose client has gone may still be sent"
+		}
+	}
+}
+
 func (w *world) attempt(g int, id uint64) *attempt {
 	i := slices.IndexFunc(w.attempts, func(a attempt) bool {
 		return a.gateway == g && a.id == id && a.incarnation == w.incarnations[g] && a.stage != ended
--- a/internal/indoubt/send.go
+++ b/internal/indoubt/send.go
@@ -32,8 +32,8 @@
 // claimConfirmed permits the attempt if the stored claim is still this one.
 func (r *Resolver) claimConfirmed(w *write, reply StoreReplied) {
 	switch {
-	case reply.Result != OK:
-		r.replyPermission(w, false) // a later attempt may ask again
+	case reply.Result != OK, w.sending.state.fenced():
+		r.replyPermission(w, false) // without a fence a later attempt may ask again
 	case reply.Intent == nil || reply.Version != w.version:
 		w.sending.state = w.sending.state.fence()
 		r.logTransition(w, Fenced)
