Whether an attempt ran is a fact of its own, set where the bytes are seen

Routing rewrites that code (served by a replica where the primary was needed: misdirected), as roles and freshness need it, so an answer became a proof that nothing had run: a read that must not run twice was queued again, sent a second time or refused.

Outcome and AttemptEnded now carry an Execution (unknown, none, done). Session sets it at the last byte written, the whole answer read, or the server's own refusal; the simulator's wire by its table; policy decides on retries, the retry budget, rejections and session positions by it alone. RaisedBy raises it by the result as received, before routing takes the result for anything else; nothing lowers it. A rejection says whether an attempt may have run, so that an in-doubt write of a class that may run twice is not stored as unsent.

--- a/internal/experiments/chaos/chaos.go
+++ b/internal/experiments/chaos/chaos.go
@@ -30,7 +30,9 @@
 
 // Defaults returns the options for one run of a minute with three gateways.
 func Defaults() Options {
-	o := Options{Cluster: testcluster.Defaults(), Load: testcluster.DefaultLoad(), Seed: 1, Duration: time.Minute, Runs: 1, ShrinkRuns: 20, Progress: io.Discard}
+	load := testcluster.DefaultLoad()
+	load.QuoteReaders = 2
+	o := Options{Cluster: testcluster.Defaults(), Load: load, Seed: 1, Duration: time.Minute, Runs: 1, ShrinkRuns: 20, Progress: io.Discard}
 	o.Cluster.Dir = ""
 	return o
 }
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -47,6 +47,7 @@
 		addCounts(line, policy.ReasonNames[:], n.Reasons[kind][:]).Msg("requests not served")
 	}
 	addCounts(g.log.Info(), routing.ResultNames[:], n.Outcomes[:]).Msg("outcomes of attempts")
+	addCounts(g.log.Info(), policy.ExecutionNames[:], n.Executions[:]).Msg("executions of attempts")
 	addCounts(g.log.Info().Int64("sent", n.HealthChecksSent), routing.ResultNames[:], n.HealthChecks[:]).Msg("outcomes of health checks")
 	addCounts(g.log.Info().Int64("watches", n.Watches).Int64("fetches", n.Fetches), routing.ListFormNames[:],
 		n.ListUpdates[:]).Int("open", c.OpenRequests()).Int64("unknown_group", n.UnknownGroup).
--- a/internal/policy/api.go
+++ b/internal/policy/api.go
@@ -36,6 +36,7 @@
 	Attempt    int
 	Server     ServerID
 	Result     Result
+	Execution  Execution
 	Final      bool // the request has its final answer
 	Latency    clock.Micros
 	Role       Role
@@ -93,17 +94,17 @@
 // Result is how an attempt or a health check ended.
 type Result uint8
 
-// The results. Those marked "never ran" prove that the attempt had no effect.
+// The results. None of them tells whether the attempt ran: Execution does.
 const (
 	ResultOK            Result = iota
 	ResultError                // answered with an error
-	ResultOverloaded           // rejected as the server was full; never ran
+	ResultOverloaded           // rejected as the server was full
 	ResultTimeout              // no answer in time
-	ResultConnectFailed        // no connection; never ran
+	ResultConnectFailed        // no connection, or it broke before the last byte was written
 	ResultReset                // the connection broke
 	ResultCancelled            // given up by Cancel
-	ResultNotSent              // not sent any more; never ran
-	ResultMisdirected          // rejected: not the primary, or too far behind; never ran
+	ResultNotSent              // not sent any more
+	ResultMisdirected          // not used: the server is not the primary, or too far behind
 )
 
 // Role is a server's role in its group.
@@ -175,6 +176,7 @@
 	ID         string
 	RetryAfter clock.Micros // 0: no advice
 	Reason     Reason
+	MayHaveRun bool // an attempt may have run, and a second run does no harm
 }
 
 // Fail ends a request and promises nothing.
--- a/internal/policy/attempts.go
+++ b/internal/policy/attempts.go
@@ -9,7 +9,8 @@
 	server   *server
 	sentAt   clock.Micros
 	inFlight bool
-	neverRan bool // proven by its result
+	// execution is ExecutionUnknown while it is in flight.
+	execution Execution
 }
 
 // send makes the next attempt. No other function of the package sends.
@@ -41,7 +42,7 @@
 	}
 	a := req.attempts[e.Attempt]
 	a.inFlight = false
-	a.neverRan = provesNotRun(e.Result)
+	a.execution = e.Execution.RaisedBy(e.Result)
 	a.server.inFlight = removeFirst(a.server.inFlight, a)
 	r.learnFromOutcome(a, e)
 	switch {
@@ -52,7 +53,7 @@
 		r.finish(req, ReasonMayHaveRun)
 	case !r.mayRetry(req):
 		r.finish(req, ReasonAttemptsUsed)
-	case !r.takeRetryToken(e.Result):
+	case !r.takeRetryToken(a):
 		r.finish(req, ReasonRetryBudget)
 	default:
 		r.enqueue(req)
@@ -66,7 +67,7 @@
 func (r *Router) learnFromOutcome(ended *attempt, e Outcome) {
 	srv, req := ended.server, ended.request
 	if req.writesSession() {
-		r.recordSessionWrite(req.session, e)
+		r.recordSessionWrite(ended, e)
 	}
 	r.observeOutcomeRole(ended, e)
 	r.observePosition(srv, e.Position)
--- a/internal/policy/harness_test.go
+++ b/internal/policy/harness_test.go
@@ -122,9 +122,20 @@
 	return g.step(policy.Arrival{ID: id, Class: class, Group: 1, TimeLeft: 2000 * ms, Session: session, HasSession: true})
 }
 
+// provenBy is what a result proves where nothing was rewritten on its way.
+func provenBy(res policy.Result) policy.Execution {
+	switch res {
+	case policy.ResultOK:
+		return policy.ExecutionDone
+	case policy.ResultOverloaded, policy.ResultConnectFailed, policy.ResultNotSent, policy.ResultMisdirected:
+		return policy.ExecutionNone
+	}
+	return policy.ExecutionUnknown
+}
+
 func (g *gateway) outcome(id string, attempt int, server policy.ServerID, res policy.Result) []policy.Action {
 	return g.step(policy.Outcome{
-		ID: id, Attempt: attempt, Server: server, Result: res, Final: res == policy.ResultOK, Latency: 50 * ms,
+		ID: id, Attempt: attempt, Server: server, Result: res, Execution: provenBy(res), Final: res == policy.ResultOK, Latency: 50 * ms,
 	})
 }
 
--- a/internal/policy/primary_test.go
+++ b/internal/policy/primary_test.go
@@ -73,7 +73,8 @@
 		g.wantSent("w", 1)
 		g.after(50*ms).arrive("v", nonIdempotentWrite)
 		g.wantSent("v", 1)
-		g.after(ms).step(policy.Outcome{ID: "v", Server: 1, Result: policy.ResultMisdirected, Role: policy.RoleReplica})
+		g.after(ms).step(policy.Outcome{ID: "v", Server: 1, Result: policy.ResultMisdirected,
+			Execution: policy.ExecutionNone, Role: policy.RoleReplica})
 		g.after(100 * ms).step(policy.Outcome{ID: "w", Server: 1, Final: true, Role: policy.RolePrimary, Latency: 151 * ms,
 			Position: g.now - 130*ms})
 		g.arrive("f", freshRead)
--- a/internal/policy/property_test.go
+++ b/internal/policy/property_test.go
@@ -183,8 +183,14 @@
 	t, s := q.tries[k], w.srv[q.tries[k].server]
 	res := []policy.Result{0, 0, 0, 0, 0, 0, 0, 1, 2, 3, 4, 5, 6, 8}[w.rng.Intn(14)]
 	t.out = false
-	t.never = res == policy.ResultOverloaded || res == policy.ResultConnectFailed || res == policy.ResultMisdirected
-	o := policy.Outcome{ID: id, Attempt: k, Server: t.server, Result: res, Latency: w.now - t.at}
+	// Any result may come with any execution: roles, freshness and health rewrite results.
+	execution := provenBy(res)
+	if w.rng.Intn(3) == 0 {
+		execution = []policy.Execution{policy.ExecutionUnknown, policy.ExecutionNone, policy.ExecutionDone}[w.rng.Intn(3)]
+	}
+	wasWhole := res == policy.ResultOK || res == policy.ResultError || res == policy.ResultTimeout || res == policy.ResultReset
+	t.never = execution == policy.ExecutionNone && !wasWhole
+	o := policy.Outcome{ID: id, Attempt: k, Server: t.server, Result: res, Execution: execution, Latency: w.now - t.at}
 	switch res {
 	case policy.ResultOK, policy.ResultError, policy.ResultOverloaded, policy.ResultMisdirected:
 		o.Role = []policy.Role{policy.RolePrimary, policy.RoleReplica}[w.rng.Intn(2)]
@@ -284,6 +290,9 @@
 	for seed := int64(1); seed <= 60; seed++ {
 		rng := rand.New(rand.NewSource(seed))
 		set := settings()
+		freshOnce := set.Classes[freshRead]
+		freshOnce.Effect = policy.EffectNonIdempotent
+		set.Classes = append(set.Classes, freshOnce)
 		set.FreshnessCheck = policy.FreshnessCheck(seed % 3)
 		set.SessionPositionsCarried = seed%2 == 0
 		set.ListSubscribed, set.RemovedStayUsable = seed%5 == 0, seed%7 == 0
--- a/internal/policy/requests.go
+++ b/internal/policy/requests.go
@@ -109,7 +109,7 @@
 		if req.settings.CanSendRetryAfter {
 			advice = req.settings.MaxRetryAfter
 		}
-		r.emit(Reject{ID: req.id, RetryAfter: advice, Reason: reason})
+		r.emit(Reject{ID: req.id, RetryAfter: advice, Reason: reason, MayHaveRun: mayHaveRun(req)})
 	} else {
 		r.emit(Fail{ID: req.id, Reason: reason})
 	}
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -13,19 +13,10 @@
 	retryTokens int64 // in thousandths; filled by arrivals
 }
 
-// provesNotRun tells which results prove that an attempt had no effect.
-func provesNotRun(res Result) bool {
-	switch res {
-	case ResultOverloaded, ResultConnectFailed, ResultNotSent, ResultMisdirected:
-		return true
-	}
-	return false
-}
-
 // mayHaveRun tells whether any attempt of a request ran or may have run. Those in flight may.
 func mayHaveRun(req *request) bool {
 	for _, a := range req.attempts {
-		if !a.neverRan {
+		if a.execution != ExecutionNone {
 			return true
 		}
 	}
@@ -48,8 +39,8 @@
 // errors everywhere do not multiply the load. A retry of what never ran costs nothing.
 //
 // The harm: with an empty budget a read ends that a retry could have saved.
-func (r *Router) takeRetryToken(res Result) bool {
-	return provesNotRun(res) || takeToken(&r.retryTokens)
+func (r *Router) takeRetryToken(ended *attempt) bool {
+	return ended.execution == ExecutionNone || takeToken(&r.retryTokens)
 }
 
 // takeToken takes one token from a budget, if there is one.
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -32,10 +32,10 @@
 //     the disconnect of its client, ends a request without it.
 //
 // Package routing decides four things itself, before the router hears of them: it turns a fresh read that
-// a server answered as a replica into ResultMisdirected; it rejects requests of groups that no list has
-// named, of classes that changed on the way, and with the id of a request still in hand; it keeps a server
-// that operators cordon draining whatever the list says; and it fails what is still unanswered when the
-// gateway stops.
+// a server answered as a replica into ResultMisdirected, though it ran; it rejects requests of groups
+// that no list has named, of classes that changed on the way, and with the id of a request still in hand;
+// it keeps a server that operators cordon draining whatever the list says; and it fails what is still
+// unanswered when the gateway stops.
 package policy
 
 import (
--- a/internal/policy/sessions.go
+++ b/internal/policy/sessions.go
@@ -55,12 +55,13 @@
 
 // recordSessionWrite notes for the later reads of a session how an attempt of its write ended. What
 // may have run counts as committed by now: its answer may have been lost.
-func (r *Router) recordSessionWrite(sess *session, e Outcome) {
+func (r *Router) recordSessionWrite(ended *attempt, e Outcome) {
+	sess := ended.request.session
 	sess.writesInFlight--
 	switch {
 	case e.Result == ResultOK && e.Position > 0:
 		sess.position = max(sess.position, e.Position)
-	case !provesNotRun(e.Result):
+	case ended.execution != ExecutionNone:
 		sess.position = max(sess.position, r.now)
 	}
 }
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -9,7 +9,7 @@
 		case policy.Send:
 			c.startAttempt(a)
 		case policy.Reject:
-			c.endUnserved(a.ID, Answer{Kind: AnswerRejected, RetryAfter: a.RetryAfter}, a.Reason)
+			c.endUnserved(a.ID, Answer{Kind: AnswerRejected, RetryAfter: a.RetryAfter, MayHaveRun: a.MayHaveRun}, a.Reason)
 		case policy.Fail:
 			c.endUnserved(a.ID, Answer{Kind: AnswerFailed}, a.Reason)
 		case policy.Cancel:
@@ -62,7 +62,8 @@
 	if q.closed || q.inFlight > 0 || deadline <= c.now || index >= max(q.inForce.Settings.MaxAttempts, 1) {
 		c.Counts.Outcomes[policy.ResultNotSent]++
 		c.pending = append(c.pending, policy.Outcome{
-			ID: q.id, Attempt: index, Server: a.Server, Result: policy.ResultNotSent, Final: q.closed,
+			ID: q.id, Attempt: index, Server: a.Server, Result: policy.ResultNotSent,
+			Execution: policy.ExecutionNone, Final: q.closed,
 		})
 		return
 	}
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
@@ -131,7 +132,14 @@
 	if res == policy.ResultOK {
 		value = transport.NewBuffers(1 << 20).NewMessage()
 	}
-	r.core.Handle(r.now, AttemptEnded{Job: j, Result: res, Latency: r.now - j.SentAt, Value: value})
+	execution := policy.ExecutionUnknown
+	switch res {
+	case policy.ResultOK:
+		execution = policy.ExecutionDone
+	case policy.ResultOverloaded, policy.ResultConnectFailed, policy.ResultMisdirected:
+		execution = policy.ExecutionNone
+	}
+	r.core.Handle(r.now, AttemptEnded{Job: j, Result: res, Execution: execution, Latency: r.now - j.SentAt, Value: value})
 }
 
 func (r *harness) wantAnswers(c *fakeClient, kinds ...AnswerKind) {
@@ -465,7 +473,7 @@
 			r.advance(400_000)
 			for _, j := range r.servers.jobs[from:] {
 				out[r.core.endpoints.uidByID[j.Server]] = true
-				r.core.Handle(r.now, AttemptEnded{Job: j, Result: policy.ResultOK, Latency: 1000, Role: policy.RoleReplica, Position: r.now})
+				r.core.Handle(r.now, AttemptEnded{Job: j, Result: policy.ResultOK, Execution: policy.ExecutionDone, Latency: 1000, Role: policy.RoleReplica, Position: r.now})
 			}
 		}
 		return out
@@ -518,12 +526,12 @@
 			r.advance(100_000)
 		}
 		j := r.servers.jobs[0]
-		r.core.Handle(r.now, AttemptEnded{Job: j, Result: policy.ResultOK, Latency: 1000, Role: policy.RoleReplica, Position: r.now})
+		r.core.Handle(r.now, AttemptEnded{Job: j, Result: policy.ResultOK, Execution: policy.ExecutionDone, Latency: 1000, Role: policy.RoleReplica, Position: r.now})
 		if len(c.answers) != want || r.core.Counts.StaleAnswers != int64(1-want) {
 			t.Errorf("%s: %d answers, %d not current", need, len(c.answers), r.core.Counts.StaleAnswers)
 		}
 		for _, j := range r.servers.jobs[1:] {
-			r.core.Handle(r.now, AttemptEnded{Job: j, Result: policy.ResultOK, Latency: 1000, Role: policy.RolePrimary, Position: r.now})
+			r.core.Handle(r.now, AttemptEnded{Job: j, Result: policy.ResultOK, Execution: policy.ExecutionDone, Latency: 1000, Role: policy.RolePrimary, Position: r.now})
 		}
 		r.advance(1_000_000)
 		if len(c.answers) != 1 {
@@ -531,3 +539,50 @@
 		}
 	}
 }
+
+// Whatever a server says of itself and however its answer is taken, a request that must not run twice is sent once, unless the attempt
+// is proven not to have run, and then fails, at once. One that may run again is sent again.
+func TestWhatRanIsNeitherSentAgainNorRejected(t *testing.T) {
+	for _, effect := range []string{"single_shot", "guarded", "free"} {
+		for _, need := range []string{"strong", "mutate"} {
+			for result := range policy.Result(len(ResultNames)) {
+				for role := range policy.Role(3) {
+					for execution := range policy.Execution(3) {
+						name := fmt.Sprint(effect, " ", need, " ", ResultNames[result], " ", roleNames[role], " ", policy.ExecutionNames[execution])
+						t.Run(name, func(t *testing.T) { checkOneAttempt(t, effect, need, result, role, execution) })
+					}
+				}
+			}
+		}
+	}
+}
+
+// checkOneAttempt ends the first attempt of a request in one way and checks what follows.
+func checkOneAttempt(t *testing.T, effect, need string, result policy.Result, role policy.Role, execution policy.Execution) {
+	text := strings.Replace(testSettings, `"effect": "single_shot"`, `"effect": "`+effect+`", "group": "all", "key_ttl_ms": 5000`, 1)
+	facts, err := settings.Parse([]byte(strings.Replace(text, `"mutate"`, `"`+need+`"`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newHarness(t)
+	r.core.Reconfigure(facts)
+	c, _ := r.request(1, 900_000)
+	ended := AttemptEnded{Job: r.servers.jobs[0], Result: result, Execution: execution, Latency: 1000, Role: role, Position: r.now}
+	r.core.Handle(r.now, ended)
+	wasWhole := result == policy.ResultOK || result == policy.ResultError || result == policy.ResultTimeout || result == policy.ResultReset
+	mayHaveRun := wasWhole || execution != policy.ExecutionNone
+	served := result == policy.ResultOK && (need == "mutate" || role != policy.RoleReplica)
+	switch {
+	case served:
+		r.wantAnswers(c, AnswerServed)
+	case effect != "free" && mayHaveRun:
+		r.wantAnswers(c, AnswerFailed)
+	}
+	r.advance(1_000_000)
+	if sends := len(r.servers.jobs); effect != "free" && mayHaveRun && sends > 1 {
+		t.Errorf("sent %d times", sends)
+	}
+	if len(c.answers) != 1 {
+		t.Errorf("%d answers", len(c.answers))
+	}
+}
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -43,7 +43,8 @@
 	Outcomes    [len(ResultNames)]int64       // of attempts
 	// Reasons counts, by kind of answer, why requests ended without a served one.
 	Reasons      [len(AnswerKindNames)][len(policy.ReasonNames)]int64
-	StaleAnswers int64 // answers of replicas to reads that need the primary, discarded
+	Executions   [len(policy.ExecutionNames)]int64 // of attempts: whether they ran
+	StaleAnswers int64                             // answers of replicas to reads that need the primary, discarded
 
 	UnknownGroup int64 // requests rejected because no list has ever named their group
 	ClassChanged int64 // requests rejected because their class changed while they were on their way in
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -30,6 +30,7 @@
 type AttemptEnded struct {
 	Job        Job
 	Result     policy.Result
+	Execution  policy.Execution // Servers sets it, and nothing lowers it afterwards
 	Latency    clock.Micros
 	Role       policy.Role
 	Position   policy.Position
--- a/internal/routing/requestlog.go
+++ b/internal/routing/requestlog.go
@@ -42,7 +42,9 @@
 	received policy.Result // as it ended on the connection
 	result   policy.Result // as it was taken
 	role     policy.Role   // that the server told
-	latency  clock.Micros
+
+	execution policy.Execution
+	latency   clock.Micros
 }
 
 // roleNames are the roles' names in the log.
@@ -57,7 +59,7 @@
 	if a.role != policy.RoleUnknown {
 		line.Str("role", roleNames[a.role])
 	}
-	line.Int64("took_us", int64(a.latency))
+	line.Str("execution", policy.ExecutionNames[a.execution]).Int64("took_us", int64(a.latency))
 }
 
 // logUnserved logs a request that ends without a served answer: why, after how long, and how each of its attempts ended.
--- a/internal/routing/requestlog_test.go
+++ b/internal/routing/requestlog_test.go
@@ -20,7 +20,7 @@
 	r.endAttempt(0, policy.ResultReset)
 	for _, want := range []string{
 		`"class":"put"`, `"group":7`, `"answer":"failed"`, `"reason":"may_have_run"`, `"after_us":30000`, `"left_us":870000`,
-		`"attempts":[{"server":"p","result":"reset","took_us":30000}]`, `"message":"request not served"`,
+		`"attempts":[{"server":"p","result":"reset","execution":"unknown","took_us":30000}]`, `"message":"request not served"`,
 	} {
 		if !strings.Contains(log.String(), want) {
 			t.Errorf("%s is not in %s", want, log)
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -137,7 +137,9 @@
 // handleAttemptEnded takes in the end of an attempt. A served answer goes to the client before the router hears of it: it is
 // final in any case.
 func (c *Core) handleAttemptEnded(e AttemptEnded) {
+	e.Execution = e.Execution.RaisedBy(e.Result) // before the result is taken for anything else
 	c.Counts.Outcomes[e.Result]++
+	c.Counts.Executions[e.Execution]++
 	q := c.requests.byID[e.Job.ID]
 	if q == nil {
 		e.Value.Free()
@@ -146,7 +148,8 @@
 	q.attempts[e.Job.Attempt] = nil
 	q.inFlight--
 	ended := endedAttempt{
-		server: e.Job.Server, received: e.Result, result: e.Result, role: e.Role, latency: e.Latency,
+		server: e.Job.Server, received: e.Result, result: e.Result, execution: e.Execution, role: e.Role,
+		latency: e.Latency,
 	}
 	if answeredByStaleReplica(q, e) {
 		c.Counts.StaleAnswers++
@@ -165,15 +168,16 @@
 		e.Value.Free()
 	}
 	c.step(policy.Outcome{
-		ID: q.id, Attempt: e.Job.Attempt, Server: e.Job.Server, Result: e.Result, Final: final, Latency: e.Latency,
-		Role: e.Role, Position: e.Position, LoadReport: e.LoadReport,
+		ID: q.id, Attempt: e.Job.Attempt, Server: e.Job.Server, Result: e.Result, Execution: e.Execution, Final: final,
+		Latency: e.Latency, Role: e.Role, Position: e.Position, LoadReport: e.LoadReport,
 	})
 	c.requests.forgetIfDone(q)
 }
 
 // answeredByStaleReplica reports whether a read that needs current data (policy.NeedFresh) was answered by a server that says
 // it is a replica. It was taken for the primary, by an old list or before a failover, and its data may be behind; where
-// servers check nothing, nobody else would notice. The price is one more attempt where the replica happened to be current.
+// servers check nothing, nobody else would notice. It has run all the same: AttemptEnded.Execution says so, and what must not run
+// twice fails here. The price is an answer lost where the replica happened to be current.
 func answeredByStaleReplica(q *request, e AttemptEnded) bool {
 	return e.Result == policy.ResultOK && e.Role == policy.RoleReplica && q.requestClass().Need == policy.NeedFresh
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -11,7 +11,7 @@
 //   - Core.Handle takes in every event and Core.perform carries out every action.
 //   - Core.handleRequest rejects requests that policy must not see: an unknown group, a class that changed, an id in use.
 //   - Core.startAttempt holds back attempts that must not go out, and checks MaxAttempts once more.
-//   - Core.handleAttemptEnded reads an answer of a replica to a read that needs the primary as misdirected.
+//   - Core.handleAttemptEnded reads an answer of a replica to a read that needs the primary as misdirected. That it ran stands.
 //
 // # When a client disconnects
 //
@@ -59,6 +59,7 @@
 	Value      *transport.Message // the server's answer; set if Kind is AnswerServed
 	Position   policy.Position    // the server's log position after it; 0: unknown
 	RetryAfter clock.Micros       // advice to a rejected client; 0: none
+	MayHaveRun bool               // of a rejection: an attempt may have run, and a second run does no harm
 }
 
 // Job is one attempt that Servers carries out.
--- a/internal/session/pending.go
+++ b/internal/session/pending.go
@@ -59,7 +59,12 @@
 		if a.Value.Size() <= intents.MaxStoredAnswer {
 			value = bytes.Join(a.Value.BuffersFrom(0), nil)
 		}
-	case routing.AnswerRejected, routing.AnswerDuplicateID:
+	case routing.AnswerRejected:
+		// Of a class that may run twice by the settings a rejection promises less than an intent that says "unsent".
+		if !a.MayHaveRun {
+			kind = indoubt.Rejected
+		}
+	case routing.AnswerDuplicateID:
 		kind = indoubt.Rejected
 	}
 	q.client.mu.Lock()
--- a/internal/session/server_conn.go
+++ b/internal/session/server_conn.go
@@ -91,7 +91,7 @@
 			result, reason = policy.ResultCancelled, transport.EndAbandoned
 		}
 		l.all.Ends.Record(transport.Server, l.endpoint.endpoint, reason, since, 0, err)
-		l.all.postEnded(first, taskResult{result: result})
+		l.all.postEnded(first, unsent(result))
 		return
 	}
 	for {
@@ -154,6 +154,15 @@
 	return policy.ResultError
 }
 
+// executionOf is what the code of an error in place of an answer proves.
+func executionOf(code string) policy.Execution {
+	switch code {
+	case postgres.CodeTooManyConnections, postgres.CodeReadOnlyTransaction, postgres.CodeSnapshotTooOld:
+		return policy.ExecutionNone
+	}
+	return policy.ExecutionUnknown
+}
+
 // carryOut carries out the current task and tells the owner how it ended. A connection whose task did not end with the server's
 // ReadyForQuery is closed before the owner hears of it.
 func (l *serverConn) carryOut() (transport.Reason, error) {
@@ -281,7 +290,7 @@
 // exchange writes a request and reads its answer.
 func (l *serverConn) exchange(t *task) (taskResult, transport.Reason, error) {
 	if l.withdrawn(t) {
-		return taskResult{result: policy.ResultConnectFailed}, transport.EndReplaced, errWithdrawn
+		return unsent(policy.ResultConnectFailed), transport.EndReplaced, errWithdrawn
 	}
 	clock := l.all.Clock
 	until := clock.Time(t.Deadline)
@@ -298,10 +307,11 @@
 	if reason, err := l.writeRequest(t, parts, total, until); err != nil {
 		value.Free()
 		if t.cancelled() {
-			return taskResult{result: policy.ResultCancelled}, transport.EndAbandoned, nil
+			return unsent(policy.ResultCancelled), transport.EndAbandoned, nil
 		}
-		return taskResult{result: policy.ResultConnectFailed}, reason, err
+		return unsent(policy.ResultConnectFailed), reason, err
 	}
+	// From here on it may have run, unless the server itself says otherwise.
 	var reply postgres.Reply
 	loadReport, err := l.readReply(&reply, until, t, value)
 	result, reason := taskResult{params: reply.Params, loadReport: loadReport}, carryOn
@@ -309,9 +319,10 @@
 	case errors.Is(err, errProtocol): // malformed: it may have run, and nothing in the answer is used
 		result, reason = taskResult{result: policy.ResultError}, transport.EndProtocol
 	case reply.Complete():
-		result.result, result.value = policy.ResultOK, value
+		result.result, result.execution, result.value = policy.ResultOK, policy.ExecutionDone, value
 	case reply.Code != "":
 		result.result = resultOf(reply.Code, false)
+		result.execution = executionOf(reply.Code)
 	case errors.Is(err, errStalled):
 		result, reason = taskResult{result: policy.ResultError}, transport.EndProtocol
 	case errors.Is(err, transport.ErrWoken):
--- a/internal/session/servers.go
+++ b/internal/session/servers.go
@@ -170,7 +170,7 @@
 func (s *Servers) start(t *task) {
 	p := s.endpointOf(t.Server)
 	if p == nil { // never listed: nothing can have run there
-		go s.postEnded(t, taskResult{result: policy.ResultConnectFailed}) // the owner must not wait for its own queue
+		go s.postEnded(t, unsent(policy.ResultConnectFailed)) // the owner must not wait for its own queue
 		return
 	}
 	t.withdrawalsAtSend = p.withdrawals.Load()
@@ -211,11 +211,17 @@
 // taskResult is how a task ended.
 type taskResult struct {
 	result     policy.Result
+	execution  policy.Execution
 	params     postgres.Params
 	loadReport string
 	value      *transport.Message
 }
 
+// unsent is the result of a task whose last byte was not written: a server begins with the last byte.
+func unsent(result policy.Result) taskResult {
+	return taskResult{result: result, execution: policy.ExecutionNone}
+}
+
 // postEnded tells the owner how a task ended.
 func (s *Servers) postEnded(t *task, result taskResult) {
 	t.stop()
@@ -228,8 +234,8 @@
 	}
 	t.Payload.Free()
 	out := routing.AttemptEnded{
-		Job: t.Job, Result: result.result, Latency: latency, Role: roles[result.params.Role], LoadReport: s.parseLoadReport(result.params.Load),
-		Value: result.value,
+		Job: t.Job, Result: result.result, Execution: result.execution, Latency: latency, Role: roles[result.params.Role],
+		LoadReport: s.parseLoadReport(result.params.Load), Value: result.value,
 	}
 	if pos, err := settings.ParseScaled(result.params.Position, 3); err == nil {
 		out.Position = policy.Position(pos)
--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -169,6 +169,7 @@
 		Result: lookupCode(r, results, outcomeResult, "a known outcome"), Final: r.boolean(outcomeFinal),
 		Attempt: r.count(outcomeAttempt), LoadReport: r.loadReport(outcomeLoadReport, inForce),
 	}
+	outcome.Execution = executions[outcome.Result]
 	if note := r.integerOr(outcomeNote, 0); note > 0 {
 		outcome.Role = roles[note%roleCodes]
 		if millis := note / roleCodes; millis > 0 {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -86,10 +86,12 @@
 		{`["JOB_IN",3,"rq_a",null,null,11,240,"put",null,4]`, InstanceEvent{3, policy.Arrival{
 			ID: "rq_a", Class: 1, Group: 11, TimeLeft: 240_000}}},
 		{`["RESPONSE",3,"rq_a",25486,18.5,51530247,200,true,0,null]`, InstanceEvent{3, policy.Outcome{
-			ID: "rq_a", Server: 51530247, Result: policy.ResultOK, Final: true, Latency: 18_500, Role: policy.RoleReplica,
+			ID: "rq_a", Server: 51530247, Result: policy.ResultOK, Execution: policy.ExecutionDone, Final: true, Latency: 18_500, Role: policy.RoleReplica,
 			Position: 1_000_250 + 6371_000}}},
 		{`["RESPONSE",3,"rq_a",1,0,5,404,false,2]`, InstanceEvent{3, policy.Outcome{
-			ID: "rq_a", Server: 5, Result: policy.ResultMisdirected, Attempt: 2, Role: policy.RolePrimary}}},
+			ID: "rq_a", Server: 5, Result: policy.ResultMisdirected, Execution: policy.ExecutionNone, Attempt: 2, Role: policy.RolePrimary}}},
+		{`["RESPONSE",3,"rq_a",1,0,5,500,false,2]`, InstanceEvent{3, policy.Outcome{
+			ID: "rq_a", Server: 5, Result: policy.ResultError, Attempt: 2, Role: policy.RolePrimary}}},
 		{`["STATUS_BACK",3,7,200,1.4,[6.204,9,0,2.5,0.62]]`, InstanceEvent{3, policy.HealthCheckEnded{
 			Server: 7, Latency: 1400, LoadReport: policy.LoadReport{Position: 1_000_250 + 6_204_000, HasPosition: true,
 				Role: policy.RoleReplica, Queue: 2500, HasQueue: true, Util: 620, HasUtil: true}}}},
--- a/internal/simwire/words.go
+++ b/internal/simwire/words.go
@@ -43,6 +43,12 @@
 		502: policy.ResultConnectFailed, 598: policy.ResultReset, 499: policy.ResultCancelled,
 		410: policy.ResultNotSent, 404: policy.ResultMisdirected,
 	}
+	// executions are what the wire's outcomes prove of whether an attempt ran; of the others it is not known.
+	executions = map[policy.Result]policy.Execution{
+		policy.ResultOK: policy.ExecutionDone, policy.ResultOverloaded: policy.ExecutionNone,
+		policy.ResultConnectFailed: policy.ExecutionNone, policy.ResultNotSent: policy.ExecutionNone,
+		policy.ResultMisdirected: policy.ExecutionNone,
+	}
 	endpointStates = map[int64]policy.EndpointState{
 		0: policy.EndpointRemoved, 1: policy.EndpointReady, 2: policy.EndpointDraining,
 	}
--- a/internal/testcluster/main_test.go
+++ b/internal/testcluster/main_test.go
@@ -71,7 +71,9 @@
 				t.Fatal(err)
 			}
 			start := time.Now()
-			out := Run(options(), DefaultLoad(), faults, nil)
+			load := DefaultLoad()
+			load.QuoteReaders = 2
+			out := Run(options(), load, faults, nil)
 			if out.Err != nil {
 				t.Error(out.Err)
 			}
