A refusal that repeats the one right before it proves nothing of the next request

Within 10 ms behind a refusal the same one again now means 'may have run', and the connection is closed. A copy of a row that crosses the next request in the same way cannot be told from its answer and stays an open risk.

--- a/internal/session/execution_test.go
+++ b/internal/session/execution_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"testing"
+	"time"
 
 	"marblespan/internal/fake"
 	"marblespan/internal/policy"
@@ -62,3 +63,29 @@
 		}
 	}
 }
+
+// A server may send a refusal twice; the copy can cross the next request on the connection and look like its answer. It proves nothing
+// of a request that was written right behind the first one; a while later a refusal is believed again.
+func TestRepeatedRefusalProvesNothing(t *testing.T) {
+	r := newHarness(t)
+	r.server.SetQueryHandler(func(q *fake.Query) {
+		q.ReplyError("53300")
+		if q.ID() == "crossing" {
+			q.ReplyRow([]byte("v"))
+		}
+	})
+	for _, c := range []struct {
+		id        string
+		after     time.Duration
+		execution policy.Execution
+	}{
+		{"first", 0, policy.ExecutionNone}, {"crossing", 0, policy.ExecutionUnknown}, {"on-a-new-connection", 0, policy.ExecutionNone},
+		{"later", surplusWindow, policy.ExecutionNone},
+	} {
+		time.Sleep(c.after)
+		r.servers.Send(r.job(c.id))
+		if e := r.attemptEnded(); e.Result != policy.ResultOverloaded || e.Execution != c.execution {
+			t.Errorf("%s: %s, execution %s", c.id, routing.ResultNames[e.Result], policy.ExecutionNames[e.Execution])
+		}
+	}
+}
--- a/internal/session/server_conn.go
+++ b/internal/session/server_conn.go
@@ -27,6 +27,9 @@
 	served  int
 
 	answered atomic.Int64 // when its last complete answer was read, as clock.Micros
+
+	lastRefusal string    // code of the last error that proved that nothing ran; of its goroutine only
+	refusedAt   time.Time // when that was read
 }
 
 // assign gives an idle connection its next task, unless it is about to close.
@@ -163,6 +166,20 @@
 	return policy.ExecutionUnknown
 }
 
+// surplusWindow is how long after a refusal a copy of it may still arrive.
+const surplusWindow = 10 * time.Millisecond
+
+// repeatsRefusal reports whether an error repeats the refusal right before it. It may be a copy of that, which a server or something
+// on the way has sent twice and which has crossed the request written at a time: it proves nothing, and the answer is still to come.
+func (l *serverConn) repeatsRefusal(code string, written time.Time) bool {
+	if executionOf(code) != policy.ExecutionNone {
+		return false
+	}
+	repeated := code == l.lastRefusal && written.Sub(l.refusedAt) < surplusWindow
+	l.lastRefusal, l.refusedAt = code, time.Now()
+	return repeated
+}
+
 // carryOut carries out the current task and tells the owner how it ended. A connection whose task did not end with the server's
 // ReadyForQuery is closed before the owner hears of it.
 func (l *serverConn) carryOut() (transport.Reason, error) {
@@ -312,6 +329,7 @@
 		return unsent(policy.ResultConnectFailed), reason, err
 	}
 	// From here on it may have run, unless the server itself says otherwise.
+	written := time.Now()
 	var reply postgres.Reply
 	loadReport, err := l.readReply(&reply, until, t, value)
 	result, reason := taskResult{params: reply.Params, loadReport: loadReport}, carryOn
@@ -323,6 +341,9 @@
 	case reply.Code != "":
 		result.result = resultOf(reply.Code, false)
 		result.execution = executionOf(reply.Code)
+		if l.repeatsRefusal(reply.Code, written) {
+			result.execution, reason = policy.ExecutionUnknown, transport.EndServerFailed
+		}
 	case errors.Is(err, errStalled):
 		result, reason = taskResult{result: policy.ResultError}, transport.EndProtocol
 	case errors.Is(err, transport.ErrWoken):
