--- a/internal/routing/requestlog.go
+++ b/internal/routing/requestlog.go
@@ -10,9 +10,8 @@
 // The log names requests that ended without a served answer, and answers of servers that were not passed on. Both kinds come in
 // bursts of thousands when a group is lost or full: each has its own limit.
 const (
-	maxLoggedBurst = 50                                // lines at once
-	logInterval    = 200 * clock.Micros(1000)          // one more line each
-	maxLoggedSpan  = maxLoggedBurst * int(logInterval) // a full burst, as a time
+	maxLoggedBurst = 50                       // lines at once
+	logInterval    = 200 * clock.Micros(1000) // one more line each
 )
 
 // lineLimit limits the lines of one kind. It counts those left out; the next line tells how many.
@@ -23,7 +22,7 @@
 
 // take reports whether a line may be written now, and how many were left out before it.
 func (l *lineLimit) take(now clock.Micros) (leftOut int64, ok bool) {
-	l.spentUntil = max(l.spentUntil, now-clock.Micros(maxLoggedSpan))
+	l.spentUntil = max(l.spentUntil, now-maxLoggedBurst*logInterval)
 	if l.spentUntil+logInterval > now {
 		l.leftOut++
 		return 0, false
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -136,44 +136,51 @@
 
 // handleAttemptEnded takes in the end of an attempt. A served answer goes to the client before the router hears of it: it is
 // final in any case.
-func (c *Core) handleAttemptEnded(e AttemptEnded) {
-	e.Execution = e.Execution.RaisedBy(e.Result) // before the result is taken for anything else
-	c.Counts.Outcomes[e.Result]++
-	c.Counts.Executions[e.Execution]++
-	q := c.requests.byID[e.Job.ID]
+func (c *Core) handleAttemptEnded(ended AttemptEnded) {
+	received := ended.Result
+	ended.Execution = ended.Execution.RaisedBy(received) // before the result is taken for anything else
+	c.Counts.Outcomes[received]++
+	c.Counts.Executions[ended.Execution]++
+	q := c.requests.byID[ended.Job.ID]
 	if q == nil {
-		e.Value.Free()
+		ended.Value.Free()
 		return
 	}
-	q.attempts[e.Job.Attempt] = nil
+	q.attempts[ended.Job.Attempt] = nil
 	q.inFlight--
-	ended := endedAttempt{
-		server: e.Job.Server, received: e.Result, result: e.Result, execution: e.Execution, role: e.Role,
-		latency: e.Latency,
-	}
-	if answeredByStaleReplica(q, e) {
+	if answeredByStaleReplica(q, ended) {
 		c.Counts.StaleAnswers++
-		e.Result = policy.ResultMisdirected
-		ended.result = e.Result
-		c.logUnused(q, ended, "the server says that it is a replica")
-	}
-	served := e.Result == policy.ResultOK
-	if !served {
-		q.ended = append(q.ended, ended)
-	}
-	final := q.closed || served
-	if served && !q.closed {
-		c.answer(q, Answer{Kind: AnswerServed, Value: e.Value, Position: e.Position})
-	} else {
-		e.Value.Free()
+		ended.Result = policy.ResultMisdirected
 	}
+	final := q.closed || ended.Result == policy.ResultOK
+	c.passOn(q, ended, received)
 	c.step(policy.Outcome{
-		ID: q.id, Attempt: e.Job.Attempt, Server: e.Job.Server, Result: e.Result, Execution: e.Execution, Final: final,
-		Latency: e.Latency, Role: e.Role, Position: e.Position, LoadReport: e.LoadReport,
+		ID: q.id, Attempt: ended.Job.Attempt, Server: ended.Job.Server, Result: ended.Result, Execution: ended.Execution, Final: final,
+		Latency: ended.Latency, Role: ended.Role, Position: ended.Position, LoadReport: ended.LoadReport,
 	})
 	c.requests.forgetIfDone(q)
 }
 
+// passOn answers an open request with what an attempt was served, or frees that and remembers the attempt for the log.
+func (c *Core) passOn(q *request, ended AttemptEnded, received policy.Result) {
+	if ended.Result == policy.ResultOK && !q.closed {
+		c.answer(q, Answer{Kind: AnswerServed, Value: ended.Value, Position: ended.Position})
+		return
+	}
+	ended.Value.Free()
+	if ended.Result == policy.ResultOK {
+		return
+	}
+	record := endedAttempt{
+		server: ended.Job.Server, received: received, result: ended.Result, execution: ended.Execution, role: ended.Role,
+		latency: ended.Latency,
+	}
+	q.ended = append(q.ended, record)
+	if received == policy.ResultOK {
+		c.logUnused(q, record, "the server says that it is a replica")
+	}
+}
+
 // answeredByStaleReplica reports whether a read that needs current data (policy.NeedFresh) was answered by a server that says
 // it is a replica. It was taken for the primary, by an old list or before a failover, and its data may be behind; where
 // servers check nothing, nobody else would notice. It has run all the same: AttemptEnded.Execution says so, and what must not run
--- a/internal/session/pending.go
+++ b/internal/session/pending.go
@@ -52,20 +52,9 @@
 		q.storePositionAndDeliver(a)
 		return
 	}
-	kind, value := indoubt.Failed, []byte(nil)
-	switch a.Kind {
-	case routing.AnswerServed:
-		kind = indoubt.Served
-		if a.Value.Size() <= intents.MaxStoredAnswer {
-			value = bytes.Join(a.Value.BuffersFrom(0), nil)
-		}
-	case routing.AnswerRejected:
-		// Of a class that may run twice by the settings a rejection promises less than an intent that says "unsent".
-		if !a.MayHaveRun {
-			kind = indoubt.Rejected
-		}
-	case routing.AnswerDuplicateID:
-		kind = indoubt.Rejected
+	kind, value := inDoubtKind(a), []byte(nil)
+	if kind == indoubt.Served && a.Value.Size() <= intents.MaxStoredAnswer {
+		value = bytes.Join(a.Value.BuffersFrom(0), nil)
 	}
 	q.client.mu.Lock()
 	disconnected := q.disconnected
@@ -79,6 +68,18 @@
 	q.write.RoutingAnswered(kind, value)
 }
 
+// inDoubtKind is what routing's answer proves of an in-doubt write. A rejection of a class that may run twice by the settings promises
+// less than an intent that says "unsent".
+func inDoubtKind(a routing.Answer) indoubt.AnswerKind {
+	switch {
+	case a.Kind == routing.AnswerServed:
+		return indoubt.Served
+	case a.Kind == routing.AnswerRejected && !a.MayHaveRun, a.Kind == routing.AnswerDuplicateID:
+		return indoubt.Rejected
+	}
+	return indoubt.Failed
+}
+
 // Route posts an in-doubt write that has been claimed. The resolver calls it.
 func (q *pendingQuery) Route() { q.client.all.Owner.Post(q.request) }
 
