--- a/internal/testcluster/check_test.go
+++ b/internal/testcluster/check_test.go
@@ -53,6 +53,12 @@
 	}
 }
 
+// ending gives a request another end, without a value.
+func ending(s story, what string) story {
+	s[len(s)-1].What, s[len(s)-1].Value = what, ""
+	return s
+}
+
 // closing makes the end of a request the close of its connection.
 func closing(s story) story {
 	s[len(s)-1].Text = retryMark + " " + codeShutdown + " the address has moved to another gateway"
@@ -144,6 +150,12 @@
 		{"data within the bound", "", join(viewed(100, "a", ClassView, "r1", Absent, 840))},
 		{"a seat at a replica", "stale", join(viewed(100, "a", ClassSeat, "r1", Absent, 1))},
 		{"a seat at a replica, whose answer is not passed on", "", join(viewed(100, "a", ClassSeat, "p", Absent, 0), story{at(101, Event{Kind: RequestExecuted, Node: 1, ID: "a", Class: ClassSeat, Key: "k", Server: "r1", What: roleReplica})})},
+		{"a quote", "", join(viewed(100, "a", ClassQuote, "p", Absent, 0))},
+		{"a quote at a replica", "stale", join(viewed(100, "a", ClassQuote, "r1", Absent, 1))},
+		{"a quote that ran twice", "quotes", join(viewed(100, "a", ClassQuote, "p", Absent, 0), story{at(103, Event{Kind: RequestExecuted, Node: 1, ID: "a", Class: ClassQuote, Key: "k", Server: "p", What: rolePrimary})})},
+		{"a quote that ran and was refused", "quotes", join(ending(viewed(100, "a", ClassQuote, "p", Absent, 0), EndRejected))},
+		{"a quote that ran and failed", "", join(ending(viewed(100, "a", ClassQuote, "p", Absent, 0), EndFailed))},
+		{"a quote that was refused", "", join(without(ending(viewed(100, "a", ClassQuote, "p", Absent, 0), EndRejected), RequestExecuted))},
 		{"a booked seat that is not seen", "linearizable", join(booked(100, "a", "k", EndServed), viewed(200, "b", ClassSeat, "p", Absent, 0))},
 		{"a seat seen and then not", "linearizable", join(booked(100, "a", "k", EndFailed), viewed(103, "b", ClassSeat, "p", There, 0), viewed(200, "c", ClassSeat, "p", Absent, 0))},
 		{"a booking in doubt that takes effect later", "", join(booked(100, "a", "k", EndFailed), viewed(200, "b", ClassSeat, "p", Absent, 0), viewed(300, "c", ClassSeat, "p", There, 0))},
