Review case 1: a second copy of an answer is served to the next request

Cause: a pooled connection is used again as soon as ReadyForQuery was read; a second copy of the answer that is still on its way is read as the answer to the next request.

--- /dev/null
+++ b/review/standin/cases_test.go
@@ -0,0 +1,12 @@
+//go:build review
+
+package standin
+
+// cases are the cases by name.
+var cases map[string]func(*run) error
+
+func init() {
+	cases = map[string]func(*run) error{
+		"second-copy": secondCopy,
+	}
+}
