Review case 2: a kept floating address holds the shutdown up past SIGKILL

Cause: the release of a floating address that was kept waits up to drain-timeout (1 s at most) beginning 0.6 s before the shutdown's limit, so that open requests are failed only after the platform kills the gateway. Change: review/2 and its stand-ins.

--- a/review/standin/cases_test.go
+++ b/review/standin/cases_test.go
@@ -7,6 +7,7 @@
 
 func init() {
 	cases = map[string]func(*run) error{
-		"second-copy": secondCopy,
+		"drain-timeout": drainTimeout,
+		"second-copy":   secondCopy,
 	}
 }
