--- a/review/standin/drain_test.go
+++ b/review/standin/drain_test.go
@@ -241,14 +241,19 @@
 	fmt.Println("answers:", counts)
 }
 
-// freeUDP returns a free loopback address for datagrams.
+// freeUDP returns a loopback address that is free for datagrams and for connections.
 func freeUDP() string {
-	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		panic(err)
+	for {
+		addr := freeAddr()
+		at, err := net.ResolveUDPAddr("udp4", addr)
+		if err != nil {
+			panic(err)
+		}
+		if c, err := net.ListenUDP("udp4", at); err == nil {
+			c.Close()
+			return addr
+		}
 	}
-	defer c.Close()
-	return c.LocalAddr().String()
 }
 
 // awaitOpen reports whether an address accepts connections within a time.
