Review case 1: replies to a gateway's earlier life make bookings run twice

Cause: calls to the state store are numbered from 1 in each life of a gateway, and a reply carries only the number, so that the reply to a call from before a kill is taken for the answer to a call after it. Change: review/1; the former cases 1 and 2 are now 2 and 3, and the former case 3 (session reads lost at SIGTERM, two disruptions) gives way to it.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A database server sends a second copy of an answer. TROUBLE=0: it sends none. See claim.txt.
+# Two of three gateways are killed at once with bookings under way; clients ask again. TROUBLE=0: none is killed. See claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
-exec bin/review-standin second-copy review/1
+exec bin/review-standin herd-twice review/1
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A gateway with a long request at a floating address is told to end. TROUBLE=0: it is not. See claim.txt.
+# A database server sends a second copy of an answer. TROUBLE=0: it sends none. See claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
-exec bin/review-standin drain-timeout review/2
+exec bin/review-standin second-copy review/2
--- a/review/standin/cases_test.go
+++ b/review/standin/cases_test.go
@@ -8,7 +8,7 @@
 func init() {
 	cases = map[string]func(*run) error{
 		"drain-timeout": drainTimeout,
-		"marks-at-end":  marksAtEnd,
+		"herd-twice":    herdTwice,
 		"second-copy":   secondCopy,
 	}
 }
--- a/review/standin/drain_test.go
+++ b/review/standin/drain_test.go
@@ -125,7 +125,7 @@
 		{"trend-report", "free", "eventual", 6000, 12000, 0},
 		{"booking", "single_shot", "mutate", 750, 5000, 0},
 	}
-	bind := []string{freeUDP(), freeUDP()}
+	bind := []string{freeAddr(), freeAddr()}
 	floating := []string{freeAddr(), freeAddr()}
 	var gateways []*gateway
 	for i := range 2 {
@@ -241,21 +241,6 @@
 	fmt.Println("answers:", counts)
 }
 
-// freeUDP returns a loopback address that is free for datagrams and for connections.
-func freeUDP() string {
-	for {
-		addr := freeAddr()
-		at, err := net.ResolveUDPAddr("udp4", addr)
-		if err != nil {
-			panic(err)
-		}
-		if c, err := net.ListenUDP("udp4", at); err == nil {
-			c.Close()
-			return addr
-		}
-	}
-}
-
 // awaitOpen reports whether an address accepts connections within a time.
 func awaitOpen(addr string, within time.Duration) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/review/standin/lib_test.go
+++ b/review/standin/lib_test.go
@@ -25,6 +25,9 @@
 	"time"
 )
 
+// longestRun is how long a case may take.
+const longestRun = 117 * time.Second
+
 // Exit codes of a case.
 const (
 	held   = 0
@@ -53,6 +56,7 @@
 	trouble bool   // false with TROUBLE=0: the same without the disruption
 	start   time.Time
 	command string // the deploy file's run
+	parent  *run   // of one of several deployments side by side: has the record and the breaks
 
 	mu       sync.Mutex
 	record   *bufio.Writer
@@ -76,6 +80,11 @@
 	defer file.Close()
 	r.record = bufio.NewWriter(file)
 	r.note("case %s, trouble %v", name, r.trouble)
+	watchdog := time.AfterFunc(longestRun, func() {
+		fmt.Fprintln(os.Stderr, "the case took too long")
+		os.Exit(notRun) // its gateways end with it (Pdeathsig)
+	})
+	defer watchdog.Stop()
 	err = cases[name](r)
 	for _, g := range r.gateways {
 		g.end()
@@ -102,13 +111,21 @@
 
 // note writes a line to record.txt.
 func (r *run) note(format string, a ...any) {
+	if r.parent != nil {
+		r.parent.note(format, a...)
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fmt.Fprintf(r.record, "%9.3f ms  %s\n", float64(time.Since(r.start).Microseconds())/1000, fmt.Sprintf(format, a...))
 }
 
-// breaks a rule.
+// broke records that a rule was broken.
 func (r *run) broke(format string, a ...any) {
+	if r.parent != nil {
+		r.parent.broke(format, a...)
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.breaks) < 20 {
@@ -129,14 +146,30 @@
 	return string(m[1]), nil
 }
 
-// freeAddr returns a free loopback address.
+// given are the ports that freeAddr has returned.
+var given sync.Map
+
+// freeAddr returns a loopback address that is free for connections and for datagrams, and that no other call returned. Its port is
+// below those that the system gives to outgoing connections.
 func freeAddr() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		port := 12000 + rand.IntN(20000)
+		if _, taken := given.LoadOrStore(port, true); taken {
+			continue
+		}
+		addr := fmt.Sprint("127.0.0.1:", port)
+		l, err := net.Listen("tcp4", addr)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		if err != nil {
+			continue
+		}
+		c.Close()
+		return addr
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // ---------------------------------------------------------------------------------------------------------------- gateways
@@ -329,6 +362,7 @@
 	applied int64 // position in ms; 0: the present
 	data    map[string]string
 	ran     map[string]int // number of runs, by the request's id
+	ranKey  map[string]int // number of runs of writes, by the key
 	count   int
 
 	handle func(q *query) // nil: run the statement and answer
@@ -360,7 +394,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{run: r, name: name, role: role, listener: l, data: map[string]string{}, ran: map[string]int{}}
+	s := &server{run: r, name: name, role: role, listener: l, data: map[string]string{}, ran: map[string]int{}, ranKey: map[string]int{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -447,6 +481,7 @@
 	s.ran[q.id]++
 	if q.write {
 		s.data[q.key] = unhex(q.content)
+		s.ranKey[q.key]++
 	}
 	return s.data[q.key]
 }
