--- a/review/standin/lib_test.go
+++ b/review/standin/lib_test.go
@@ -60,7 +60,8 @@
 
 	mu       sync.Mutex
 	record   *bufio.Writer
-	breaks   []string
+	breaks   []string // the first of them
+	broken   int      // how many there were
 	gateways []*gateway
 }
 
@@ -93,6 +94,10 @@
 		r.note("BROKEN %s", b)
 		fmt.Println("broken:", b)
 	}
+	if r.broken > len(r.breaks) {
+		r.note("BROKEN %d times in all", r.broken)
+		fmt.Println("broken:", r.broken, "times in all")
+	}
 	switch {
 	case err != nil:
 		r.note("not run: %v", err)
@@ -128,7 +133,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.breaks) < 20 {
+	if r.broken++; r.broken <= 20 {
 		r.breaks = append(r.breaks, fmt.Sprintf(format, a...))
 	}
 }
--- a/review/standin/replies_test.go
+++ b/review/standin/replies_test.go
@@ -214,6 +214,10 @@
 		}
 	}
 	r.note("trial %d: %d bookings ran, %d of them more than once", trial, len(primary.ranKey), twice)
-	fmt.Printf("trial %d: killed after %v, %d bookings ran, %d of them more than once\n", trial, moment, len(primary.ranKey), twice)
+	how := "nobody killed"
+	if r.trouble {
+		how = fmt.Sprint("killed after ", moment)
+	}
+	fmt.Printf("trial %d: %s, %d bookings ran, %d of them more than once\n", trial, how, len(primary.ranKey), twice)
 	return twice, nil
 }
