session: an empty query before each request on a used connection finds surplus answers

Cause: after ReadyForQuery a connection was free, and an answer names no request. A second copy still on its way when the next request was written was read as the answer to that request. The same held for copies of refusals (a request that ran counted as not run, beyond a window of 2 ms), of errors, and of load reports in both directions.

Change: an empty query goes in front of each request and health check but the first on a connection, in the same write. Answers come in order, so what arrives before its answer is surplus, however slow the link. No further round trip, no bound on time. The connection ends after surplus.

Excluded: the pool (one task at a time) and mixed-up buffers (whole answers of the same connection).

--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -27,8 +27,9 @@
 	SQL  string
 	Conn int // the number of its connection, from 1
 
-	server *Server
-	conn   net.Conn
+	server   *Server
+	conn     net.Conn
+	inFlight *[]byte // what WriteInFlight has written to the connection and the peer has not received yet
 }
 
 // ID returns the id in the statement's comment.
@@ -53,6 +54,7 @@
 	Position     atomic.Int64 // the replication position that the server reports, in milliseconds
 	Role         atomic.Value // the role that the server reports: a string
 	Silent       atomic.Bool  // the server reads all input and sends nothing, as if its machine were cut off
+	RejectsEmpty atomic.Bool  // the server answers an empty query with an error
 
 	listener   net.Listener
 	goroutines sync.WaitGroup // the accept loop and one goroutine for each connection
@@ -151,6 +153,7 @@
 	if !s.startUp(conn, r) {
 		return
 	}
+	var inFlight []byte
 	for {
 		header := make([]byte, 5)
 		if _, err := io.ReadFull(r, header); err != nil {
@@ -163,7 +166,9 @@
 		if s.Silent.Load() {
 			continue
 		}
-		s.handle(&Query{SQL: strings.TrimRight(string(body), "\x00"), Conn: number, server: s, conn: conn})
+		conn.Write(inFlight)
+		inFlight = nil
+		s.handle(&Query{SQL: strings.TrimRight(string(body), "\x00"), Conn: number, server: s, conn: conn, inFlight: &inFlight})
 	}
 }
 
@@ -187,8 +192,16 @@
 	return true
 }
 
-// handle answers a health check or passes a query to its handler.
+// handle answers an empty query or a health check, or passes a query to its handler.
 func (s *Server) handle(q *Query) {
+	if q.SQL == "" {
+		if s.RejectsEmpty.Load() {
+			q.ReplyError("08P01")
+			return
+		}
+		q.Write(append(frame('I'), append(s.statusParameters(), readyForQuery()...)...))
+		return
+	}
 	if q.SQL == "SHOW load" {
 		s.mu.Lock()
 		handler := s.healthCheckHandler
@@ -247,5 +260,9 @@
 // Write sends raw bytes.
 func (q *Query) Write(b []byte) { q.conn.Write(b) }
 
+// WriteInFlight sends raw bytes that are slow on the network: the peer receives them after it has sent its next message and before
+// it receives the answer to that message.
+func (q *Query) WriteInFlight(b []byte) { *q.inFlight = append(*q.inFlight, b...) }
+
 // CloseConn closes the connection without an answer.
 func (q *Query) CloseConn() { q.conn.Close() }
--- a/internal/protocol/postgres/reply.go
+++ b/internal/protocol/postgres/reply.go
@@ -11,12 +11,13 @@
 // response is RowDescription, one DataRow, CommandComplete and ReadyForQuery, or an ErrorResponse and ReadyForQuery. If Handle
 // returns an error, the response is malformed, and nothing in it may be used. A Reply is used by one goroutine only.
 type Reply struct {
-	Startup bool   // this is the response to a start-up, not to a query
-	Code    string // SQLSTATE of the ErrorResponse; empty if there was none
-	Fatal   bool   // the server closes the connection after this error
-	Ready   bool   // ReadyForQuery was received, so the connection is free again
-	Params  Params
-	stage   replyStage
+	Startup    bool   // this is the response to a start-up, not to a query
+	MayBeEmpty bool   // EmptyQueryResponse and ReadyForQuery are valid too
+	Code       string // SQLSTATE of the ErrorResponse; empty if there was none
+	Fatal      bool   // the server closes the connection after this error
+	Ready      bool   // ReadyForQuery was received, so the connection is free again
+	Params     Params
+	stage      replyStage
 }
 
 // replyStage is the last part of the response that has been received.
@@ -29,6 +30,7 @@
 	stageComplete
 	stageAuthenticated // in a start-up: AuthenticationOk was received
 	stageError         // an ErrorResponse was received
+	stageEmptyQuery    // EmptyQueryResponse was received
 )
 
 // Params holds the ParameterStatus values that the gateway uses, as received; a value that was not received is empty. Position
@@ -38,6 +40,9 @@
 // Complete reports whether a row and the CommandComplete after it were received.
 func (r *Reply) Complete() bool { return r.stage == stageComplete }
 
+// EmptyQuery reports whether the response is that to an empty query.
+func (r *Reply) EmptyQuery() bool { return r.stage == stageEmptyQuery }
+
 // Started reports whether part of the response to a query, or an ErrorResponse, was received, so that at least ReadyForQuery must
 // still follow.
 func (r *Reply) Started() bool { return r.stage != stageBegun && r.stage != stageAuthenticated }
@@ -82,7 +87,9 @@
 	if len(body) != 1 || body[0] != 'I' {
 		return errors.New("ReadyForQuery with a status other than idle")
 	}
-	if r.stage != stageError && r.stage != stageComplete && r.stage != stageAuthenticated {
+	switch r.stage {
+	case stageError, stageComplete, stageAuthenticated, stageEmptyQuery:
+	default:
 		return errors.New("ReadyForQuery before the end of the response")
 	}
 	r.Ready = true
@@ -101,6 +108,9 @@
 	case header.Type == TypeCommandComplete && r.stage == stageRow:
 		r.stage = stageComplete
 		return checkCommandTag(body)
+	case header.Type == TypeEmptyQueryResponse && r.MayBeEmpty && r.stage == stageBegun && len(body) == 0:
+		r.stage = stageEmptyQuery
+		return nil
 	}
 	return fmt.Errorf("unexpected message of type %q", header.Type)
 }
--- a/internal/session/exchange.go
+++ b/internal/session/exchange.go
@@ -29,20 +29,8 @@
 	if l.withdrawn(t) {
 		return unsent(policy.ResultConnectFailed), transport.EndReplaced, errWithdrawn
 	}
-	clock := l.all.Clock
-	until := clock.Time(t.Deadline)
-	var parts net.Buffers
-	var total int64
-	var value *transport.Message
-	if t.healthCheck {
-		q := postgres.AppendQuery(nil, postgres.LoadQuery)
-		parts, total = net.Buffers{q}, int64(len(q))
-	} else {
-		parts, total = t.Payload.(*query).parts(int64(max(t.Deadline-clock.Now(), 1000)) / 1000)
-		value = l.all.Buffers.NewMessage()
-	}
-	if reason, err := l.writeRequest(t, parts, total, until); err != nil {
-		value.Free()
+	until := l.all.Clock.Time(t.Deadline)
+	if reason, err := l.writeRequest(t, until); err != nil {
 		if t.cancelled() {
 			return unsent(policy.ResultCancelled), transport.EndAbandoned, nil
 		}
@@ -50,66 +38,92 @@
 	}
 	// From here on the request may have run, unless the server's answer proves that it did not.
 	written := time.Now()
-	var reply postgres.Reply
-	loadReport, err := l.readReply(&reply, until, t, value)
-	result, reason := taskResult{params: reply.Params, loadReport: loadReport}, notEnded
+	answer, err := l.readAnswer(t, until)
+	result, reason := l.evaluate(&answer, written, err)
+	if reason == notEnded && (err != nil || answer.surplus || l.conn.Buffered() > 0) {
+		reason = transport.EndServerFailed // surplus bytes must not be taken for the answer to the next request
+	}
+	if result.value == nil {
+		answer.value.Free()
+	}
+	return result, reason, err
+}
+
+// evaluate derives the result of a request, and whether the connection ends, from the answer and from the error with which reading
+// it ended. The request was completely written at the time written.
+func (l *serverConn) evaluate(answer *serverAnswer, written time.Time, err error) (taskResult, transport.Reason) {
+	reply := &answer.reply
+	result := taskResult{params: reply.Params, loadReport: answer.loadReport}
 	switch {
 	case errors.Is(err, errProtocol): // malformed answer: the request may have run, and nothing in the answer is used
-		result, reason = taskResult{result: policy.ResultError}, transport.EndProtocol
+		return taskResult{result: policy.ResultError}, transport.EndProtocol
 	case reply.Complete():
-		result.result, result.execution, result.value = policy.ResultOK, policy.ExecutionDone, value
+		result.result, result.execution, result.value = policy.ResultOK, policy.ExecutionDone, answer.value
 	case reply.Code != "":
 		result.result = resultOf(reply.Code, false)
 		result.execution = executionOf(reply.Code)
-		if l.repeatsRefusal(reply.Code, written) {
-			result.execution, reason = policy.ExecutionUnknown, transport.EndServerFailed
+		if l.repeatsRefusal(reply.Code, written) || answer.unmatched {
+			result.execution = policy.ExecutionUnknown
+			return result, transport.EndServerFailed
 		}
 	case errors.Is(err, errStalled):
-		result, reason = taskResult{result: policy.ResultError}, transport.EndProtocol
+		return taskResult{result: policy.ResultError}, transport.EndProtocol
 	case errors.Is(err, transport.ErrWoken):
-		result.result, reason = policy.ResultCancelled, transport.EndAbandoned
+		result.result = policy.ResultCancelled
+		return result, transport.EndAbandoned
 	case errors.Is(err, transport.ErrDeadline):
-		result.result, reason = policy.ResultTimeout, transport.EndTimeout
+		result.result = policy.ResultTimeout
+		return result, transport.EndTimeout
 	default:
-		result.result, reason = policy.ResultReset, transport.ReasonOf(err)
-	}
-	if reason == notEnded && (err != nil || l.conn.Buffered() > 0) {
-		reason = transport.EndServerFailed // surplus bytes must not be taken for the answer to the next request
+		result.result = policy.ResultReset
+		return result, transport.ReasonOf(err)
 	}
-	if result.value == nil {
-		value.Free()
-	}
-	return result, reason, err
+	return result, notEnded
 }
 
 // errFenced is returned when an in-doubt write must no longer be sent by this gateway, because its claim is not confirmed.
 var errFenced = errors.New("the in-doubt write is claimed by another gateway, or its claim could not be confirmed")
 
-// writeRequest writes a request. For an in-doubt write, the last byte is held back until this gateway's claim to the write has
-// been confirmed. The claim is confirmed this late because the process may have been suspended, and have lost the claim, before it
-// wrote any of the earlier bytes. Holding back one byte is enough, because a server starts executing only when it has the last
-// byte.
-func (l *serverConn) writeRequest(t *task, parts net.Buffers, total int64, until time.Time) (transport.Reason, error) {
-	write := func(parts net.Buffers, total int64) (transport.Reason, error) {
-		if n, err := l.conn.Write(until, parts); n < total {
-			return transport.ReasonOf(err), err
-		}
-		return 0, nil
+// writeRequest writes a request, behind a sync query if the connection was used before. For an in-doubt write, the last byte is
+// held back until this gateway's claim to the write has been confirmed. The claim is confirmed this late because the process may
+// have been suspended, and have lost the claim, before it wrote any of the earlier bytes. Holding back one byte is enough, because a
+// server starts executing only when it has the last byte.
+func (l *serverConn) writeRequest(t *task, until time.Time) (transport.Reason, error) {
+	var parts net.Buffers
+	if l.needsSync() {
+		parts = append(parts, syncQuery)
 	}
 	q, _ := t.Payload.(*query)
+	if t.healthCheck {
+		parts = append(parts, postgres.AppendQuery(nil, postgres.LoadQuery))
+	} else {
+		parts = append(parts, q.parts(int64(max(t.Deadline-l.all.Clock.Now(), 1000))/1000)...)
+	}
 	if q == nil || q.write == nil {
-		return write(parts, total)
+		return l.write(parts, until)
 	}
 	at := len(parts) - 1
 	last := parts[at][len(parts[at])-1:]
 	parts[at] = parts[at][:len(parts[at])-1]
-	if reason, err := write(parts, total-1); err != nil {
+	if reason, err := l.write(parts, until); err != nil {
 		return reason, err
 	}
 	if !q.write.MaySend(t.ctx, l.endpoint.endpoint, until) {
 		return transport.EndAbandoned, errFenced
 	}
-	return write(net.Buffers{last}, 1)
+	return l.write(net.Buffers{last}, until)
+}
+
+// write writes all parts, or returns why it could not.
+func (l *serverConn) write(parts net.Buffers, until time.Time) (transport.Reason, error) {
+	total := int64(0)
+	for _, part := range parts {
+		total += int64(len(part))
+	}
+	if n, err := l.conn.Write(until, parts); n < total {
+		return transport.ReasonOf(err), err
+	}
+	return 0, nil
 }
 
 // errProtocol marks answers that violate the protocol.
@@ -230,16 +244,14 @@
 	return policy.ExecutionUnknown
 }
 
-// duplicateRefusalWindow is the time after a refusal during which a duplicate of the refusal may still arrive and be mistaken for
-// the answer to the next request. A refusal is an error that proves that its request did not run. If the next request is written
-// after the window, a duplicate has already arrived and ended the connection. The window is shorter than the pause of at least one
-// Tick that package policy makes after a server has rejected a request, so that the rejection of a retry at that server counts as
-// genuine.
+// duplicateRefusalWindow is the time after a refusal during which the same refusal of the next request proves nothing. A refusal is
+// an error that proves that its request did not run. The sync query finds a duplicate that the server sent before it had received
+// the next request; the window is for a server that sends it later. The window is shorter than the pause of at least one Tick that
+// package policy makes after a server has rejected a request, so that the rejection of a retry at that server counts as genuine.
 const duplicateRefusalWindow = 2 * time.Millisecond
 
 // repeatsRefusal reports whether an error has the same code as the last refusal and answers a request that was written within
-// duplicateRefusalWindow after it. Such an error may be a duplicate of that refusal, which the server or the network sent while
-// the request was on its way to the server. Such an error proves nothing about the request, whose real answer may still follow.
+// duplicateRefusalWindow after it. Such an error may be a duplicate of that refusal. Such an error proves nothing about the request, whose real answer may still follow.
 // repeatsRefusal also records the error as the last refusal, if it is one.
 func (l *serverConn) repeatsRefusal(code string, written time.Time) bool {
 	if executionOf(code) != policy.ExecutionNone {
--- a/internal/session/query.go
+++ b/internal/session/query.go
@@ -25,14 +25,9 @@
 // Free releases a reference to the statement's text.
 func (q *query) Free() { q.text.Free() }
 
-// parts returns the message to a server and its size. The message is the statement as received, except that its time limit is
-// replaced by the remaining time, waitMillis.
-func (q *query) parts(waitMillis int64) (net.Buffers, int64) {
+// parts returns the message to a server. The message is the statement as received, except that its time limit is replaced by the
+// remaining time, waitMillis.
+func (q *query) parts(waitMillis int64) net.Buffers {
 	head, from := q.statement.AppendQueryHead(nil, q.text.FirstBuffer(), q.text.Size(), waitMillis)
-	parts := append(net.Buffers{head}, q.text.BuffersFrom(from)...)
-	total := int64(0)
-	for _, p := range parts {
-		total += int64(len(p))
-	}
-	return parts, total
+	return append(net.Buffers{head}, q.text.BuffersFrom(from)...)
 }
