raftstore: number calls from a random number at each start, so that late replies match none

Cause: calls were numbered from 1 at each start, and a reply carries only that number. A leader's reply to a call that the killed start had sent was taken for the reply to the new start's call of that number, here the claim of a repeat. Claims, outcomes, session marks, reads and maintenance calls alike.

Change: the first number is drawn at random at each start; later ones count up. Nothing on the wire or on disk changes, the leader returns the number as it is, so this holds with leaders of the former build, too.

TestHostReadsAndSends gives FirstCallID 1, so that its golden file stays as it is.

--- a/internal/experiments/statestore/startup.go
+++ b/internal/experiments/statestore/startup.go
@@ -55,7 +55,7 @@
 	startup.OpenTime = time.Since(begin)
 	host, err := raftstore.New(raftstore.Config{
 		Name: "g1", RunsGroups: true, Tick: 100_000, RepairAfter: 10_000_000, MaxRepairs: 1, MinLogBytes: 1 << 20, MaxShardBytes: 1 << 30, MaxCalls: 1,
-		ClientID: 1, NewStoreID: 1, NewClusterID: 1, Incarnation: 2,
+		ClientID: 1, FirstCallID: 1, NewStoreID: 1, NewClusterID: 1, Incarnation: 2,
 	}, 1, stored, true)
 	if err != nil {
 		return startup, err
--- a/internal/golden/copies_test.go
+++ b/internal/golden/copies_test.go
@@ -276,7 +276,7 @@
 
 // A gateway without any state decodes the ledger from the golden packet-news. The call that it sends equals the golden host-call.
 func TestHostReadsAndSends(t *testing.T) {
-	host, err := raftstore.New(raftstore.Config{Name: "gw-9", Tick: 100_000, MaxCalls: 10, ClientID: 11, Incarnation: incarnation, Maintenance: &maintenance.Limits{}}, 1_000_000, nil, true)
+	host, err := raftstore.New(raftstore.Config{Name: "gw-9", Tick: 100_000, MaxCalls: 10, ClientID: 11, FirstCallID: 1, Incarnation: incarnation, Maintenance: &maintenance.Limits{}}, 1_000_000, nil, true)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -132,7 +132,8 @@
 	return raftstore.Config{
 		Name: s.Node, Zone: s.Zone, Weight: s.Weight, RunsGroups: s.RunsGroups, Tick: micros(s.Tick), RepairAfter: micros(s.RepairAfter),
 		MaxRepairs: s.MaxRepairs, Format: s.RecordFormat, MinLogBytes: s.MinLogBytes, MaxShardBytes: s.MaxShardBytes, MaxCalls: maxCalls,
-		ClientID: randomID(), NewStoreID: randomID(), NewClusterID: randomID(), Incarnation: uint64(time.Now().UnixMicro()), Maintenance: s.MaintenanceLimits,
+		ClientID: randomID(), FirstCallID: randomID(), NewStoreID: randomID(), NewClusterID: randomID(),
+		Incarnation: uint64(time.Now().UnixMicro()), Maintenance: s.MaintenanceLimits,
 	}
 }
 
--- a/internal/raftstore/calls.go
+++ b/internal/raftstore/calls.go
@@ -12,8 +12,8 @@
 
 // callTable holds this gateway's own pending calls.
 type callTable struct {
-	pending       map[uint64]*call
-	lastID        uint64
+	pending       map[uint64]*call // by ID; no ID is used in two starts of a gateway (Config.FirstCallID)
+	nextID        uint64
 	lastSequence  uint64
 	openSequences map[uint64]bool // sequences of the pending commands
 	minPending    uint64          // no command with a lower sequence is pending
@@ -21,8 +21,10 @@
 	leaders       map[uint32]string // the gateway that answered last, by group
 }
 
-func newCallTable() callTable {
-	return callTable{pending: map[uint64]*call{}, openSequences: map[uint64]bool{}, minPending: 1, leaders: map[uint32]string{}}
+func newCallTable(firstID uint64) callTable {
+	return callTable{
+		pending: map[uint64]*call{}, nextID: firstID, openSequences: map[uint64]bool{}, minPending: 1, leaders: map[uint32]string{},
+	}
 }
 
 // call is one pending call of this gateway itself.
@@ -84,9 +86,10 @@
 		c.command = proto.Clone(request.Command).(*api.Command)
 		c.command.Client, c.command.Sequence = h.cfg.ClientID, c.sequence
 	}
-	h.calls.lastID++
-	h.calls.pending[h.calls.lastID] = c
-	h.sendCall(h.calls.lastID, c, "")
+	id := h.calls.nextID
+	h.calls.nextID++
+	h.calls.pending[id] = c
+	h.sendCall(id, c, "")
 }
 
 // sendCall sends a call to the gateway that leads the call's group, or to a gateway that may know the leader. In order of preference,
@@ -156,7 +159,8 @@
 	p.Replies = append(p.Replies, r)
 }
 
-// handleReply handles the result of one of this gateway's own calls.
+// handleReply handles the result of one of this gateway's own calls. A reply to a call that is not pending, such as one that an
+// earlier start of this gateway sent, has no effect.
 func (h *Host) handleReply(from string, r *api.Reply) {
 	c := h.calls.pending[r.Id]
 	if c == nil || from != c.target {
--- a/internal/raftstore/faults_test.go
+++ b/internal/raftstore/faults_test.go
@@ -402,6 +402,22 @@
 			sim.advance(sim.randomDuration(ms, 500*ms))
 		}
 	}},
+	{"gateways restart within the delay of their packets", 5, false, func(sim *simulation) {
+		sim.maxDelay = 300 * ms
+		for range 12 {
+			n := sim.minority()[0]
+			if sim.rng.IntN(2) == 0 {
+				n = sim.gateways[len(sim.gateways)-1-sim.rng.IntN(2)] // one without a store
+			}
+			n.trusted = true
+			for range 6 { // each start is shorter than the delay, so that few calls are between one start's replies and the next
+				restart(sim, n, sim.randomDuration(ms, 50*ms))
+				sim.advance(sim.randomDuration(20*ms, 300*ms))
+			}
+			sim.advance(second)
+		}
+		sim.maxDelay = 0
+	}},
 	{"the leader is killed at each step of a write", 5, false, func(sim *simulation) {
 		for at := beforeReplication; at < writeSteps; at++ {
 			if sim.killAt = at; !sim.advanceUntil("a leader reaches this step", 20*second, func() bool { return sim.killAt == 0 }) {
@@ -824,6 +840,7 @@
 // Each mutant introduces one defect into the hosts. Some fault must have a run that reveals it.
 var mutants = []mutant{
 	{name: "acknowledges writes before they are on the disk", acknowledgesEarly: true},
+	{name: "call IDs are the same at every start", fault: "gateways restart within the delay of their packets", config: func(c *Config) { c.FirstCallID = 1 }},
 	{name: "does not store votes and terms", fault: "crashes of one at a time", disk: mutateWrites(func(g *MemberWrite) { g.HardState = nil })},
 	{name: "leaves out the last entry of a write", disk: mutateWrites(func(g *MemberWrite) {
 		if n := len(g.Entries); n > 1 || n == 1 && g.HardState == nil {
--- a/internal/raftstore/host.go
+++ b/internal/raftstore/host.go
@@ -56,7 +56,7 @@
 	}
 	host := &Host{
 		cfg: cfg, now: now, nextTick: now, runsGroups: cfg.RunsGroups, diskTrusted: trusted, ledger: &api.Ledger{}, groups: map[uint32]*group{},
-		calls: newCallTable(), peers: newPeerTable(), out: outbox{packets: map[string]*api.Packet{}},
+		calls: newCallTable(cfg.FirstCallID), peers: newPeerTable(), out: outbox{packets: map[string]*api.Packet{}},
 	}
 	if stored == nil {
 		stored = &StoredState{}
--- a/internal/raftstore/raftstore.go
+++ b/internal/raftstore/raftstore.go
@@ -78,6 +78,9 @@
 	// ClientID distinguishes this gateway's calls from those of all other gateways. It must be different at every start of every
 	// gateway, and not 0.
 	ClientID uint64
+	// FirstCallID is the ID of this gateway's first call; later calls count up from it. It must be a random number at every start.
+	// A leader may reply to a call after the gateway that sent it has restarted, and the reply names only the gateway and the ID.
+	FirstCallID uint64
 	// NewStoreID is the number that the store gets if the disk is empty. It must not be 0 and must never have been used before.
 	NewStoreID uint64
 	// Incarnation distinguishes this start of the store from earlier ones. It is the time of the start in microseconds of Unix time.
--- a/internal/raftstore/simulation_test.go
+++ b/internal/raftstore/simulation_test.go
@@ -5,6 +5,7 @@
 	cryptorand "crypto/rand"
 	"fmt"
 	"io"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 
@@ -210,10 +211,15 @@
 	if sim.mutant != nil && sim.mutant.start != nil {
 		sim.mutant.start(sim, n, &s, &trusted)
 	}
-	h, err := New(Config{
+	id := sim.rng.Uint64() | 1
+	config := Config{
 		Name: n.name, Zone: n.zone, Weight: 1, RunsGroups: n.runsGroups, Tick: testTick, RepairAfter: repairAfter, MaxRepairs: 2, MinLogBytes: 4096, MaxShardBytes: 1 << 20,
-		MaxCalls: 100, ClientID: sim.rng.Uint64() | 1, NewStoreID: sim.rng.Uint64() | 1, NewClusterID: sim.rng.Uint64() | 1, Incarnation: n.incarnation, Format: n.format, Maintenance: sim.limits,
-	}, sim.now+n.clockOffset, s, trusted)
+		MaxCalls: 100, ClientID: id, FirstCallID: bits.Reverse64(id), NewStoreID: sim.rng.Uint64() | 1, NewClusterID: sim.rng.Uint64() | 1, Incarnation: n.incarnation, Format: n.format, Maintenance: sim.limits,
+	}
+	if sim.mutant != nil && sim.mutant.config != nil {
+		sim.mutant.config(&config)
+	}
+	h, err := New(config, sim.now+n.clockOffset, s, trusted)
 	if err != nil {
 		sim.failure = fmt.Sprintf("%s cannot start: %v", n.name, err)
 		return
@@ -487,6 +493,7 @@
 	fault             string // the only fault that it is run with; empty: all faults
 	acknowledgesEarly bool   // writes are reported as completed before they are on the disk
 	start             func(sim *simulation, n *simGateway, s **StoredState, trusted *bool)
+	config            func(c *Config)
 	disk              func(Write) Write
 	before            func(sim *simulation, n *simGateway, ev Event) Event
 	after             func(sim *simulation, n *simGateway, out []Action) []Action
