raftstore: a recovery reply counts only for the start that sent the query

What would be seen: a member that restarts twice, the second time on an older copy of its disk, takes part without what it had acknowledged; its process ends at the leader's next message, or an acknowledged record may be lost.

Cause: a recovery reply named group, epoch and member, but not the start whose disk it had judged.

Change: queries carry a number of the start, replies repeat it, others are dropped. New fields; a reply of the former build, without the number, counts as before, so that both builds recover by each other. The golden files stay, and a new one holds the fields.

Evidence: TestRecoveryRepliesToAnEarlierStart failed before (panic "tocommit(134) is out of range [lastIndex(6)]") and passes now, as does TestRecoveryBesideAnEarlierVersion. Not seen on real processes.

--- a/internal/golden/copies_test.go
+++ b/internal/golden/copies_test.go
@@ -180,6 +180,10 @@
 		}})},
 		{"packet-fact-idle", packet(&api.Packet{GatewayReport: &api.GatewayReport{Incarnation: incarnation, Idle: true}})},
 		{"packet-fact-leads", packet(&api.Packet{GatewayReport: &api.GatewayReport{Incarnation: incarnation, Leads: true}})},
+		{"packet-recovery-start", packet(&api.Packet{
+			RecoveryQueries: []*api.RecoveryQuery{{Group: 1, Epoch: 2, Member: 5, Peer: 6, Start: 77}},
+			RecoveryReplies: []*api.RecoveryReply{{Group: 1, Epoch: 2, Member: 6, Peer: 5, Start: 78}},
+		})},
 	}
 }
 
--- a/internal/raftstore/earlier_calls_test.go
+++ b/internal/raftstore/earlier_calls_test.go
@@ -10,7 +10,7 @@
 	"marblespan/internal/maintenance"
 )
 
-// replyFilter keeps every packet with replies to one gateway from being delivered.
+// replyFilter keeps every packet with replies to one gateway, to its calls or to its recovery queries, from being delivered.
 type replyFilter struct {
 	to     string
 	active bool
@@ -25,7 +25,7 @@
 	kept := out[:0:0]
 	for _, action := range out {
 		var packet api.Packet
-		if send, ok := action.(Send); ok && send.To == f.to && proto.Unmarshal(send.Body, &packet) == nil && len(packet.Replies) > 0 {
+		if send, ok := action.(Send); ok && send.To == f.to && proto.Unmarshal(send.Body, &packet) == nil && len(packet.Replies)+len(packet.RecoveryReplies) > 0 {
 			f.held = append(f.held, PacketReceived{n.name, send.Body})
 			continue
 		}
--- a/internal/raftstore/receive.go
+++ b/internal/raftstore/receive.go
@@ -152,13 +152,18 @@
 	p.RecoveryReplies = append(p.RecoveryReplies, g.recoveryReply(x, h.peers.progress[MemberRef{x.Group, x.Epoch, x.Member}]))
 }
 
-// handleRecoveryReply handles a reply to a recovery query of a member that runs on this gateway. If the reply says that the
+// handleRecoveryReply handles a reply to a recovery query of a member that runs on this gateway. A reply to a query of an earlier
+// start has no effect, because the disk may have been a later copy then; a gateway of an earlier version does not say which start it
+// replies to. If the reply says that the
 // member's disk is stale, because it lacks what the member had acknowledged, the member is stopped and never runs again.
 func (h *Host) handleRecoveryReply(x *api.RecoveryReply) {
 	g := h.groups[x.Group]
 	if g == nil || g.epoch != x.Epoch || g.member != x.Member || g.recovery == nil || g.recovery.replied[x.Peer] {
 		return
 	}
+	if x.Start != 0 && x.Start != h.cfg.ClientID {
+		return
+	}
 	if x.Stale {
 		h.stopMember(g)
 		h.retireMember(MemberRef{Group: x.Group, Epoch: x.Epoch, Member: x.Member})
--- a/internal/raftstore/recovery.go
+++ b/internal/raftstore/recovery.go
@@ -146,6 +146,7 @@
 	p := g.host.packetFor(to)
 	p.RecoveryQueries = append(p.RecoveryQueries, &api.RecoveryQuery{
 		Group: g.id, Epoch: g.epoch, Member: g.member, Peer: peer, Term: g.durable.hardState.GetTerm(), Index: g.lastPosition().index,
+		Start: g.host.cfg.ClientID,
 	})
 }
 
@@ -154,7 +155,7 @@
 func (g *group) recoveryReply(x *api.RecoveryQuery, known logPosition) *api.RecoveryReply {
 	last := g.lastPosition()
 	return &api.RecoveryReply{
-		Group: x.Group, Epoch: x.Epoch, Member: x.Member, Peer: x.Peer, Stale: logPosition{x.Term, x.Index}.before(known),
+		Group: x.Group, Epoch: x.Epoch, Member: x.Member, Peer: x.Peer, Start: x.Start, Stale: logPosition{x.Term, x.Index}.before(known),
 		Term: g.durable.hardState.GetTerm(), LastTerm: last.term, LastIndex: last.index, Applied: g.applied, Voters: confVoters(g.conf), PendingVoters: g.pendingVoters(),
 	}
 }
