--- a/internal/session/exchange.go
+++ b/internal/session/exchange.go
@@ -15,6 +15,9 @@
 // maxAnswerMessage is the maximum size of one message of an answer, in bytes: the largest value, in hex, and its header.
 const maxAnswerMessage = 130 << 10
 
+// errSurplus is the cause of the end of a connection on which the server has sent more than the answers to its requests.
+var errSurplus = errors.New("the server sent more than one answer to a request")
+
 // errWithdrawn is returned when a server was withdrawn, or got another address, before the first byte of an attempt was written.
 var errWithdrawn = errors.New("the server was withdrawn or moved before the request was sent")
 
@@ -40,8 +43,11 @@
 	written := time.Now()
 	answer, err := l.readAnswer(t, until)
 	result, reason := l.evaluate(&answer, written, err)
-	if reason == notEnded && (err != nil || answer.surplus || l.conn.Buffered() > 0) {
-		reason = transport.EndServerFailed // surplus bytes must not be taken for the answer to the next request
+	if err == nil && (answer.surplus || l.conn.Buffered() > 0) {
+		err = errSurplus
+	}
+	if reason == notEnded && err != nil {
+		reason = transport.EndServerFailed
 	}
 	if result.value == nil {
 		answer.value.Free()
