--- a/internal/raftstore/receive.go
+++ b/internal/raftstore/receive.go
@@ -128,46 +128,46 @@
 
 // recordProgress records how far another member has got according to its own messages. The replies to that member's recovery
 // queries are based on this record.
-func (h *Host) recordProgress(r MemberRef, m *pb.Message) {
+func (h *Host) recordProgress(member MemberRef, m *pb.Message) {
 	if m.GetType() == pb.MsgPreVote || m.GetType() == pb.MsgPreVoteResp {
 		return // pre-vote messages carry a term that no member has entered yet
 	}
-	k := h.peers.progress[r]
-	if m.GetTerm() > k.term {
-		k = logPosition{term: m.GetTerm()}
+	progress := h.peers.progress[member]
+	if m.GetTerm() > progress.term {
+		progress = logPosition{term: m.GetTerm()}
 	}
-	if m.GetType() == pb.MsgAppResp && !m.GetReject() && m.GetTerm() == k.term {
-		k.index = max(k.index, m.GetIndex())
+	if m.GetType() == pb.MsgAppResp && !m.GetReject() && m.GetTerm() == progress.term {
+		progress.index = max(progress.index, m.GetIndex())
 	}
-	h.peers.progress[r] = k
+	h.peers.progress[member] = progress
 }
 
 // handleRecoveryQuery replies to the recovery query of a member that has restarted.
-func (h *Host) handleRecoveryQuery(from string, x *api.RecoveryQuery) {
-	g := h.groups[x.Group]
-	if g == nil || g.epoch != x.Epoch || g.member != x.Peer {
+func (h *Host) handleRecoveryQuery(from string, query *api.RecoveryQuery) {
+	g := h.groups[query.Group]
+	if g == nil || g.epoch != query.Epoch || g.member != query.Peer {
 		return
 	}
 	p := h.packetFor(from)
-	p.RecoveryReplies = append(p.RecoveryReplies, g.recoveryReply(x, h.peers.progress[MemberRef{x.Group, x.Epoch, x.Member}]))
+	p.RecoveryReplies = append(p.RecoveryReplies, g.recoveryReply(query, h.peers.progress[MemberRef{query.Group, query.Epoch, query.Member}]))
 }
 
 // handleRecoveryReply handles a reply to a recovery query of a member that runs on this gateway. A reply to a query of an earlier
 // start has no effect, because the disk may have been a later copy then; a gateway of an earlier version does not say which start it
 // replies to. If the reply says that the
 // member's disk is stale, because it lacks what the member had acknowledged, the member is stopped and never runs again.
-func (h *Host) handleRecoveryReply(x *api.RecoveryReply) {
-	g := h.groups[x.Group]
-	if g == nil || g.epoch != x.Epoch || g.member != x.Member || g.recovery == nil || g.recovery.replied[x.Peer] {
+func (h *Host) handleRecoveryReply(reply *api.RecoveryReply) {
+	g := h.groups[reply.Group]
+	if g == nil || g.epoch != reply.Epoch || g.member != reply.Member || g.recovery == nil || g.recovery.replied[reply.Peer] {
 		return
 	}
-	if x.Start != 0 && x.Start != h.cfg.ClientID {
+	if reply.Start != 0 && reply.Start != h.cfg.ClientID {
 		return
 	}
-	if x.Stale {
+	if reply.Stale {
 		h.stopMember(g)
-		h.retireMember(MemberRef{Group: x.Group, Epoch: x.Epoch, Member: x.Member})
+		h.retireMember(MemberRef{Group: reply.Group, Epoch: reply.Epoch, Member: reply.Member})
 		return
 	}
-	g.handleRecoveryReply(x)
+	g.handleRecoveryReply(reply)
 }
--- a/internal/raftstore/recovery.go
+++ b/internal/raftstore/recovery.go
@@ -14,9 +14,9 @@
 // logPosition is the position of an entry in a log: its term and its index.
 type logPosition struct{ term, index uint64 }
 
-// before reports whether a log that ends at e is behind a log that ends at f.
-func (e logPosition) before(f logPosition) bool {
-	return e.term < f.term || e.term == f.term && e.index < f.index
+// before reports whether a log that ends at e is behind a log that ends at other.
+func (e logPosition) before(other logPosition) bool {
+	return e.term < other.term || e.term == other.term && e.index < other.index
 }
 
 // lastPosition returns the position of the last entry in the log.
@@ -152,10 +152,10 @@
 
 // recoveryReply returns the reply to a member that has restarted. known is the log position that the restarted member is
 // known to have acknowledged.
-func (g *group) recoveryReply(x *api.RecoveryQuery, known logPosition) *api.RecoveryReply {
+func (g *group) recoveryReply(query *api.RecoveryQuery, known logPosition) *api.RecoveryReply {
 	last := g.lastPosition()
 	return &api.RecoveryReply{
-		Group: x.Group, Epoch: x.Epoch, Member: x.Member, Peer: x.Peer, Start: x.Start, Stale: logPosition{x.Term, x.Index}.before(known),
+		Group: query.Group, Epoch: query.Epoch, Member: query.Member, Peer: query.Peer, Start: query.Start, Stale: logPosition{query.Term, query.Index}.before(known),
 		Term: g.durable.hardState.GetTerm(), LastTerm: last.term, LastIndex: last.index, Applied: g.applied, Voters: confVoters(g.conf), PendingVoters: g.pendingVoters(),
 	}
 }
@@ -165,14 +165,14 @@
 	state := g.recovery
 	state.replied[reply.Peer] = true
 	state.maxTerm = max(state.maxTerm, reply.Term)
-	if e := (logPosition{reply.LastTerm, reply.LastIndex}); state.maxLast.before(e) {
-		state.maxLast = e
+	if last := (logPosition{reply.LastTerm, reply.LastIndex}); state.maxLast.before(last) {
+		state.maxLast = last
 	}
 	if reply.Applied > state.applied {
 		state.applied, state.voters = reply.Applied, reply.Voters
 	}
-	for _, y := range reply.PendingVoters {
-		state.pendingVoters[y.Member] = max(state.pendingVoters[y.Member], y.Index)
+	for _, pending := range reply.PendingVoters {
+		state.pendingVoters[pending.Member] = max(state.pendingVoters[pending.Member], pending.Index)
 	}
 	g.queryPeers()
 }
@@ -192,12 +192,12 @@
 }
 
 // mayHaveVoted reports whether the member may have cast a vote in the latest term without that vote being on its disk.
-func (g *group) mayHaveVoted(r *recovery) bool {
+func (g *group) mayHaveVoted(state *recovery) bool {
 	term, vote := g.durable.hardState.GetTerm(), g.durable.hardState.GetVote()
 	switch {
-	case r.maxTerm < term, r.maxTerm == term && vote != 0: // the disk contains the vote
+	case state.maxTerm < term, state.maxTerm == term && vote != 0: // the disk contains the vote
 		return false
-	case len(g.conf.GetVoters()) == 1, len(r.replied) == 1: // the group has no other member
+	case len(g.conf.GetVoters()) == 1, len(state.replied) == 1: // the group has no other member
 		return false
 	}
 	return true
