raftstore, session, indoubt: each kind of call meets each other kind in the test; comments wrapped

Cause, read in the whole change: both starts of TestRepliesToCallsOfAnEarlierStart made their calls in the same order, so that a late reply met a call of its own kind only, although the comment said each. Three comments of the mends ran past the line width or were badly wrapped.

Change: the second start makes its calls in the transposed order; the assertions are as before. Comments wrapped. No code outside tests changes.

--- a/internal/indoubt/send.go
+++ b/internal/indoubt/send.go
@@ -38,7 +38,7 @@
 	case reply.Intent == nil || reply.Version != w.version:
 		w.sending.state = w.sending.state.fence()
 		r.logTransition(w, Fenced)
-		// w.version stays: storing the outcome conflicts with the stored intent, and then intentReread decides whether it may replace it.
+		// w.version stays: storing the outcome conflicts with the stored intent, and intentReread decides whether it may replace it.
 		r.replyPermission(w, false)
 	default:
 		w.sending.validUntil = w.call.startedAt + r.cfg.SendWindow
--- a/internal/raftstore/earlier_calls_test.go
+++ b/internal/raftstore/earlier_calls_test.go
@@ -56,10 +56,10 @@
 	caller := sim.gateways[3]
 	filter.to, filter.active = caller.name, true
 	responses, claim := 0, Response{}
-	callAll := func(prefix string, to *Response) {
-		for i, kind := range kinds {
-			for j := range kinds { // more calls of each kind than the other start has in all, so that equal IDs meet with each kind
-				request := kind(fmt.Sprint(prefix, i, j))
+	callAll := func(prefix string, kindOf func(i, j int) int, to *Response) {
+		for i := range kinds {
+			for j := range kinds {
+				request := kinds[kindOf(i, j)](fmt.Sprint(prefix, i, j))
 				request.Deadline = 20 * second
 				sim.call(caller, request, func(Response) { responses++ })
 			}
@@ -68,14 +68,15 @@
 		request.Deadline = 20 * second
 		sim.call(caller, request, func(r Response) { responses++; *to = r })
 	}
-	callAll("first", new(Response))
+	// The two starts make their calls in such orders that each kind of the first meets each kind of the second at the same place.
+	callAll("first", func(i, _ int) int { return i }, new(Response))
 	sim.advance(2 * second)
 	if len(filter.held) == 0 {
 		t.Fatal("no replies were held")
 	}
 	restart(sim, caller, 10*ms)
 	repliesToEarlier := filter.held
-	callAll("second", &claim)
+	callAll("second", func(_, j int) int { return j }, &claim)
 	for range 20 {
 		for _, packet := range repliesToEarlier {
 			sim.handle(caller, packet)
--- a/internal/raftstore/receive.go
+++ b/internal/raftstore/receive.go
@@ -154,8 +154,8 @@
 
 // handleRecoveryReply handles a reply to a recovery query of a member that runs on this gateway. A reply to a query of an earlier
 // start has no effect, because the disk may have been a later copy then; a gateway of an earlier version does not say which start it
-// replies to. If the reply says that the
-// member's disk is stale, because it lacks what the member had acknowledged, the member is stopped and never runs again.
+// replies to. If the reply says that the member's disk is stale, because it lacks what the member had acknowledged, the member is
+// stopped and never runs again.
 func (h *Host) handleRecoveryReply(reply *api.RecoveryReply) {
 	g := h.groups[reply.Group]
 	if g == nil || g.epoch != reply.Epoch || g.member != reply.Member || g.recovery == nil || g.recovery.replied[reply.Peer] {
--- a/internal/session/exchange.go
+++ b/internal/session/exchange.go
@@ -257,7 +257,8 @@
 const duplicateRefusalWindow = 2 * time.Millisecond
 
 // repeatsRefusal reports whether an error has the same code as the last refusal and answers a request that was written within
-// duplicateRefusalWindow after it. Such an error may be a duplicate of that refusal. Such an error proves nothing about the request, whose real answer may still follow.
+// duplicateRefusalWindow after it. Such an error may be a duplicate of that refusal. It proves nothing about the request, whose real
+// answer may still follow.
 // repeatsRefusal also records the error as the last refusal, if it is one.
 func (l *serverConn) repeatsRefusal(code string, written time.Time) bool {
 	if executionOf(code) != policy.ExecutionNone {
