--- a/review/standin-2/standin_test.go
+++ b/review/standin-2/standin_test.go
@@ -21,6 +21,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -95,14 +96,16 @@
 	listener net.Listener
 	rec      *record
 
-	role       atomic.Value         // "primary" or "replica"
-	position   func() int64         // the position, Unix milliseconds
-	handshake  func() time.Duration // delay of the start-up on a new connection
-	work       func(sql string) time.Duration
-	closes     bool // closes the connection after each request, as the protocol page allows
-	turnsAway  func() bool
-	onRequest  func(s *server, sql string, at time.Time)
-	onAnswered func(s *server, sql string)
+	role      atomic.Value         // "primary" or "replica"
+	position  func() int64         // the position, Unix milliseconds
+	handshake func() time.Duration // delay of the start-up on a new connection
+	work      func(sql string) time.Duration
+	closes    bool // closes the connection after each request, as the protocol page allows
+	turnsAway func() bool
+
+	checksAfter bool // turns a read away that needs a later position, as far as its statement tells
+	onRequest   func(s *server, sql string, at time.Time)
+	onAnswered  func(s *server, sql string)
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -185,6 +188,14 @@
 			c.Write(append(row([]byte("1"), "SELECT 1"), append(s.parameters(), ready()...)...))
 			continue
 		}
+		after, _ := strconv.ParseInt(field(sql, "after"), 10, 64)
+		for wait := 0; s.checksAfter && after > s.position() && wait < 50; wait += 5 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if s.checksAfter && after > s.position() {
+			c.Write(append(errorMessage("ERROR", "72000"), append(s.parameters(), ready()...)...))
+			continue
+		}
 		s.onRequest(s, sql, at)
 		write := strings.Contains(sql, "INSERT INTO")
 		switch {
@@ -588,9 +599,18 @@
 		out.say("cannot run: "+format, a...)
 	}
 	endAll()
+	removeFolder()
 	os.Exit(2)
 }
 
+var folder string // the run's temporary folder
+
+func removeFolder() {
+	if folder != "" && os.Getenv("KEEP") == "" {
+		os.RemoveAll(folder)
+	}
+}
+
 var out *record
 
 // trouble reports whether the run has its disruption.
@@ -611,6 +631,7 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
+	folder = dir
 	out = &record{file: file, start: time.Now()}
 	time.AfterFunc(115*time.Second, func() { cannotRun("it takes too long") })
 	told := make(chan os.Signal, 1)
@@ -618,11 +639,7 @@
 	go func() { cannotRun("told to end: %v", <-told) }()
 	broken := cases[os.Args[1]](out, dir)
 	endAll()
-	if os.Getenv("KEEP") == "" {
-		os.RemoveAll(dir)
-	} else {
-		fmt.Println(dir)
-	}
+	removeFolder()
 	if broken {
 		out.say("the rule was broken")
 		fmt.Println("the rule was broken")
