--- a/review/standin-2/drain_test.go
+++ b/review/standin-2/drain_test.go
@@ -77,7 +77,9 @@
 						continue
 					}
 				}
-				r := c.query(selectSQL(fmt.Sprintf("r%d-%d", n, i), "timetable", fmt.Sprint("k", n, "-", i), 1200, 1, ""), 3*time.Second)
+				id := fmt.Sprintf("r%d-%d", n, i)
+				r := c.query(selectSQL(id, "timetable", fmt.Sprint("k", n, "-", i), 1200, 1, ""), 3*time.Second)
+				rec.asked(id, "timetable", g.name, r)
 				asked.Add(1)
 				if r.kind == "served" {
 					served.Add(1)
--- a/review/standin-2/marks_test.go
+++ b/review/standin-2/marks_test.go
@@ -102,8 +102,8 @@
 				}
 				w := one.query(insertSQL(id, "booking", key, 5000, 1, "seat", ""), 6*time.Second)
 				one.close()
+				rec.asked(id, "booking", at.name, w)
 				if w.kind != "served" {
-					rec.say("%s at %s: %s %s", id, at.name, w.kind, w.code)
 					continue
 				}
 				booked.Add(1)
@@ -115,8 +115,8 @@
 				asked := fmt.Sprintf("m%d-%d", n, i)
 				r := two.query(selectSQL(asked, "mine", key, 3000, 1, ""), 4*time.Second)
 				two.close()
+				rec.asked(asked, "mine", other.name, r)
 				if r.kind != "served" {
-					rec.say("%s at %s: %s %s", asked, other.name, r.kind, r.code)
 					continue
 				}
 				read.Add(1)
--- a/review/standin-2/stale_test.go
+++ b/review/standin-2/stale_test.go
@@ -92,6 +92,7 @@
 				}
 				id := fmt.Sprintf("r%d-%d", n, i)
 				r := c.query(selectSQL(id, "timetable", fmt.Sprint("k", n), 1200, 1, ""), 3*time.Second)
+				rec.asked(id, "timetable", g.name, r)
 				asked.Add(1)
 				if r.kind == "none" || r.kind == "silent" {
 					c.close()
--- a/review/standin-2/standin_test.go
+++ b/review/standin-2/standin_test.go
@@ -196,6 +196,7 @@
 			c.Write(append(errorMessage("ERROR", "72000"), append(s.parameters(), ready()...)...))
 			continue
 		}
+		runs.Store(field(sql, "id"), fmt.Sprintf("%s at %.3f", s.name, at.Sub(s.rec.start).Seconds()))
 		s.onRequest(s, sql, at)
 		write := strings.Contains(sql, "INSERT INTO")
 		switch {
@@ -351,6 +352,18 @@
 	d.mu.Unlock()
 }
 
+// runs holds by the id of a request the server that got it last, and when.
+var runs sync.Map
+
+// asked records a request, its answer and the server that got it.
+func (r *record) asked(id, class, at string, a result) {
+	got, ok := runs.Load(id)
+	if !ok {
+		got = "no server"
+	}
+	r.say("%s %s at %s: sent at %.3f, %s %s after %d ms; got by %v", class, id, at, a.sent.Sub(r.start).Seconds(), a.kind, a.code, a.took.Milliseconds(), got)
+}
+
 // ---- client
 
 // result is how a request ended for its client.
--- a/review/standin-2/stop_test.go
+++ b/review/standin-2/stop_test.go
@@ -61,11 +61,12 @@
 					}
 				}
 				id, key := fmt.Sprintf("m%d-%d", n, i), fmt.Sprintf("session-%d-%d", n, i)
-				sql, d := selectSQL(id, "mine", key, 4000, 1, ""), 4*time.Second
+				class, sql, d := "mine", selectSQL(id, "mine", key, 4000, 1, ""), 4*time.Second
 				if n%4 == 0 {
-					sql, d = insertSQL(id, "booking", key, 5000, 1, "seat", ""), 5*time.Second
+					class, sql, d = "booking", insertSQL(id, "booking", key, 5000, 1, "seat", ""), 5*time.Second
 				}
 				r := cl.query(sql, d+550*time.Millisecond)
+				rec.asked(id, class, g.name, r)
 				asked.Add(1)
 				switch r.kind {
 				case "none", "silent":
@@ -80,9 +81,6 @@
 					broken.Add(1)
 				default:
 					answered.Add(1)
-					if over := termAt.Load(); over > 0 {
-						rec.say("%s: %s %s after %d ms", id, r.kind, r.code, r.took.Milliseconds())
-					}
 				}
 				time.Sleep(time.Duration(rand.IntN(600)) * time.Millisecond)
 			}
