--- a/review/standin-2/stop_test.go
+++ b/review/standin-2/stop_test.go
@@ -46,7 +46,7 @@
 	var wait sync.WaitGroup
 	var over atomic.Bool
 	var termAt atomic.Int64
-	for n := range 64 {
+	for n := range 100 {
 		wait.Go(func() {
 			var cl *client
 			for i := 0; !over.Load(); i++ {
