Session marks of other gateways are checked by the gateway, not left to servers

Lookups of in-doubt writes and, with marks-mode fast, the session's own writes were concerned too. Change: the stated position and what the gateway adds are kept apart; the router checks the added part itself (positionToVerify), and has a replica checked before a marked read goes to the primary (healthCheckMayHelp).

--- a/internal/gateway/lateconnection_test.go
+++ b/internal/gateway/lateconnection_test.go
@@ -15,8 +15,14 @@
 
 // lateConnectionSettings returns the test settings with servers that do not check freshness, and with reads of one need.
 func lateConnectionSettings(need string, bound time.Duration, marks string) func(*config.Config) {
+	return freshnessSettings("none", need, bound, marks)
+}
+
+// freshnessSettings returns the test settings with servers that check freshness in one way, and with reads of one need.
+func freshnessSettings(checks, need string, bound time.Duration, marks string) func(*config.Config) {
 	text := strings.NewReplacer(
-		`"checks": "await", "wait_ms": 50, "freshness": ["eventual", "mutate"]`, fmt.Sprintf(`"checks": "none", "wait_ms": 0, "freshness": [%q, "mutate"]`, need),
+		`"checks": "await", "wait_ms": 50, "freshness": ["eventual", "mutate"]`,
+		fmt.Sprintf(`"checks": %q, "wait_ms": 0, "freshness": [%q, "mutate"]`, checks, need),
 		`"oldest_data_ms": [0, 0]`, fmt.Sprintf(`"oldest_data_ms": [%d, 0]`, bound.Milliseconds()),
 		`"write_marks": "brought"`, fmt.Sprintf(`"write_marks": %q`, marks),
 	).Replace(testSettings)
--- a/internal/policy/api.go
+++ b/internal/policy/api.go
@@ -21,7 +21,13 @@
 	HasSession  bool
 	TimeLeft    clock.Micros // time until the client stops waiting
 	ClientRetry bool         // the client marked the request as a repetition of an earlier one
-	SinceWrite  clock.Micros // minimum age of the session's last commit, reported by client or gateway; 0: none
+	SinceWrite  clock.Micros // minimum age of the session's last commit, as the statement states it; 0: none
+	// SinceUnstatedWrite is the minimum age of a commit that the read must see although its statement does not
+	// state the commit's position. Servers that check freshness cannot check it; 0: none.
+	SinceUnstatedWrite clock.Micros
+	// RouterChecksSession is set if servers that check freshness do not know the writes of the request's session
+	// through this gateway.
+	RouterChecksSession bool
 }
 
 // AnswerStarted reports that the answer to an attempt has begun to arrive. The request is bound to this
--- a/internal/policy/property_test.go
+++ b/internal/policy/property_test.go
@@ -33,6 +33,7 @@
 	deadline clock.Micros
 	arrived  clock.Micros
 	need     policy.Position
+	unstated policy.Position // a later position that the read needs and that servers cannot check
 	attempts []*modelAttempt
 	done     bool // ended by the router, by a final outcome or by the client
 	answered int
@@ -138,6 +139,10 @@
 				a.ID, need-origin, a.Server, s.known-origin)
 		}
 	}
+	if !s.mayBePrimary && s.known < q.unstated {
+		w.fail("%s: a read that needs the unstated position %d was sent to server %d, whose known position is %d",
+			a.ID, q.unstated-origin, a.Server, s.known-origin)
+	}
 	q.attempts = append(q.attempts, &modelAttempt{server: a.Server, at: w.now, inFlight: true})
 }
 
@@ -154,6 +159,12 @@
 		e.SinceWrite = clock.Micros(w.rng.Intn(900)+1) * ms
 		q.need = w.now - e.SinceWrite
 	}
+	if c.Need == policy.NeedSession && w.rng.Intn(3) == 0 {
+		e.SinceUnstatedWrite = clock.Micros(w.rng.Intn(900)+1) * ms
+		if position := w.now - e.SinceUnstatedWrite; position > q.need {
+			q.unstated = position
+		}
+	}
 	if c.Need == policy.NeedSession || c.Need == policy.NeedWrite {
 		e.Session, e.HasSession = uint64(w.rng.Intn(40)), true
 	}
--- a/internal/policy/read.go
+++ b/internal/policy/read.go
@@ -1,6 +1,9 @@
 package policy
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Parameters of reads from replicas. Shares are in thousandths.
 const (
@@ -15,24 +18,19 @@
 // freshness and chooses the replica; every read that replicas may serve passes through placeRead at the
 // moment the read is sent. Before the read begins, freshness is checked again (freshness.go). placeRead
 // tries, in this order: the replicas known to be fresh enough; if servers check freshness themselves, the
-// replicas furthest ahead; if they do not, a health check that may show that a replica is fresh enough; the
-// primary.
+// replicas furthest ahead of those that have what servers cannot check; if the router has to check freshness,
+// a health check that may show that a replica is fresh enough; the primary.
 func (r *Router) placeRead(req *request) *server {
-	candidates, required := r.candidateReplicas(req), r.requiredPosition(req)
+	candidates := r.candidateReplicas(req)
 	if r.isLongRead(req) {
 		candidates = r.longReadReplicas(req.group, candidates)
 	}
-	var fresh []*server
-	for _, s := range candidates {
-		if req.class.Need == NeedAny || s.position >= required {
-			fresh = append(fresh, s)
-		}
-	}
+	fresh := knownToHave(candidates, r.requiredPosition(req))
 	if s := r.drawReplica(req, r.preferOwnZone(fresh)); s != nil {
 		return s
 	}
 	if req.settings.FreshnessCheck != FreshnessCheckNone {
-		if s := r.drawReplica(req, r.furthestAhead(candidates)); s != nil {
+		if s := r.drawReplica(req, r.furthestAhead(knownToHave(candidates, r.positionToVerify(req)))); s != nil {
 			return s
 		}
 	}
@@ -75,50 +73,64 @@
 	return out
 }
 
-// awaitsHealthCheck starts a health check of a replica for a bounded read for which no replica is known to be
-// fresh enough, and reports whether the read should wait for the result before it goes to the primary. It
-// starts a check only if servers do not check freshness, because then a replica with an old known position
-// cannot be used, and with little traffic most positions are old. All waiting reads share one check. The
-// replica furthest ahead is checked first, so that few positions have to be known. No replica is checked
-// again within half the bound, or before it can have caught up.
+// awaitsHealthCheck starts a health check of a replica for a read for which no replica is known to be fresh
+// enough, and reports whether the read should wait for the result before it goes to the primary. It does so
+// only for reads whose freshness the router has to check itself, because then a replica with an old known
+// position cannot be used, and with little traffic most positions are old. All waiting reads share one check.
 //
 // Trade-off: the check delays the read.
 func (r *Router) awaitsHealthCheck(req *request, candidates []*server) bool {
-	if req.class.Need != NeedBounded || req.settings.FreshnessCheck != FreshnessCheckNone ||
-		!r.settings.CanHealthCheck {
+	if !r.mayAwaitHealthCheck(req) {
 		return false
 	}
-	var best *server
+	var due []*server
 	for _, s := range candidates {
 		if s.checking && r.now-s.checkedAt < r.settings.ConnectTimeout/2 {
 			return r.now < req.awaitsCheckUntil
 		}
-		interval := max(r.minBound, s.checkedAt-s.position-r.minBound) / 2
-		if !s.checking && r.now-s.checkedAt > interval && (best == nil || s.position > best.position) {
-			best = s
+		if !s.checking && r.healthCheckMayHelp(req, s) {
+			due = append(due, s)
 		}
 	}
-	if best == nil {
+	if len(due) == 0 {
 		return false
 	}
-	r.startHealthCheck(best)
+	r.startHealthCheck(r.replicaToCheck(req, due))
 	return r.now < req.awaitsCheckUntil
 }
 
-// requiredPosition returns the log position that a replica must have reached to serve a read sent now. If
-// the router remembers the session's writes, the read must see each of them that has been answered by
-// now; a write that is still in flight may already be committed, so the required position is then the
-// current time.
-func (r *Router) requiredPosition(req *request) Position {
-	switch {
-	case req.class.Need == NeedBounded:
-		return r.now - req.class.StalenessBound
-	case req.class.Need != NeedSession || req.session == nil || r.settings.SessionPositionsCarried:
-		return req.requiredPosition
-	case req.session.writesInFlight > 0:
-		return r.now
-	}
-	return max(req.requiredPosition, req.session.position)
+// mayAwaitHealthCheck reports whether a read may wait for a health check: a bounded read if servers do not
+// check freshness, and a session read that needs a position that its statement does not state.
+func (r *Router) mayAwaitHealthCheck(req *request) bool {
+	if !r.settings.CanHealthCheck {
+		return false
+	}
+	if req.class.Need == NeedBounded {
+		return req.settings.FreshnessCheck == FreshnessCheckNone
+	}
+	return req.checksSession || req.unstatedPosition > 0
+}
+
+// healthCheckMayHelp reports whether a health check may show that a replica is fresh enough for a read. No
+// replica is checked again within half the smallest bound, or before it can have caught up. For a session
+// read it is checked sooner if it has the position that the read needs, unless it has fallen further behind
+// since the last check.
+func (r *Router) healthCheckMayHelp(req *request, s *server) bool {
+	lag := s.checkedAt - s.position
+	if r.now-s.checkedAt > max(r.minBound, lag-r.minBound)/2 {
+		return true
+	}
+	return req.class.Need == NeedSession && r.now-max(lag, 0) >= r.positionToVerify(req)
+}
+
+// replicaToCheck chooses one of the replicas that are due for a health check. For a bounded read it is the
+// one furthest ahead, so that few positions have to be known. For a session read it is the session's sticky
+// replica or a random one, so that sessions stay spread over the replicas.
+func (r *Router) replicaToCheck(req *request, due []*server) *server {
+	if req.class.Need == NeedSession {
+		return r.drawReplica(req, due)
+	}
+	return slices.MaxFunc(due, func(a, b *server) int { return cmp.Compare(a.position, b.position) })
 }
 
 // candidateReplicas returns the replicas that may take a read now: in service, with capacity, and not
--- a/internal/policy/requests.go
+++ b/internal/policy/requests.go
@@ -10,7 +10,10 @@
 	group    *group
 	session  *session // nil: none
 
-	requiredPosition Position // position that a replica must have applied; 0: the request carried no position
+	statedPosition   Position // position that the read must see by its statement; 0: none
+	unstatedPosition Position // position that the read must see and its statement does not state; 0: none
+	checksSession    bool     // see Arrival.RouterChecksSession
+
 	deadline         clock.Micros
 	objectiveAt      clock.Micros
 	awaitsCheckUntil clock.Micros // until then a bounded read waits for health checks of replicas
@@ -61,15 +64,27 @@
 	if e.HasSession {
 		req.session = r.sessions.get(e.Session)
 	}
-	if c.Need == NeedSession && e.SinceWrite > 0 { // the request carries the age of the commit that it must see
-		req.requiredPosition = r.now - e.SinceWrite
-	}
+	r.recordPositions(req, e)
 	halfway := r.now + e.TimeLeft/2 - r.settings.Tick
 	r.setTimer(max(min(r.expiryOf(req), halfway), r.now+1), Timer{RequestID: req.id})
 	r.enqueue(req)
 	r.dispatch(req.group)
 }
 
+// recordPositions records the positions that a session read must see.
+func (r *Router) recordPositions(req *request, e Arrival) {
+	if req.class.Need != NeedSession {
+		return
+	}
+	req.checksSession = e.RouterChecksSession
+	if e.SinceWrite > 0 {
+		req.statedPosition = r.now - e.SinceWrite
+	}
+	if e.SinceUnstatedWrite > 0 {
+		req.unstatedPosition = r.now - e.SinceUnstatedWrite
+	}
+}
+
 // expiryOf returns the time after which an answer to a request earns nothing. This time is one tick before
 // the client stops waiting. For an idempotent class without a late weight, an answer after the latency
 // objective earns nothing either.
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -13,14 +13,16 @@
 
 // Request is a client's complete request.
 type Request struct {
-	Client      Client
-	ClientID    string // id that the client assigned to the request; empty: none
-	Payload     Payload
-	Settings    *settings.Snapshot // Arrival.Class is an index into the classes of these settings; nil: settings in force
-	Arrival     policy.Arrival     // ID and TimeLeft are filled in by Core
-	ReadAt      clock.Micros       // time at which the last byte of the request was read
-	Timeout     clock.Micros       // how long the client waits, counted from ReadAt
-	MinPosition clock.Micros       // log position that the answer must include; 0: none
+	Client   Client
+	ClientID string // id that the client assigned to the request; empty: none
+	Payload  Payload
+	Settings *settings.Snapshot // Arrival.Class is an index into the classes of these settings; nil: settings in force
+	Arrival  policy.Arrival     // ID and TimeLeft are filled in by Core
+	ReadAt   clock.Micros       // time at which the last byte of the request was read
+	Timeout  clock.Micros       // how long the client waits, counted from ReadAt
+	// StatedPosition is the log position that the answer must include by the statement itself, so that servers that check freshness
+	// check it. UnstatedPosition is a log position that the answer must include although the statement does not state it. 0: none.
+	StatedPosition, UnstatedPosition clock.Micros
 	// Claimed is set for an in-doubt write whose resolver has claimed it. The resolver knows the earlier runs of the write and decides
 	// whether it may run again.
 	Claimed bool
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -161,12 +161,18 @@
 func (c *Core) arrival(q *request, e *Request) policy.Arrival {
 	a := e.Arrival
 	a.Class, a.ID, a.TimeLeft = q.class, q.id, max(q.deadline-c.now, 0)
-	if e.MinPosition > 0 {
-		a.SinceWrite = max(c.now-e.MinPosition, 1)
-	}
+	a.SinceWrite, a.SinceUnstatedWrite = c.ageOf(e.StatedPosition), c.ageOf(e.UnstatedPosition)
 	return a
 }
 
+// ageOf returns how long ago a log position was reached; 0: there is no position.
+func (c *Core) ageOf(position policy.Position) clock.Micros {
+	if position <= 0 {
+		return 0
+	}
+	return max(c.now-position, 1)
+}
+
 // handleClientDisconnected closes the client's open request, if it has one, and passes the event to the router. The router may
 // cancel the attempt in flight, which still ends with an AttemptEnded. The package comment describes the complete sequence, and
 // the different sequence for in-doubt writes.
--- a/internal/session/lookup.go
+++ b/internal/session/lookup.go
@@ -53,7 +53,7 @@
 	}
 	now := s.Clock.Now()
 	s.Owner.Post(&routing.Request{
-		Client: &lookup{done}, ClientID: id, Payload: &query{text: text, statement: st}, Settings: inForce, ReadAt: now, MinPosition: now,
+		Client: &lookup{done}, ClientID: id, Payload: &query{text: text, statement: st}, Settings: inForce, ReadAt: now, UnstatedPosition: now,
 		Arrival: policy.Arrival{Class: index, Group: group}, Timeout: clock.Micros(wait) * 1000,
 	})
 }
--- a/internal/session/requests.go
+++ b/internal/session/requests.go
@@ -196,20 +196,21 @@
 	r := &routing.Request{
 		Client: q, ClientID: in.statement.ID, Payload: &query{text: in.text, statement: in.statement, onFree: q.dropText}, Settings: in.inForce,
 		Arrival: in.arrival, ReadAt: c.all.Clock.Now(), Claimed: in.inDoubt,
-		Timeout: clock.Micros(wait) * 1000, MinPosition: clock.Micros(in.statement.After) * 1000,
+		Timeout: clock.Micros(wait) * 1000, StatedPosition: clock.Micros(in.statement.After) * 1000,
 	}
 	timeout := time.Duration(wait) * time.Millisecond
 	storesPosition, group, session := c.storesPosition(in), in.arrival.Group, in.arrival.Session
 	if storesPosition && in.statement.Write {
 		q.position = &writePosition{c.all.SessionPositions, group, session, time.Now().Add(timeout)}
 	}
+	r.Arrival.RouterChecksSession = storesPosition
 	c.push(q)
 	if !storesPosition || in.statement.Write {
 		c.dispatch(q, r, in.inDoubt)
 		return
 	}
 	c.all.SessionPositions.Required(group, session, time.Now().Add(timeout/positionWaitShare), func(needed policy.Position) {
-		r.MinPosition = max(r.MinPosition, needed)
+		r.UnstatedPosition = needed
 		q.postUnlessDisconnected(r)
 	})
 }
