The end of a stop answers every request that was read, whatever it waits for

Cause: the end of a stop failed what the resolver of in-doubt writes and routing had; a read that waits for its session's mark is in neither, nor is a write whose mark is being stored. Change: the connections' queues, which have every request from its read to its answer, are walked (RefuseNew, FailOpen); reads stop waiting for marks when idle clients are closed, and go to the primary. Late results are dropped, late claims given back.

--- a/internal/gateway/floatingip.go
+++ b/internal/gateway/floatingip.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -283,6 +284,19 @@
 	}
 }
 
+// eachClients calls a function for the clients of each activation.
+func (f *floatingAddresses) eachClients(do func(*session.Clients)) {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	activations := slices.Collect(maps.Keys(f.activations))
+	f.mu.Unlock()
+	for _, t := range activations {
+		do(t.clients)
+	}
+}
+
 // open returns how many clients are connected over floating addresses.
 func (f *floatingAddresses) open() (n int) {
 	if f == nil {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marblespan/internal/routing"
+	"marblespan/internal/session"
 	"marblespan/internal/transport"
 )
 
@@ -44,9 +45,8 @@
 // idle clients, answers all requests that it has accepted, and ends. It ends sooner if no client is left.
 func (g *Gateway) Stop() {
 	g.log.Info().Msg("stopping")
-	s := shutdown{Gateway: g, start: time.Now()}
+	s := shutdown{Gateway: g, start: time.Now(), limit: min(g.longestDeadline(), maxDeadlineAllowance) + killGrace - stopMargin}
 	s.announce()
-	s.limit = min(g.longestDeadline(), maxDeadlineAllowance) + killGrace - stopMargin
 	s.serveOn()
 	s.drainClients()
 	s.closeListener()
@@ -84,8 +84,10 @@
 	s.waitUntilNone(s.clients.Open, s.limit-drainLead)
 }
 
-// drainClients closes idle clients at once and the others after their answers, and waits for those that are busy.
+// drainClients closes idle clients at once and the others after their answers, and waits for those that are busy. Reads do not wait for
+// their sessions' positions any more, so that the primary can still serve them.
 func (s shutdown) drainClients() {
+	s.eachClients((*session.Clients).StopAwaitingPositions)
 	s.floating.releaseAll(true)
 	s.members.announceLeave()
 	s.clients.Drain(transport.EndDraining)
@@ -102,19 +104,29 @@
 	s.waitUntilNone(s.floating.open, s.limit)
 }
 
-// failOpenRequests fails the remaining requests, and waits until their clients have received the answers.
+// failOpenRequests gives the remaining requests their final answers, and waits until their clients have received them. The resolver of
+// in-doubt writes and routing answer first, because their answers say more. The connections then answer what neither of them has,
+// such as a request that is still on its way to one of them, or whose position is being stored.
 func (s shutdown) failOpenRequests() {
 	open := func() int { return s.clients.Open() + s.floating.open() }
 	if open() == 0 {
 		return
 	}
+	s.eachClients((*session.Clients).RefuseNew)
 	if s.intents != nil {
-		s.intents.StartShutdown() // requests whose intents are not claimed yet have not reached the routing core, so FailAll misses them
+		s.intents.StartShutdown()
 	}
 	s.owner.Call((*routing.Core).FailAll)
+	s.eachClients((*session.Clients).FailOpen)
 	s.waitUntilNone(open, s.limit+stopMargin/2)
 }
 
+// eachClients calls a function for the clients of each listener.
+func (s shutdown) eachClients(do func(*session.Clients)) {
+	do(s.clients)
+	s.floating.eachClients(do)
+}
+
 // settleIntents waits until the outcome of every intent is in the state store, for stopMargin/2 or until stopMargin/2 after the
 // limit, whichever ends later.
 func (s shutdown) settleIntents() {
--- a/internal/intents/intents.go
+++ b/internal/intents/intents.go
@@ -3,7 +3,7 @@
 //
 // The gateway creates one Service for all classes of writes that its operators' file configures, and a session creates a Write
 // for each request of such a class. One goroutine, which New starts and Service.Close ends, owns the resolver and all state of
-// the writes. All methods except Service.InFlight, Service.WaitIdle, Service.Close and Write.MaySend return without waiting for
+// the writes. All methods except Service.StartShutdown, Service.InFlight, Service.WaitIdle, Service.Close and Write.MaySend return without waiting for
 // that goroutine.
 package intents
 
@@ -43,7 +43,8 @@
 	InFlight() []indoubt.InFlightWrite
 	// TransitionCount returns how many times a transition has happened since the start.
 	TransitionCount(indoubt.Transition) int64
-	// StartShutdown gives every client whose write is not in routing its final answer, because the gateway is about to stop.
+	// StartShutdown gives every client whose write is not in routing its final answer, because the gateway is about to stop. It
+	// returns when that is done.
 	StartShutdown()
 	// WaitIdle waits until no write is in flight, but at most for timeout. It reports whether no write is in flight.
 	WaitIdle(timeout time.Duration) bool
--- a/internal/intents/service.go
+++ b/internal/intents/service.go
@@ -78,8 +78,18 @@
 	s.post(func() { s.handle(indoubt.GatewayEnded{Gateway: gateway, Incarnation: incarnation}) })
 }
 
-// StartShutdown gives every client whose write is not in routing its final answer.
-func (s *Service) StartShutdown() { s.post(func() { s.handle(indoubt.ShutdownStarted{}) }) }
+// StartShutdown gives every client whose write is not in routing its final answer. It returns when that is done.
+func (s *Service) StartShutdown() {
+	done := make(chan struct{})
+	s.post(func() {
+		s.handle(indoubt.ShutdownStarted{})
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-s.quit:
+	}
+}
 
 // InFlight lists the writes in flight. After Close it returns nil.
 func (s *Service) InFlight() []indoubt.InFlightWrite {
--- a/internal/session/answers.go
+++ b/internal/session/answers.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"time"
 
+	"marblespan/internal/intents"
 	"marblespan/internal/protocol/postgres"
 	"marblespan/internal/routing"
 	"marblespan/internal/transport"
@@ -18,14 +20,34 @@
 // it is reached, the connection is not read from. Such answers are not counted against the memory budget.
 const maxQueuedResponses = 8
 
-// push appends a query to the queue, whose order is the order of the answers.
-func (c *client) push(q *pendingQuery) {
+// push appends a query to the queue, whose order is the order of the answers. It reports whether the query may become a request.
+// Once the client's open queries are being failed (Clients.RefuseNew), push answers the query instead.
+func (c *client) push(q *pendingQuery) (admitted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q.inQueue = true
 	c.queue = append(c.queue, q)
 	if q.text != nil {
 		c.queuedResponses++
+		return true
+	}
+	if c.refusesNew {
+		answer := q.unsentAnswer()
+		q.answer, q.awaiting = &answer, nil
+	}
+	return !c.refusesNew
+}
+
+// setAnswer sets the final answer to a query in the queue and wakes the connection's goroutine if the answer is due. The caller
+// holds c.mu.
+func (c *client) setAnswer(q *pendingQuery, a routing.Answer) {
+	q.answer = &a
+	if c.queue[0] == q {
+		select {
+		case c.answerReady <- struct{}{}:
+		default:
+		}
+		c.conn.Wake()
 	}
 }
 
@@ -177,15 +199,20 @@
 
 // abandonQueries drops the queries that are still in the queue when client.run returns. Answers that have arrived are freed now,
 // and the others when they arrive. Each query without an answer is handled in one of two ways:
-//   - A query in routing: ClientDisconnected is posted, and routing cancels the attempt (see package routing).
+//   - A query in routing: ClientDisconnected is posted, and routing cancels the attempt (see package routing). If the query still waits
+//     for its session's position, its request is dropped.
 //   - An in-doubt write: Write.Cancel informs its resolver. An attempt already sent is not cancelled, so that a client that
 //     repeats the write gets its result.
 func (c *client) abandonQueries() {
 	c.mu.Lock()
 	queue := c.queue
 	c.queue = nil
+	var dropped []*routing.Request
 	for _, q := range queue {
 		q.disconnected = true
+		if q.awaiting != nil {
+			dropped, q.awaiting = append(dropped, q.awaiting), nil
+		}
 		if q.answer != nil {
 			q.answer.Value.Free()
 		}
@@ -195,6 +222,7 @@
 		}
 	}
 	c.mu.Unlock()
+	freePayloads(dropped)
 	for _, q := range queue {
 		q.leaveQueue()
 		switch {
@@ -206,3 +234,52 @@
 		}
 	}
 }
+
+// postAwaiting posts each request that waits for its session's position, with the position that is needed if it is not known.
+func (c *client) postAwaiting() {
+	c.mu.Lock()
+	queue := slices.Clone(c.queue)
+	c.mu.Unlock()
+	for _, q := range queue {
+		q.positionKnown(c.all.Clock.Now())
+	}
+}
+
+// refuseNew makes the client answer each query that is read from now on without submitting it.
+func (c *client) refuseNew() {
+	c.mu.Lock()
+	c.refusesNew = true
+	c.mu.Unlock()
+}
+
+// failOpen gives each query in the queue that has no answer its final answer. Whatever the query waits for, the result is dropped.
+func (c *client) failOpen() {
+	var dropped []*routing.Request
+	var writes []intents.Write
+	c.mu.Lock()
+	for _, q := range c.queue {
+		switch {
+		case q.text != nil || q.answer != nil:
+		case q.awaiting != nil:
+			dropped, q.awaiting = append(dropped, q.awaiting), nil
+			c.setAnswer(q, q.unsentAnswer())
+		default:
+			if q.write != nil {
+				writes = append(writes, q.write)
+			}
+			c.setAnswer(q, routing.Answer{Kind: routing.AnswerFailed})
+		}
+	}
+	c.mu.Unlock()
+	freePayloads(dropped)
+	for _, w := range writes {
+		w.Cancel()
+	}
+}
+
+// freePayloads frees the payloads of requests that are not posted.
+func freePayloads(requests []*routing.Request) {
+	for _, r := range requests {
+		r.Payload.Free()
+	}
+}
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -43,6 +43,7 @@
 	waitingIdle     bool            // the goroutine waits between requests; waking it interrupts no message
 	closing         bool
 	cutOffAt        time.Time // in a shutdown: the time after which nothing more is read from the client; zero: no limit
+	refusesNew      bool      // queries are answered and not submitted, because the open ones are being failed
 	reason          transport.Reason
 	served          int
 
--- a/internal/session/clients.go
+++ b/internal/session/clients.go
@@ -63,8 +63,11 @@
 	draining    bool
 	drainReason transport.Reason // why the connections are drained
 	cutOffBegun bool
-	started     uint32
-	lookups     atomic.Int64
+	refusesNew  bool // the open queries are being failed; see RefuseNew
+	// skipsPositions is set when no read waits for its session's position any more; see StopAwaitingPositions.
+	skipsPositions bool
+	started        uint32
+	lookups        atomic.Int64
 }
 
 // ClientCounts counts client messages that did not become requests, by cause, and the delays after messages.
@@ -94,6 +97,7 @@
 	if s.cutOffBegun {
 		c.cutOff(since)
 	}
+	c.refusesNew = s.refusesNew
 	s.started++
 	process := s.started
 	s.mu.Unlock()
@@ -173,6 +177,37 @@
 	}
 }
 
+// StopAwaitingPositions ends the wait of reads for their sessions' positions, also of later reads. Such a read needs everything up to
+// now, which the primary has. A gateway that is about to stop calls it, so that these reads can still be served.
+func (s *Clients) StopAwaitingPositions() {
+	for _, c := range s.setAndList(&s.skipsPositions) {
+		c.postAwaiting()
+	}
+}
+
+// awaitsPositions reports whether reads wait for their sessions' positions.
+func (s *Clients) awaitsPositions() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.skipsPositions
+}
+
+// RefuseNew makes every connection answer the queries that it reads from now on, without submitting them, for FailOpen.
+func (s *Clients) RefuseNew() {
+	for _, c := range s.setAndList(&s.refusesNew) {
+		c.refuseNew()
+	}
+}
+
+// FailOpen gives every query without an answer its final answer, whatever it waits for: each query is in its connection's queue until
+// its answer is written. A gateway that stops calls it after RefuseNew, and after routing and the resolver of in-doubt writes have given
+// their answers, which say more.
+func (s *Clients) FailOpen() {
+	for _, c := range s.setAndList(&s.refusesNew) {
+		c.failOpen()
+	}
+}
+
 // Busy returns the number of client connections with unanswered queries.
 func (s *Clients) Busy() (n int) {
 	s.mu.Lock()
--- a/internal/session/interleaving_test.go
+++ b/internal/session/interleaving_test.go
@@ -400,7 +400,7 @@
 
 // A read that waits for its session's position is not posted if its client disconnects meanwhile. If the client disconnects just as
 // the request is posted, ClientDisconnected is posted after the request, not only before it. The test fails without the checks in
-// postUnlessDisconnected.
+// positionKnown.
 func TestDisconnectWhileAPositionIsAwaited(t *testing.T) {
 	for name, late := range map[string]bool{"before": false, "during the post": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/session/pending.go
+++ b/internal/session/pending.go
@@ -23,10 +23,12 @@
 	holdsText, inQueue bool
 
 	position *writePosition
+	awaiting *routing.Request // the request while it waits for its session's position; guarded by client.mu
 
 	writeReserve  atomic.Int64     // bytes of the memory budget reserved for an in-doubt write, until its resolver has finished
 	write         intents.Write    // an in-doubt write, which must be claimed before it is sent; nil for other queries
 	request       *routing.Request // the request for the in-doubt write, posted once the write is claimed
+	repeat        bool             // the in-doubt write may have run for an earlier request
 	routingAnswer *routing.Answer  // kept until the resolver calls Reply; guarded by client.mu
 }
 
@@ -106,8 +108,16 @@
 	return indoubt.Failed
 }
 
-// Route posts the request of an in-doubt write that has been claimed. The resolver calls it.
-func (q *pendingQuery) Route() { q.client.all.Owner.Post(q.request) }
+// Route posts the request of an in-doubt write that has been claimed. The resolver calls it. If the client has its final answer
+// already, because the gateway stops, nothing is sent.
+func (q *pendingQuery) Route() {
+	if q.isAnswered() {
+		q.Drop()
+		q.write.RoutingAnswered(indoubt.Rejected, nil)
+		return
+	}
+	q.client.all.Owner.Post(q.request)
+}
 
 // Drop frees the request of an in-doubt write that is not sent. The resolver calls it instead of Route.
 func (q *pendingQuery) Drop() { q.request.Payload.Free() }
@@ -171,33 +181,37 @@
 	})
 }
 
-// deliver passes the final answer to the connection's goroutine.
+// deliver passes the final answer to the connection's goroutine, unless the client has disconnected or has been answered by failOpen.
 func (q *pendingQuery) deliver(a routing.Answer) {
 	c := q.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if q.disconnected {
+	if q.disconnected || q.answer != nil {
 		a.Value.Free()
 		return
 	}
-	q.answer = &a
-	if c.queue[0] == q {
-		select {
-		case c.answerReady <- struct{}{}:
-		default:
-		}
-		c.conn.Wake()
+	c.setAnswer(q, a)
+}
+
+// unsentAnswer returns the final answer to a query for which nothing was sent.
+func (q *pendingQuery) unsentAnswer() routing.Answer {
+	if q.repeat {
+		return routing.Answer{Kind: routing.AnswerFailed}
 	}
+	return routing.Answer{Kind: routing.AnswerRejected}
 }
 
-// postUnlessDisconnected posts a request that had to wait for its session's position. If the client has disconnected meanwhile,
-// the request is dropped. If the client disconnects while the request is posted, ClientDisconnected is posted again, because
-// routing must receive it after the request.
-func (q *pendingQuery) postUnlessDisconnected(r *routing.Request) {
-	if q.isDisconnected() {
-		r.Payload.Free()
+// positionKnown posts the request if it still waits for its session's position. If the client disconnects while the request is
+// posted, ClientDisconnected is posted again, because routing must receive it after the request.
+func (q *pendingQuery) positionKnown(position policy.Position) {
+	q.client.mu.Lock()
+	r := q.awaiting
+	q.awaiting = nil
+	q.client.mu.Unlock()
+	if r == nil {
 		return
 	}
+	r.UnstatedPosition = position
 	owner := q.client.all.Owner
 	owner.Post(r)
 	if q.isDisconnected() {
@@ -205,10 +219,25 @@
 	}
 }
 
-// Gone reports whether the client has disconnected. It queries the kernel, because the connection's goroutine may not have noticed the
-// disconnect yet. An attempt of an in-doubt write is made even if the client is gone, so that a repeat of the write gets its result.
+// Gone reports whether the client waits for no answer any more: it has disconnected, or has its final answer. Gone queries the kernel,
+// because the connection's goroutine may not have noticed a disconnect yet. An attempt of an in-doubt write is made even if the client is
+// gone, so that a repeat of the write gets its result.
 func (q *pendingQuery) Gone() bool {
-	return q.write == nil && (q.isDisconnected() || q.client.conn.PeerClosed())
+	return q.write == nil && (q.isClosed() || q.client.conn.PeerClosed())
+}
+
+// isClosed reports whether the query has its final answer, or the connection's goroutine has noticed that the client has disconnected.
+func (q *pendingQuery) isClosed() bool {
+	q.client.mu.Lock()
+	defer q.client.mu.Unlock()
+	return q.disconnected || q.answer != nil
+}
+
+// isAnswered reports whether the query has its final answer.
+func (q *pendingQuery) isAnswered() bool {
+	q.client.mu.Lock()
+	defer q.client.mu.Unlock()
+	return q.answer != nil
 }
 
 // isDisconnected reports whether the connection's goroutine has noticed that the client has disconnected.
--- a/internal/session/requests.go
+++ b/internal/session/requests.go
@@ -188,44 +188,56 @@
 	return c.all.SessionPositions != nil && in.arrival.HasSession && c.all.SessionPositions.Covers(in.statement.Class)
 }
 
-// submit adds a query to the client's queue of unanswered queries and dispatches its request. A read of a session whose position
-// is stored is posted only when the position has been looked up.
+// submit adds a query to the client's queue of unanswered queries and dispatches its request.
 func (c *client) submit(in *received) {
 	wait := in.statement.TimeoutMillis
-	q := &pendingQuery{client: c, reserve: in.reserve, holdsText: true}
+	q := &pendingQuery{client: c, reserve: in.reserve, holdsText: true, repeat: in.inDoubt && in.statement.Retry}
 	r := &routing.Request{
 		Client: q, ClientID: in.statement.ID, Payload: &query{text: in.text, statement: in.statement, onFree: q.dropText}, Settings: in.inForce,
 		Arrival: in.arrival, ReadAt: c.all.Clock.Now(), Claimed: in.inDoubt,
 		Timeout: clock.Micros(wait) * 1000, StatedPosition: clock.Micros(in.statement.After) * 1000,
 	}
 	timeout := time.Duration(wait) * time.Millisecond
-	storesPosition, group, session := c.storesPosition(in), in.arrival.Group, in.arrival.Session
-	if storesPosition && in.statement.Write {
-		q.position = &writePosition{c.all.SessionPositions, group, session, time.Now().Add(timeout)}
-	}
+	storesPosition := c.storesPosition(in)
 	r.Arrival.RouterChecksSession = storesPosition
-	c.push(q)
-	if !storesPosition || in.statement.Write {
-		c.dispatch(q, r, in.inDoubt)
+	switch {
+	case storesPosition && in.statement.Write:
+		q.position = &writePosition{c.all.SessionPositions, in.arrival.Group, in.arrival.Session, time.Now().Add(timeout)}
+	case storesPosition:
+		q.awaiting = r
+	}
+	if in.inDoubt {
+		c.prepareWrite(q, r)
+	}
+	if !c.push(q) {
+		r.Payload.Free()
+		q.Finished()
 		return
 	}
-	c.all.SessionPositions.Required(group, session, time.Now().Add(timeout/positionWaitShare), func(needed policy.Position) {
-		r.UnstatedPosition = needed
-		q.postUnlessDisconnected(r)
-	})
+	c.dispatch(q, r, timeout)
 }
 
 // positionWaitShare limits how long a read waits for its session's position, to the read's time limit divided by this number. The
 // rest of the time is left for an attempt at the primary, for which no position is needed.
 const positionWaitShare = 4
 
-// dispatch posts a request to routing. An in-doubt write is passed to its resolver instead, which claims the write
-// before the request is posted.
-func (c *client) dispatch(q *pendingQuery, r *routing.Request, inDoubt bool) {
-	if !inDoubt {
+// dispatch posts a request to routing. An in-doubt write is passed to its resolver instead, which claims the write before the request
+// is posted. A read of a session whose position is stored is posted only when the position has been looked up.
+func (c *client) dispatch(q *pendingQuery, r *routing.Request, timeout time.Duration) {
+	switch {
+	case q.write != nil:
+		q.write.Begin()
+	case !r.Arrival.RouterChecksSession || q.position != nil:
 		c.all.Owner.Post(r)
-		return
+	case !c.all.awaitsPositions():
+		q.positionKnown(c.all.Clock.Now())
+	default:
+		c.all.SessionPositions.Required(r.Arrival.Group, r.Arrival.Session, time.Now().Add(timeout/positionWaitShare), q.positionKnown)
 	}
+}
+
+// prepareWrite creates the write of an in-doubt query, for its resolver.
+func (c *client) prepareWrite(q *pendingQuery, r *routing.Request) {
 	payload := r.Payload.(*query)
 	st := &payload.statement
 	q.request = r
@@ -237,5 +249,4 @@
 		Deadline:  time.Now().Add(time.Duration(st.TimeoutMillis) * time.Millisecond),
 	}, q)
 	payload.write = q.write
-	q.write.Begin()
 }
