The limit of a stop binds the drain timeout of floating addresses

Cause: the release of addresses waited for its drain timeout without regard to the limit of the stop; with short deadlines also at its begin. Change: the wait ends 0.6 s before the limit at the begin of a stop, 0.3 s before it for kept addresses.

--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -73,14 +73,23 @@
 // readUntil reads messages up to and including one of a type, or a fatal error, and returns the types and bodies of all of them.
 func (c *clientConn) readUntil(kind byte) (kinds string, bodies []string) {
 	c.t.Helper()
+	kinds, bodies, err := c.tryReadUntil(kind)
+	if err != nil {
+		c.t.Fatalf("after %q: %v", kinds, err)
+	}
+	return kinds, bodies
+}
+
+// tryReadUntil does the work of readUntil and returns the error with which the connection ended.
+func (c *clientConn) tryReadUntil(kind byte) (kinds string, bodies []string, err error) {
 	for {
 		k, body, err := c.readMessage()
 		if err != nil {
-			c.t.Fatalf("after %q: %v", kinds, err)
+			return kinds, bodies, err
 		}
 		kinds, bodies = kinds+string(k), append(bodies, body)
 		if k == kind || k == 'E' && strings.Contains(body, "SFATAL\x00") {
-			return kinds, bodies
+			return kinds, bodies, nil
 		}
 	}
 }
--- a/internal/gateway/floatingip.go
+++ b/internal/gateway/floatingip.go
@@ -243,25 +243,25 @@
 }
 
 // releaseAll releases the addresses. If last is false, releaseAll skips the addresses that are kept until another gateway takes
-// them over.
-func (f *floatingAddresses) releaseAll(last bool) {
+// them over. It waits for requests in flight, but not after the time end (zero: no limit).
+func (f *floatingAddresses) releaseAll(last bool, end time.Time) {
 	if f != nil {
 		f.stopping.Store(true)
 		f.releasedAll.Store(last)
-		f.quiesce(last)
+		f.quiesce(last, end)
 		f.router.Shutdown(last)
 	}
 }
 
-// quiesce rejects new requests at the addresses that are about to be released and waits, up to their drain timeouts, until the
-// requests in flight there have ended. Otherwise a network that cuts connections when an address moves would leave those requests
+// quiesce rejects new requests at the addresses that are about to be released and waits, up to their drain timeouts and not after the
+// time end, until the requests in flight there have ended. Otherwise a network that cuts connections when an address moves would leave those requests
 // in doubt. The cost is that new requests are rejected unsent in the meantime.
 //
 // An address that is kept until another gateway takes it over moves as soon as a gateway with a higher priority is informed of the
 // drain. New requests at that address are rejected too, but quiesce does not wait for the requests in flight there. If the address
 // has not moved when its drain timeout is over, requests at the address are accepted again, unless releaseAll has released every
 // address meanwhile.
-func (f *floatingAddresses) quiesce(last bool) {
+func (f *floatingAddresses) quiesce(last bool, end time.Time) {
 	var timeout time.Duration
 	var releasing []*activation
 	f.mu.Lock()
@@ -279,7 +279,10 @@
 	}
 	f.mu.Unlock()
 	busy := func(t *activation) bool { return t.clients.Busy() > 0 }
-	for end := time.Now().Add(timeout); slices.ContainsFunc(releasing, busy) && time.Now().Before(end); {
+	if until := time.Now().Add(timeout); end.IsZero() || until.Before(end) {
+		end = until
+	}
+	for slices.ContainsFunc(releasing, busy) && time.Now().Before(end) {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/internal/gateway/floatingip_test.go
+++ b/internal/gateway/floatingip_test.go
@@ -368,7 +368,7 @@
 	second := f.open(f.floating[0])
 	second.Write(query(put("x3")))
 	<-arrived
-	f.gateways[0].floating.releaseAll(true)
+	f.gateways[0].floating.releaseAll(true, time.Time{})
 	f.awaitActive(1)
 	release()
 	for c, want := range map[*clientConn]string{first: "value of x1", second: "value of x3"} {
@@ -398,7 +398,7 @@
 	f.expectLogged(0, "former word in the operators' file", `"former":"let-go","new":"drain-timeout"`)
 	c := f.open(f.floating[0])
 	fl := f.gateways[0].floating
-	fl.releaseAll(false)
+	fl.releaseAll(false, time.Time{})
 	c.Write(query(writeQuery("x1")))
 	if kinds, bodies := c.readUntil('E'); !strings.Contains(bodies[0], "C53300\x00") && !strings.Contains(bodies[0], "C57P03\x00") {
 		t.Errorf("%s %q", kinds, bodies)
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -185,7 +185,7 @@
 		a.drainingSince = time.Now()
 		a.draining.Store(true)
 		a.g.members.setDraining(true)
-		a.g.floating.releaseAll(false)
+		a.g.floating.releaseAll(false, time.Time{})
 	case !drain && a.draining.Load():
 		a.g.members.setDraining(false)
 		a.g.clients.Resume()
@@ -208,7 +208,7 @@
 		a.g.clients.Drain(transport.EndMaintenance)
 	}
 	if time.Since(a.drainingSince) > takeoverTimeout && a.g.floating.activeCount() > 0 {
-		a.g.floating.releaseAll(true)
+		a.g.floating.releaseAll(true, time.Time{})
 	}
 }
 
--- a/internal/gateway/openrequests_test.go
+++ b/internal/gateway/openrequests_test.go
@@ -208,3 +208,56 @@
 		})
 	}
 }
+
+// TestStopWithDrainTimeout guards against a floating address whose drain timeout holds the end of a stop up until after the kill (incident of
+// 2026-12-06, drain timeouts at a stop): all requests get their answers before that, at the address and elsewhere.
+func TestStopWithDrainTimeout(t *testing.T) {
+	for _, deadline := range []time.Duration{100 * time.Millisecond, 5 * time.Second} {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("deadline %v, address kept %v", deadline, kept), func(t *testing.T) {
+				f := newGatewayFleet(t, true, func(_ int, c *config.Config) { c.InForce = waitSettings(deadline) }, 200, 100)
+				release := make(chan struct{})
+				t.Cleanup(func() { close(release) })
+				f.primary.SetQueryHandler(func(q *fake.Query) { <-release; q.ReplyRow(nil) })
+				f.awaitActive(0)
+				f.reload(0, func(s string) string {
+					s += "drain-timeout 1s\n"
+					if kept {
+						s += "track draining 40\n"
+					}
+					return s
+				})
+				kill := min(deadline, maxDeadlineAllowance) + 700*time.Millisecond
+				var clients sync.WaitGroup
+				var stopAt atomic.Int64
+				const patience = 20 * time.Second // the requests themselves wait for longer than the stop may take
+				for n := range 8 {
+					c := f.open([]string{f.floating[0], f.gateways[0].Addr()}[n%2])
+					clients.Go(func() {
+						for i := 0; ; i++ {
+							sent := time.Now()
+							c.Write(query(statementOf(classServer, fmt.Sprint("r", n, "-", i), "k", patience)))
+							kinds, _, err := c.tryReadUntil('Z')
+							since := time.Since(time.UnixMicro(stopAt.Load()))
+							if since > kill {
+								t.Errorf("r%d-%d: %q, %v, %v after the stop; the kill is at %v", n, i, kinds, err, since, kill)
+							}
+							if err == nil {
+								continue
+							}
+							if kinds == "" && time.Since(sent) > 100*time.Millisecond {
+								t.Errorf("r%d-%d: no answer, sent %v before the connection's end", n, i, time.Since(sent))
+							}
+							return
+						}
+					})
+				}
+				time.Sleep(50 * time.Millisecond)
+				stopAt.Store(time.Now().UnixMicro())
+				f.gateways[0].Stop()
+				f.gateways[0] = nil
+				clients.Wait()
+			})
+		}
+	}
+}
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -162,7 +162,7 @@
 
 // abort stops a gateway at once after one of its parts failed to start.
 func (g *Gateway) abort() {
-	g.floating.releaseAll(true)
+	g.floating.releaseAll(true, time.Time{})
 	g.listener.Close()
 	<-g.acceptDone
 	g.clients.Drain(transport.EndDraining)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -66,7 +66,7 @@
 	if s.store != nil {
 		go s.store.TransferLeadership() // takes a second at most; the Raft groups led here get new leaders before this gateway ends
 	}
-	s.floating.releaseAll(false)
+	s.floating.releaseAll(false, s.at(s.limit-drainLead))
 }
 
 // longestDeadline returns the longest deadline of a class in the settings in force.
@@ -88,7 +88,7 @@
 // their sessions' positions any more, so that the primary can still serve them.
 func (s shutdown) drainClients() {
 	s.eachClients((*session.Clients).StopAwaitingPositions)
-	s.floating.releaseAll(true)
+	s.floating.releaseAll(true, s.at(s.limit-drainLead/2))
 	s.members.announceLeave()
 	s.clients.Drain(transport.EndDraining)
 	s.waitUntilNone(s.clients.Open, min(time.Since(s.start)+partialMessageGrace, s.limit))
@@ -135,6 +135,9 @@
 	}
 }
 
+// at returns the time that is a duration after the start of the shutdown.
+func (s shutdown) at(d time.Duration) time.Time { return s.start.Add(d) }
+
 // waitUntilNone waits until a count is 0, but not after the time end, counted from the start of the shutdown.
 func (s shutdown) waitUntilNone(count func() int, end time.Duration) {
 	for count() > 0 && time.Since(s.start) < end {
